Contracts: ports, outcomes, records, virtual time and the build

The other parts build on these: the port to the platform's store with typed results, ports to engines, plain services and peers, the sealed outcome of a request, configuration records, an injected clock, and the API of a node.

--- /dev/null
+++ b/cli/src/main/java/dev/apricotmill/cli/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' command line. */
+@NullMarked
+package dev.apricotmill.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/membership/ProbePayload.java
@@ -0,0 +1,27 @@
+package dev.apricotmill.coordination.membership;
+
+import java.util.Arrays;
+
+/**
+ * A small value that another part spreads with the probes.
+ *
+ * @param name which part it belongs to
+ * @param sequence a number that grows with each new value of the same name
+ * @param value the encoded value, at most 1 KiB; not to be modified
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record ProbePayload(String name, long sequence, byte[] value) {
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ProbePayload that
+        && name.equals(that.name)
+        && sequence == that.sequence
+        && Arrays.equals(value, that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * name.hashCode() + Long.hashCode(sequence);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/platform/Precondition.java
@@ -0,0 +1,30 @@
+package dev.apricotmill.coordination.platform;
+
+/** What must hold of an object for a write to take effect. */
+public sealed interface Precondition {
+
+  /** The object must not exist. */
+  record Absent() implements Precondition {}
+
+  /**
+   * The object must have exactly this version.
+   *
+   * @param version the expected version
+   */
+  record VersionIs(long version) implements Precondition {}
+
+  /** Returns the condition that the object does not exist. */
+  static Precondition absent() {
+    return new Absent();
+  }
+
+  /** Returns the condition that the object has {@code version}; zero stands for absent. */
+  static Precondition versionIs(long version) {
+    return version == 0 ? new Absent() : new VersionIs(version);
+  }
+
+  /** Returns whether the condition holds of an object at {@code version}; zero means absent. */
+  default boolean holdsFor(long version) {
+    return this instanceof VersionIs expected ? expected.version() == version : version == 0;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/platform/package-info.java
@@ -0,0 +1,5 @@
+/** The port to the platform's object store, with its typed results. */
+@NullMarked
+package dev.apricotmill.coordination.platform;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/configuration/Rule.java
@@ -0,0 +1,47 @@
+package dev.apricotmill.core.configuration;
+
+import dev.apricotmill.core.request.ServiceName;
+import java.time.Duration;
+
+/**
+ * Decides for some requests of a service whether they may run, how often, and for how long. The
+ * first rule that matches a request holds.
+ *
+ * @param service the service
+ * @param method the HTTP method, or {@code *}
+ * @param pathPrefix the prefix of the path below the service, such as {@code /}
+ * @param access whether matching requests may run
+ * @param repetition whether matching requests may run twice
+ * @param timeLimit the longest time that a matching request may take
+ */
+public record Rule(
+    ServiceName service,
+    String method,
+    String pathPrefix,
+    Access access,
+    Repetition repetition,
+    Duration timeLimit) {
+
+  /** Returns whether the rule holds for a request. */
+  public boolean matches(ServiceName requested, String requestedMethod, String path) {
+    return service.equals(requested)
+        && (method.equals("*") || method.equals(requestedMethod))
+        && path.startsWith(pathPrefix);
+  }
+
+  /** Whether requests may run. */
+  public enum Access {
+    /** They may run. */
+    ALLOW,
+    /** They are refused. */
+    DENY
+  }
+
+  /** Whether a request may run twice. */
+  public enum Repetition {
+    /** The request is idempotent and may be retried. */
+    IDEMPOTENT,
+    /** The request runs at most once and needs an idempotency key. */
+    AT_MOST_ONCE
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/engine/package-info.java
@@ -0,0 +1,5 @@
+/** The port to model engines. */
+@NullMarked
+package dev.apricotmill.core.engine;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/length/LengthClass.java
@@ -0,0 +1,34 @@
+package dev.apricotmill.core.length;
+
+/** Classes of prompt lengths on a logarithmic scale. */
+public enum LengthClass {
+  /** Up to 4,000 tokens. */
+  SHORT(4_000),
+  /** Up to 32,000 tokens. */
+  MEDIUM(32_000),
+  /** Up to 128,000 tokens. */
+  LONG(128_000),
+  /** Longer ones. */
+  HUGE(Long.MAX_VALUE);
+
+  private final long maximumTokens;
+
+  LengthClass(long maximumTokens) {
+    this.maximumTokens = maximumTokens;
+  }
+
+  /** Returns the longest prompt of the class in tokens. */
+  public long maximumTokens() {
+    return maximumTokens;
+  }
+
+  /** Returns the class of a prompt of that many tokens. */
+  public static LengthClass of(long tokens) {
+    for (LengthClass candidate : values()) {
+      if (tokens <= candidate.maximumTokens) {
+        return candidate;
+      }
+    }
+    return HUGE;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/outcome/FailureReason.java
@@ -0,0 +1,28 @@
+package dev.apricotmill.core.outcome;
+
+/** Why a request failed after it may have started. */
+public enum FailureReason {
+  /** The back end reported an error. */
+  BACKEND_ERROR(502),
+  /** The answer broke off and could not be resumed. */
+  STREAM_BROKEN(502),
+  /** The request's time ran out while it ran. */
+  TIMED_OUT(504),
+  /** The answer held a chunk of another request or position. */
+  FOREIGN_CHUNK(502),
+  /** The caller went away. */
+  CALLER_GONE(499),
+  /** The key is older than the ledger remembers; its request may have run before. */
+  KEY_TOO_OLD(409);
+
+  private final int status;
+
+  FailureReason(int status) {
+    this.status = status;
+  }
+
+  /** Returns the HTTP status of the failure. */
+  public int status() {
+    return status;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/peer/StewardEndpoint.java
@@ -0,0 +1,10 @@
+package dev.apricotmill.core.peer;
+
+import java.util.concurrent.Flow;
+
+/** The receiving side of {@link StewardPeers} in the steward's process. */
+public interface StewardEndpoint {
+
+  /** Takes a forwarded request; see {@link StewardPeers#forward}. */
+  Flow.Subscription accept(ForwardedRequest request, ForwardListener listener);
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/service/package-info.java
@@ -0,0 +1,5 @@
+/** The port to plain services. */
+@NullMarked
+package dev.apricotmill.core.service;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/NodePorts.java
@@ -0,0 +1,35 @@
+package dev.apricotmill.node;
+
+import dev.apricotmill.coordination.membership.PeerProbes;
+import dev.apricotmill.coordination.platform.Platform;
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.engine.EngineConnector;
+import dev.apricotmill.core.peer.StewardPeers;
+import dev.apricotmill.core.service.PlainService;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.opentelemetry.api.trace.Tracer;
+import java.util.random.RandomGenerator;
+
+/**
+ * Everything outside that a node uses.
+ *
+ * @param timing time and the scheduler
+ * @param platform the platform's store
+ * @param probes probes of other daemons
+ * @param stewards forwards to other daemons
+ * @param engines the model engines
+ * @param services the plain services
+ * @param random the source of random choices
+ * @param meters where metrics are registered
+ * @param tracer makes a span for each hop
+ */
+public record NodePorts(
+    Timing timing,
+    Platform platform,
+    PeerProbes probes,
+    StewardPeers stewards,
+    EngineConnector engines,
+    PlainService services,
+    RandomGenerator random,
+    MeterRegistry meters,
+    Tracer tracer) {}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/api/GenerationSubmission.java
@@ -0,0 +1,28 @@
+package dev.apricotmill.node.api;
+
+import dev.apricotmill.core.request.RequestId;
+import dev.apricotmill.core.request.ServiceName;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * A caller's request for generated text, before admission.
+ *
+ * @param id the identifier that every answer carries
+ * @param customerKey the caller's key in clear, empty if none was given
+ * @param service the model pool
+ * @param prompt the prompt; a chat is already rendered to one text
+ * @param maximumOutputTokens the most tokens to generate, at least 1
+ * @param timeLimit the caller's time limit, if given
+ * @param idempotencyKey the caller's key for this request, if given
+ * @param traceParent the W3C trace context, empty if none
+ */
+public record GenerationSubmission(
+    RequestId id,
+    String customerKey,
+    ServiceName service,
+    String prompt,
+    int maximumOutputTokens,
+    Optional<Duration> timeLimit,
+    Optional<String> idempotencyKey,
+    String traceParent) {}
