HTTP adapters of platform, engines and plain services

One shared HttpCore client sends each request once. Whole answers are capped; streams are read only while the listener wants chunks.

--- /dev/null
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ChunkDelivery.java
@@ -0,0 +1,106 @@
+package dev.apricotmill.adapters;
+
+import com.google.common.math.LongMath;
+import dev.apricotmill.core.engine.GenerationEnd;
+import dev.apricotmill.core.engine.GenerationListener;
+import dev.apricotmill.core.engine.TokenChunk;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Passes chunks to a listener one after another, as many as it has requested, and then the end.
+ *
+ * <p>A broken end does not wait for demand: chunks that were not yet requested are dropped, and
+ * whoever resumes the stream asks for them again. May be called by several threads.
+ */
+final class ChunkDelivery {
+
+  private final GenerationListener listener;
+  private final Runnable whenDrained;
+  private final Queue<TokenChunk> queue = new ConcurrentLinkedQueue<>();
+  private final AtomicLong demand = new AtomicLong();
+  private final AtomicInteger pendingRuns = new AtomicInteger();
+  private volatile @Nullable GenerationEnd end;
+  private volatile boolean stopped;
+
+  /**
+   * Creates a delivery.
+   *
+   * @param listener who receives the chunks
+   * @param whenDrained called when the listener has taken all chunks and wants more
+   */
+  ChunkDelivery(GenerationListener listener, Runnable whenDrained) {
+    this.listener = listener;
+    this.whenDrained = whenDrained;
+  }
+
+  void request(long chunks) {
+    if (chunks <= 0) {
+      return;
+    }
+    demand.accumulateAndGet(chunks, LongMath::saturatedAdd);
+    run();
+  }
+
+  void add(TokenChunk chunk) {
+    queue.add(chunk);
+    run();
+  }
+
+  void end(GenerationEnd newEnd) {
+    end = newEnd;
+    run();
+  }
+
+  /** Lets no further call reach the listener, apart from one that is being made now. */
+  void stop() {
+    stopped = true;
+    queue.clear();
+  }
+
+  boolean wantsMore() {
+    return queue.isEmpty() && demand.get() > 0;
+  }
+
+  private void run() {
+    if (pendingRuns.getAndIncrement() != 0) {
+      return;
+    }
+    int runs = 1;
+    while (runs != 0) {
+      deliver();
+      runs = pendingRuns.addAndGet(-runs);
+    }
+  }
+
+  private void deliver() {
+    GenerationEnd seenEnd = end;
+    if (!(seenEnd instanceof GenerationEnd.Broken)) {
+      deliverChunks();
+    }
+    if (stopped) {
+      return;
+    }
+    boolean mayEnd = queue.isEmpty() || seenEnd instanceof GenerationEnd.Broken;
+    if (seenEnd != null && mayEnd) {
+      stop();
+      listener.onEnd(seenEnd);
+    } else if (wantsMore()) {
+      whenDrained.run();
+    }
+  }
+
+  private void deliverChunks() {
+    while (!stopped && demand.get() > 0) {
+      TokenChunk chunk = queue.poll();
+      if (chunk == null) {
+        return;
+      }
+      demand.decrementAndGet();
+      listener.onChunk(chunk);
+    }
+  }
+}
--- /dev/null
+++ b/adapters/src/main/java/dev/apricotmill/adapters/GenerationExchange.java
@@ -0,0 +1,166 @@
+package dev.apricotmill.adapters;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import dev.apricotmill.core.engine.EngineFailure;
+import dev.apricotmill.core.engine.EngineRefusal;
+import dev.apricotmill.core.engine.EngineRequest;
+import dev.apricotmill.core.engine.GenerationEnd;
+import dev.apricotmill.core.engine.GenerationListener;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.concurrent.Flow;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One streamed completion. Bytes are read from the connection only while the listener wants chunks,
+ * apart from one window.
+ */
+final class GenerationExchange extends ClientExchange {
+
+  private static final int WINDOW_BYTES = 16 * 1024;
+  private static final int MAXIMUM_EVENT_BYTES = 256 * 1024;
+  private static final int MAXIMUM_REFUSAL_BYTES = 64 * 1024;
+
+  private final ChunkDelivery delivery;
+  private final CompletionStream stream;
+  private final ServerSentEventDecoder decoder;
+  private final Runnable cancelOnEngine;
+  private final ByteArrayOutputStream refusal = new ByteArrayOutputStream();
+  private final AtomicReference<@Nullable CapacityChannel> waitingCapacity =
+      new AtomicReference<>();
+  private volatile @Nullable HttpResponse head;
+  private final AtomicBoolean ended = new AtomicBoolean();
+
+  GenerationExchange(EngineRequest request, GenerationListener listener, Runnable cancelOnEngine) {
+    super(HttpCall.post("/v1/completions", Json.write(EngineMessages.Completion.of(request))));
+    this.delivery = new ChunkDelivery(listener, this::readOn);
+    this.stream = new CompletionStream(request);
+    this.decoder = new ServerSentEventDecoder(MAXIMUM_EVENT_BYTES, this::onEvent);
+    this.cancelOnEngine = cancelOnEngine;
+  }
+
+  /** Returns the listener's side of the exchange. */
+  Flow.Subscription subscription() {
+    return new Flow.Subscription() {
+      @Override
+      public void request(long chunks) {
+        delivery.request(chunks);
+      }
+
+      @Override
+      public void cancel() {
+        delivery.stop();
+        if (abandon()) {
+          cancelOnEngine.run();
+        }
+      }
+    };
+  }
+
+  @Override
+  void onHead(HttpResponse response) {
+    head = response;
+  }
+
+  @Override
+  public void updateCapacity(CapacityChannel channel) {
+    waitingCapacity.set(channel);
+    if (!isStream() || ended.get() || delivery.wantsMore()) {
+      readOn();
+    }
+  }
+
+  private void readOn() {
+    CapacityChannel channel = waitingCapacity.getAndSet(null);
+    if (channel == null) {
+      return;
+    }
+    try {
+      channel.update(WINDOW_BYTES);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  @Override
+  public void consume(ByteBuffer source) {
+    if (isStream()) {
+      if (!decoder.decode(source)) {
+        breakOff(EngineFailure.MALFORMED);
+      }
+      return;
+    }
+    byte[] bytes = new byte[source.remaining()];
+    source.get(bytes);
+    refusal.writeBytes(bytes);
+    if (refusal.size() > MAXIMUM_REFUSAL_BYTES) {
+      breakOff(EngineFailure.MALFORMED);
+    }
+  }
+
+  private boolean isStream() {
+    HttpResponse response = head;
+    return response != null && response.getCode() == 200;
+  }
+
+  private void onEvent(String data) {
+    if (ended.get()) {
+      return;
+    }
+    CompletionStream.Event event = stream.read(data);
+    if (event instanceof CompletionStream.Event.Chunk next) {
+      delivery.add(next.chunk());
+    } else if (event instanceof CompletionStream.Event.End last) {
+      if (last.end() instanceof GenerationEnd.Broken broken) {
+        breakOff(broken.failure());
+      } else if (ended.compareAndSet(false, true)) {
+        delivery.end(last.end());
+      }
+    }
+  }
+
+  /** Ends a stream that cannot be used further, and frees the sequence on the engine. */
+  private void breakOff(EngineFailure failure) {
+    if (!ended.compareAndSet(false, true)) {
+      return;
+    }
+    abandon();
+    cancelOnEngine.run();
+    delivery.end(new GenerationEnd.Broken(failure));
+  }
+
+  @Override
+  void onWhole() {
+    if (!ended.compareAndSet(false, true)) {
+      return;
+    }
+    HttpResponse response = head;
+    if (response == null || isStream()) {
+      cancelOnEngine.run();
+      delivery.end(new GenerationEnd.Broken(EngineFailure.CONNECTION_LOST));
+    } else {
+      delivery.end(EngineRefusals.endOf(response, refusal.toString(UTF_8)));
+    }
+  }
+
+  @Override
+  void onFailure(boolean sent, ExchangeFailure failure) {
+    if (!ended.compareAndSet(false, true)) {
+      return;
+    }
+    if (sent) {
+      cancelOnEngine.run();
+      delivery.end(new GenerationEnd.Broken(HttpModelEngine.failureOf(failure)));
+    } else {
+      delivery.end(new GenerationEnd.NotStarted(EngineRefusal.UNREACHABLE, Duration.ZERO));
+    }
+  }
+}
--- /dev/null
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
@@ -0,0 +1,147 @@
+package dev.apricotmill.adapters;
+
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.time.Timing;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
+import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.protocol.RequestConnControl;
+import org.apache.hc.core5.http.protocol.RequestContent;
+import org.apache.hc.core5.http.protocol.RequestTargetHost;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * The HTTP client that all adapters share, with its connection pool and I/O threads.
+ *
+ * <p>A request is sent once: neither the client nor the library sends it again.
+ */
+public final class HttpClients implements AutoCloseable {
+
+  private static final int STREAM_WINDOW_BYTES = 16 * 1024;
+  private static final int MAXIMUM_LINE_BYTES = 16 * 1024;
+  private static final int MAXIMUM_HEADERS = 100;
+
+  private final HttpAsyncRequester requester;
+  private final HttpClientSettings settings;
+  private final Timing timing;
+
+  private HttpClients(HttpAsyncRequester requester, HttpClientSettings settings, Timing timing) {
+    this.requester = requester;
+    this.settings = settings;
+    this.timing = timing;
+  }
+
+  /** Starts a client with default limits, whose timeouts follow {@code timing}. */
+  public static HttpClients start(Timing timing) {
+    return start(HttpClientSettings.DEFAULTS, timing);
+  }
+
+  /** Starts a client whose timeouts follow {@code timing}. */
+  public static HttpClients start(HttpClientSettings settings, Timing timing) {
+    HttpAsyncRequester requester =
+        AsyncRequesterBootstrap.bootstrap()
+            .setIOReactorConfig(reactorConfig(settings))
+            .setHttp1Config(http1Config())
+            .setHttpProcessor(requestProcessor())
+            .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
+            .setDefaultMaxPerRoute(settings.connectionsPerPeer())
+            .setMaxTotal(settings.connections())
+            .setTimeToLive(timeout(settings.connectionLifetime()))
+            .create();
+    requester.start();
+    return new HttpClients(requester, settings, timing);
+  }
+
+  private static IOReactorConfig reactorConfig(HttpClientSettings settings) {
+    return IOReactorConfig.custom()
+        .setIoThreadCount(settings.threads())
+        .setTcpNoDelay(true)
+        .setSoKeepAlive(true)
+        .setSelectInterval(Timeout.ofMilliseconds(100))
+        .build();
+  }
+
+  private static Http1Config http1Config() {
+    return Http1Config.custom()
+        .setInitialWindowSize(STREAM_WINDOW_BYTES)
+        .setMaxLineLength(MAXIMUM_LINE_BYTES)
+        .setMaxHeaderCount(MAXIMUM_HEADERS)
+        .build();
+  }
+
+  private static HttpProcessor requestProcessor() {
+    return HttpProcessorBuilder.create()
+        .add(RequestContent.INSTANCE)
+        .add(RequestTargetHost.INSTANCE)
+        .add(RequestConnControl.INSTANCE)
+        .build();
+  }
+
+  private static Timeout timeout(Duration duration) {
+    return Timeout.of(duration.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  Timing timing() {
+    return timing;
+  }
+
+  /** Sends a request and gathers the whole answer, of at most {@code maximumBytes}. */
+  CompletableFuture<ExchangeResult> send(
+      PeerAddress peer, HttpCall call, int maximumBytes, Duration timeout) {
+    WholeExchange exchange = new WholeExchange(call, maximumBytes);
+    start(peer, exchange, timeout);
+    return exchange.result();
+  }
+
+  /** Opens a connection for {@code exchange}, and ends it when {@code limit} has passed. */
+  void start(PeerAddress peer, ClientExchange exchange, Duration limit) {
+    if (limit.isZero() || limit.isNegative()) {
+      exchange.abort(ExchangeFailure.TIMEOUT);
+      return;
+    }
+    exchange.endWith(timing.schedule(limit, () -> exchange.abort(ExchangeFailure.TIMEOUT)));
+    Duration connectTimeout =
+        limit.compareTo(settings.connectTimeout()) < 0 ? limit : settings.connectTimeout();
+    requester.connect(
+        new HttpHost("http", peer.host(), peer.port()),
+        timeout(connectTimeout),
+        null,
+        new ExchangeStarter(exchange));
+  }
+
+  @Override
+  public void close() {
+    requester.close(CloseMode.IMMEDIATE);
+  }
+
+  /** Hands a leased connection to the exchange that waits for it. */
+  private record ExchangeStarter(ClientExchange exchange)
+      implements FutureCallback<AsyncClientEndpoint> {
+
+    @Override
+    public void completed(AsyncClientEndpoint endpoint) {
+      exchange.runOn(endpoint);
+    }
+
+    @Override
+    public void failed(Exception cause) {
+      exchange.abort(ExchangeFailure.CONNECTION_LOST);
+    }
+
+    @Override
+    public void cancelled() {
+      exchange.abort(ExchangeFailure.CONNECTION_LOST);
+    }
+  }
+}
--- /dev/null
+++ b/adapters/src/main/java/dev/apricotmill/adapters/WholeExchange.java
@@ -0,0 +1,63 @@
+package dev.apricotmill.adapters;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.jspecify.annotations.Nullable;
+
+/** An exchange whose answer is gathered as a whole, up to a limit. */
+final class WholeExchange extends ClientExchange {
+
+  private final int maximumBytes;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final CompletableFuture<ExchangeResult> result = new CompletableFuture<>();
+  private volatile @Nullable HttpResponse head;
+
+  WholeExchange(HttpCall call, int maximumBytes) {
+    super(call);
+    this.maximumBytes = maximumBytes;
+  }
+
+  CompletableFuture<ExchangeResult> result() {
+    return result;
+  }
+
+  @Override
+  void onHead(HttpResponse response) {
+    head = response;
+  }
+
+  @Override
+  public void updateCapacity(CapacityChannel channel) throws IOException {
+    channel.update(Integer.MAX_VALUE);
+  }
+
+  @Override
+  public void consume(ByteBuffer source) {
+    if (body.size() + source.remaining() > maximumBytes) {
+      abort(ExchangeFailure.OVERSIZE);
+      return;
+    }
+    byte[] bytes = new byte[source.remaining()];
+    source.get(bytes);
+    body.writeBytes(bytes);
+  }
+
+  @Override
+  void onWhole() {
+    HttpResponse response = head;
+    result.complete(
+        response == null
+            ? new ExchangeResult.Interrupted(ExchangeFailure.MALFORMED)
+            : new ExchangeResult.Answer(response, body.toByteArray()));
+  }
+
+  @Override
+  void onFailure(boolean sent, ExchangeFailure failure) {
+    result.complete(
+        sent ? new ExchangeResult.Interrupted(failure) : new ExchangeResult.NotSent(failure));
+  }
+}
