--- /dev/null
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/peers/package-info.java
@@ -0,0 +1,5 @@
+/** In-process delivery between daemons on virtual time, with delays, cuts and losses. */
+@NullMarked
+package dev.apricotmill.testhelpers.peers;
+
+import org.jspecify.annotations.NullMarked;
