--- a/test_helpers/src/main/java/dev/apricotmill/testhelpers/engine/EngineCore.java
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/engine/EngineCore.java
@@ -240,6 +240,11 @@
     return result;
   }
 
+  /** Runs a task on the engine's time. */
+  void schedule(Duration delay, Runnable task) {
+    timing.schedule(delay, task);
+  }
+
   /** Stops all steps; sequences keep their memory. */
   public synchronized void freeze() {
     frozen = true;
