--- /dev/null
+++ b/coordination/src/test/java/dev/apricotmill/coordination/testing/FakePlatform.java
@@ -0,0 +1,180 @@
+package dev.apricotmill.coordination.testing;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.platform.Machine;
+import dev.apricotmill.coordination.platform.MachineListResult;
+import dev.apricotmill.coordination.platform.Platform;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+/**
+ * The platform's store in memory, on virtual time, with faults that a test injects.
+ *
+ * <p>Each process calls it through its own {@link #clientFor client}, whose answers run on that
+ * process's scheduler: a frozen process gets them after it wakes up, a killed one never.
+ */
+public final class FakePlatform {
+
+  private static final Duration DEFAULT_ANSWER_DELAY = Duration.ofMillis(4);
+  private static final Duration DEFAULT_SLOW_DELAY = Duration.ofSeconds(5);
+
+  private final VirtualTime time;
+  private final VirtualScheduler scheduler;
+  private final ObjectTable objects = new ObjectTable();
+  private final FaultRules faults = new FaultRules();
+  private final PlatformCallLog log = new PlatformCallLog();
+  private final TreeMap<Long, ImmutableList<Machine>> machines = new TreeMap<>();
+  private final Set<WaitingWatch> watches = new LinkedHashSet<>();
+  private Duration answerDelay = DEFAULT_ANSWER_DELAY;
+  private Duration slowDelay = DEFAULT_SLOW_DELAY;
+  private Duration machineListLag = Duration.ZERO;
+
+  /** Makes an empty store on {@code time}. */
+  public FakePlatform(VirtualTime time) {
+    this.time = time;
+    this.scheduler = time.newScheduler();
+  }
+
+  /** Returns the platform as the process with this name, zone and scheduler reaches it. */
+  public Platform clientFor(String process, Zone zone, VirtualScheduler processScheduler) {
+    return new FakePlatformClient(this, process, zone, processScheduler);
+  }
+
+  /** Returns the log of all calls. */
+  public PlatformCallLog log() {
+    return log;
+  }
+
+  /** Sets the time from a call to its answer when nothing is wrong. */
+  public void setAnswerDelay(Duration delay) {
+    answerDelay = delay;
+  }
+
+  /** Sets how long a call takes under {@link PlatformFault#SLOW} or a late write to land. */
+  public void setSlowDelay(Duration delay) {
+    slowDelay = delay;
+  }
+
+  /** Sets by how much the list of VMs lags behind {@link #setMachines}. */
+  public void setMachineListLag(Duration lag) {
+    machineListLag = lag;
+  }
+
+  /** Sets the true list of VMs. */
+  public void setMachines(ImmutableList<Machine> list) {
+    machines.put(time.nanoTime(), list);
+  }
+
+  /** Lets {@code fault} happen to the next {@code calls} matching calls. */
+  public void failNext(int calls, PlatformFault fault, Predicate<PlatformRequest> matching) {
+    faults.addForCalls(matching, fault, calls);
+  }
+
+  /** Lets {@code fault} happen to the next call. */
+  public void failNext(PlatformFault fault) {
+    failNext(1, fault, request -> true);
+  }
+
+  /** Lets {@code fault} happen to matching calls during {@code duration}. */
+  public void failFor(Duration duration, PlatformFault fault, Predicate<PlatformRequest> matching) {
+    faults.addUntil(matching, fault, time.nanoTime() + duration.toNanos());
+    breakWatches();
+  }
+
+  /** Lets {@code fault} happen to matching calls until {@link #heal}. */
+  public void fail(PlatformFault fault, Predicate<PlatformRequest> matching) {
+    faults.addUntil(matching, fault, Long.MAX_VALUE);
+    breakWatches();
+  }
+
+  /** Lets {@code fault} happen to all calls until {@link #heal}. */
+  public void fail(PlatformFault fault) {
+    fail(fault, request -> true);
+  }
+
+  /** Lets {@code fault} happen to all calls from one zone until {@link #heal}. */
+  public void failZone(Zone zone, PlatformFault fault) {
+    fail(fault, request -> request.zone().equals(zone));
+  }
+
+  /** Lets {@code fault} happen to all calls of one process until {@link #heal}. */
+  public void failProcess(String process, PlatformFault fault) {
+    fail(fault, request -> request.process().equals(process));
+  }
+
+  /** Ends all faults. */
+  public void heal() {
+    faults.clear();
+  }
+
+  /** Forgets the changes up to now, so that watches from older revisions must list again. */
+  public void compact() {
+    objects.compact();
+  }
+
+  VirtualTime time() {
+    return time;
+  }
+
+  VirtualScheduler scheduler() {
+    return scheduler;
+  }
+
+  ObjectTable objects() {
+    return objects;
+  }
+
+  Duration answerDelay() {
+    return answerDelay;
+  }
+
+  Duration slowDelay() {
+    return slowDelay;
+  }
+
+  Optional<PlatformFault> takeFault(PlatformRequest request) {
+    return faults.take(request, time.nanoTime());
+  }
+
+  Optional<PlatformFault> lastingFault(PlatformRequest request) {
+    return faults.lasting(request, time.nanoTime());
+  }
+
+  MachineListResult machineList() {
+    Map.Entry<Long, ImmutableList<Machine>> entry =
+        machines.floorEntry(time.nanoTime() - machineListLag.toNanos());
+    return new MachineListResult.Listed(entry == null ? ImmutableList.of() : entry.getValue());
+  }
+
+  void await(WaitingWatch watch) {
+    watches.add(watch);
+  }
+
+  void forget(WaitingWatch watch) {
+    watches.remove(watch);
+  }
+
+  void changed(String path) {
+    snapshotOfWatches().stream()
+        .filter(watch -> path.startsWith(watch.prefix()))
+        .forEach(WaitingWatch::wake);
+  }
+
+  private void breakWatches() {
+    snapshotOfWatches().stream()
+        .filter(watch -> lastingFault(watch.request()).isPresent())
+        .forEach(WaitingWatch::breakOff);
+  }
+
+  private List<WaitingWatch> snapshotOfWatches() {
+    return new ArrayList<>(watches);
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/dev/apricotmill/coordination/testing/FaultRules.java
@@ -0,0 +1,64 @@
+package dev.apricotmill.coordination.testing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/** The faults that a test has injected; the newest matching one applies. */
+final class FaultRules {
+
+  private final List<Rule> rules = new ArrayList<>();
+
+  void addForCalls(Predicate<PlatformRequest> matching, PlatformFault fault, int calls) {
+    rules.add(0, new Rule(matching, fault, calls, Long.MAX_VALUE));
+  }
+
+  void addUntil(Predicate<PlatformRequest> matching, PlatformFault fault, long untilNanos) {
+    rules.add(0, new Rule(matching, fault, Integer.MAX_VALUE, untilNanos));
+  }
+
+  void clear() {
+    rules.clear();
+  }
+
+  /** Returns the fault of a new call and counts the call. */
+  Optional<PlatformFault> take(PlatformRequest request, long nowNanos) {
+    for (Rule rule : rules) {
+      if (rule.applies(request, nowNanos)) {
+        rule.remainingCalls--;
+        return Optional.of(rule.fault);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the lasting fault that applies to a call under way. */
+  Optional<PlatformFault> lasting(PlatformRequest request, long nowNanos) {
+    return rules.stream()
+        .filter(rule -> rule.lasting && rule.applies(request, nowNanos))
+        .map(rule -> rule.fault)
+        .findFirst();
+  }
+
+  private static final class Rule {
+
+    private final Predicate<PlatformRequest> matching;
+    private final PlatformFault fault;
+    private final long untilNanos;
+    private final boolean lasting;
+    private int remainingCalls;
+
+    Rule(Predicate<PlatformRequest> matching, PlatformFault fault, int calls, long untilNanos) {
+      this.matching = matching;
+      this.fault = fault;
+      this.remainingCalls = calls;
+      this.lasting = calls == Integer.MAX_VALUE;
+      this.untilNanos = untilNanos;
+    }
+
+    boolean applies(PlatformRequest request, long nowNanos) {
+      return remainingCalls > 0 && nowNanos < untilNanos && matching.test(request);
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/dev/apricotmill/coordination/testing/ObjectTable.java
@@ -0,0 +1,88 @@
+package dev.apricotmill.coordination.testing;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.platform.ListResult;
+import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.Platform;
+import dev.apricotmill.coordination.platform.PlatformFailure;
+import dev.apricotmill.coordination.platform.Precondition;
+import dev.apricotmill.coordination.platform.ReadResult;
+import dev.apricotmill.coordination.platform.StoredObject;
+import dev.apricotmill.coordination.platform.WatchResult;
+import dev.apricotmill.coordination.platform.WriteResult;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The objects of {@link FakePlatform}; versions are revisions, so that none is ever used twice. */
+final class ObjectTable {
+
+  private final TreeMap<String, StoredObject> objects = new TreeMap<>();
+  private final TreeMap<String, Long> removals = new TreeMap<>();
+  private long revision;
+  private long compactedRevision;
+
+  ReadResult get(ObjectKey key) {
+    StoredObject object = objects.get(key.path());
+    return object == null ? new ReadResult.NotFound() : new ReadResult.Found(object);
+  }
+
+  ListResult list(String prefix) {
+    return new ListResult.Listed(
+        ImmutableList.copyOf(
+            objects.tailMap(prefix).values().stream()
+                .takeWhile(object -> object.key().path().startsWith(prefix))
+                .toList()),
+        revision);
+  }
+
+  WriteResult put(ObjectKey key, byte[] value, Precondition precondition) {
+    if (value.length > Platform.MAX_VALUE_BYTES) {
+      return new WriteResult.NotWritten(PlatformFailure.TOO_LARGE);
+    }
+    long version = versionOf(key);
+    if (!precondition.holdsFor(version)) {
+      return new WriteResult.Conflict(version);
+    }
+    revision++;
+    objects.put(key.path(), new StoredObject(key, revision, value.clone()));
+    removals.remove(key.path());
+    return new WriteResult.Written(revision);
+  }
+
+  WriteResult delete(ObjectKey key, Precondition precondition) {
+    long version = versionOf(key);
+    if (!precondition.holdsFor(version)) {
+      return new WriteResult.Conflict(version);
+    }
+    revision++;
+    objects.remove(key.path());
+    removals.put(key.path(), revision);
+    return new WriteResult.Written(revision);
+  }
+
+  WatchResult changesSince(String prefix, long since) {
+    if (since < compactedRevision) {
+      return new WatchResult.Compacted();
+    }
+    ImmutableList<StoredObject> changed =
+        objects.values().stream()
+            .filter(object -> object.key().path().startsWith(prefix) && object.version() > since)
+            .collect(ImmutableList.toImmutableList());
+    ImmutableList<ObjectKey> removed =
+        removals.entrySet().stream()
+            .filter(entry -> entry.getKey().startsWith(prefix) && entry.getValue() > since)
+            .map(Map.Entry::getKey)
+            .map(ObjectKey::new)
+            .collect(ImmutableList.toImmutableList());
+    return new WatchResult.Changes(changed, removed, revision);
+  }
+
+  void compact() {
+    compactedRevision = revision;
+  }
+
+  private long versionOf(ObjectKey key) {
+    StoredObject object = objects.get(key.path());
+    return object == null ? 0 : object.version();
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/dev/apricotmill/coordination/testing/PlatformCall.java
@@ -0,0 +1,65 @@
+package dev.apricotmill.coordination.testing;
+
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/** One call in the log of {@link FakePlatform}. */
+public final class PlatformCall {
+
+  private final PlatformRequest request;
+  private final long startNanos;
+  private final @Nullable PlatformFault fault;
+  private long effectNanos = -1;
+  private long answerNanos = -1;
+  private @Nullable Object outcome;
+
+  PlatformCall(PlatformRequest request, long startNanos, @Nullable PlatformFault fault) {
+    this.request = request;
+    this.startNanos = startNanos;
+    this.fault = fault;
+  }
+
+  /** Returns the call. */
+  public PlatformRequest request() {
+    return request;
+  }
+
+  /** Returns the virtual time at which the call was made. */
+  public long startNanos() {
+    return startNanos;
+  }
+
+  /** Returns the virtual time at which the call reached the store, -1 if it has not. */
+  public long effectNanos() {
+    return effectNanos;
+  }
+
+  /** Returns the virtual time at which the caller's stage completed, -1 if it has not. */
+  public long answerNanos() {
+    return answerNanos;
+  }
+
+  /** Returns the injected fault. */
+  public Optional<PlatformFault> fault() {
+    return Optional.ofNullable(fault);
+  }
+
+  /** Returns the result that the caller was given. */
+  public Optional<Object> outcome() {
+    return Optional.ofNullable(outcome);
+  }
+
+  void reached(long nanos) {
+    effectNanos = nanos;
+  }
+
+  void answered(long nanos, Object result) {
+    answerNanos = nanos;
+    outcome = result;
+  }
+
+  @Override
+  public String toString() {
+    return startNanos + " " + request + " " + fault + " -> " + outcome;
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/dev/apricotmill/coordination/testing/PlatformOperation.java
@@ -0,0 +1,22 @@
+package dev.apricotmill.coordination.testing;
+
+/** The kinds of calls that {@link FakePlatform} takes. */
+public enum PlatformOperation {
+  GET(false),
+  LIST(false),
+  PUT(true),
+  DELETE(true),
+  WATCH(false),
+  MACHINES(false);
+
+  private final boolean write;
+
+  PlatformOperation(boolean write) {
+    this.write = write;
+  }
+
+  /** Returns whether the call counts against the platform's rate of writes. */
+  public boolean isWrite() {
+    return write;
+  }
+}
