Contract: a steward's load tells the backlog by length class and the observed prefill rate

The router has to predict the time to first token of a prompt from the work that goes before it. One sum over all lengths hides that a short prompt overtakes a long one, so the backlog is told for each class.

--- a/core/src/main/java/dev/apricotmill/core/steward/ReplicaScheduler.java
+++ b/core/src/main/java/dev/apricotmill/core/steward/ReplicaScheduler.java
@@ -86,6 +86,10 @@
         waiting.size(),
         waiting.values().stream().mapToLong(GenerationRequest::promptTokens).sum(),
         0,
+        0,
+        0,
+        0,
+        profile.prefillTokensPerSecond(),
         Duration.ZERO);
   }
 }
--- a/core/src/main/java/dev/apricotmill/core/steward/StewardLoad.java
+++ b/core/src/main/java/dev/apricotmill/core/steward/StewardLoad.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.core.steward;
 
+import dev.apricotmill.core.length.LengthClass;
 import java.time.Duration;
 
 /**
@@ -8,8 +9,12 @@
  * @param memoryTokens KV memory of the replica in tokens
  * @param reservedTokens KV memory reserved by running requests
  * @param queuedRequests requests that wait at the steward
- * @param queuedPromptTokens prompt tokens that wait or are being read
+ * @param queuedPromptTokens prompt tokens of all lengths that wait or are being read
+ * @param shortPromptTokens those of them in prompts of class {@link LengthClass#SHORT}
+ * @param mediumPromptTokens those of them in prompts of class {@link LengthClass#MEDIUM}
+ * @param longPromptTokens those of them in prompts of class {@link LengthClass#LONG}
  * @param longPrompts long prompts that wait or are being read
+ * @param prefillTokensPerSecond the rate at which the replica was seen to read prompts
  * @param timeToFirstToken what a short request may expect to wait for its first token
  */
 public record StewardLoad(
@@ -17,9 +22,28 @@
     long reservedTokens,
     int queuedRequests,
     long queuedPromptTokens,
+    long shortPromptTokens,
+    long mediumPromptTokens,
+    long longPromptTokens,
     int longPrompts,
+    double prefillTokensPerSecond,
     Duration timeToFirstToken) {
 
   /** The load of a replica of which nothing is known yet. */
-  public static final StewardLoad UNKNOWN = new StewardLoad(0, 0, 0, 0, 0, Duration.ZERO);
+  public static final StewardLoad UNKNOWN =
+      new StewardLoad(0, 0, 0, 0, 0, 0, 0, 0, 0, Duration.ZERO);
+
+  /** Returns the queued prompt tokens in prompts of at most the given class. */
+  public long queuedPromptTokensUpTo(LengthClass lengthClass) {
+    if (lengthClass == LengthClass.SHORT) {
+      return shortPromptTokens;
+    }
+    if (lengthClass == LengthClass.MEDIUM) {
+      return shortPromptTokens + mediumPromptTokens;
+    }
+    if (lengthClass == LengthClass.LONG) {
+      return shortPromptTokens + mediumPromptTokens + longPromptTokens;
+    }
+    return queuedPromptTokens;
+  }
 }
