--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/configuration/CustomerKey.java
@@ -0,0 +1,28 @@
+package dev.apricotmill.core.configuration;
+
+import com.google.common.base.CharMatcher;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+
+/** Turns a customer's key into the hash by which the configuration knows it. */
+public final class CustomerKey {
+  /** The shortest key that is accepted: shorter ones could be guessed from their hash. */
+  public static final int MINIMUM_LENGTH = 16;
+
+  private static final int MAXIMUM_LENGTH = 512;
+  private static final CharMatcher PRINTABLE = CharMatcher.inRange('!', '~');
+
+  private CustomerKey() {}
+
+  /** Returns the SHA-256 of a key in lower-case hexadecimal. */
+  public static String hash(String key) {
+    return Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
+  }
+
+  /** Returns whether a key is long enough and can stand in an HTTP header. */
+  public static boolean isStrongEnough(String key) {
+    return key.length() >= MINIMUM_LENGTH
+        && key.length() <= MAXIMUM_LENGTH
+        && PRINTABLE.matchesAllOf(key);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/configuration/JsonFields.java
@@ -0,0 +1,207 @@
+package dev.apricotmill.core.configuration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.base.Enums;
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.core.configuration.ConfigurationFault.Kind;
+import java.time.DateTimeException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+/**
+ * Reads the fields of one JSON object strictly and gathers every fault with its place.
+ *
+ * <p>A faulty field gives a stand-in value, so that reading goes on to the next field; whoever
+ * builds a value from the fields asks {@link #finish} whether it may be used.
+ */
+final class JsonFields {
+  private static final PeerAddress STAND_IN_ADDRESS = new PeerAddress("0.0.0.0", 1);
+
+  private final JsonNode node;
+  private final String pointer;
+  private final FaultCollector faults;
+  private final int faultsBefore;
+  private final Set<String> known = new HashSet<>();
+
+  JsonFields(JsonNode node, String pointer, FaultCollector faults) {
+    this.node = node;
+    this.pointer = pointer;
+    this.faults = faults;
+    this.faultsBefore = faults.count();
+    if (!node.isObject()) {
+      faults.add(pointer, Kind.WRONG_TYPE, "an object");
+    }
+  }
+
+  /** Returns the place of the object. */
+  String pointer() {
+    return pointer;
+  }
+
+  /** Reports fields that nobody asked for; returns whether the object has no fault. */
+  boolean finish() {
+    for (Iterator<String> names = node.fieldNames(); names.hasNext(); ) {
+      String name = names.next();
+      if (!known.contains(name)) {
+        faults.add(child(name), Kind.UNKNOWN_FIELD, "");
+      }
+    }
+    return faults.count() == faultsBefore;
+  }
+
+  boolean has(String name) {
+    return node.hasNonNull(name);
+  }
+
+  void fault(String name, Kind kind, String subject) {
+    faults.add(child(name), kind, subject);
+  }
+
+  /** Returns the text, or an empty one if it is missing or of another type. */
+  String text(String name) {
+    Optional<JsonNode> value = required(name);
+    if (value.isPresent() && !value.get().isTextual()) {
+      fault(name, Kind.WRONG_TYPE, "a text");
+      return "";
+    }
+    return value.map(JsonNode::textValue).orElse("");
+  }
+
+  int integer(String name) {
+    return (int) wholeNumber(name, JsonNode::canConvertToInt);
+  }
+
+  long longInteger(String name) {
+    return wholeNumber(name, JsonNode::canConvertToLong);
+  }
+
+  double number(String name) {
+    Optional<JsonNode> value = required(name);
+    if (value.isPresent() && !value.get().isNumber()) {
+      fault(name, Kind.WRONG_TYPE, "a number");
+      return 0;
+    }
+    return value.map(JsonNode::doubleValue).orElse(0.0);
+  }
+
+  boolean flag(String name) {
+    Optional<JsonNode> value = required(name);
+    if (value.isPresent() && !value.get().isBoolean()) {
+      fault(name, Kind.WRONG_TYPE, "true or false");
+      return false;
+    }
+    return value.map(JsonNode::booleanValue).orElse(false);
+  }
+
+  /** Returns the constant of that name, or the first one if there is none. */
+  <E extends Enum<E>> E choice(String name, Class<E> type) {
+    int before = faults.count();
+    String word = text(name);
+    E[] constants = type.getEnumConstants();
+    if (faults.count() > before) {
+      return constants[0];
+    }
+    Optional<E> constant = Enums.getIfPresent(type, word).toJavaUtil();
+    if (constant.isEmpty()) {
+      fault(name, Kind.UNKNOWN_WORD, word + ", allowed are " + Arrays.toString(constants));
+    }
+    return constant.orElse(constants[0]);
+  }
+
+  Duration duration(String name) {
+    return parsed(name, Duration::parse, Duration.ZERO, "a duration such as PT30S");
+  }
+
+  Instant instant(String name) {
+    return parsed(name, Instant::parse, Instant.EPOCH, "a time such as 2026-11-20T06:00:00Z");
+  }
+
+  PeerAddress address(String name) {
+    return parsed(name, PeerAddress::parse, STAND_IN_ADDRESS, "an address of the form IP:port");
+  }
+
+  JsonFields object(String name) {
+    known.add(name);
+    return new JsonFields(node.path(name), child(name), faults);
+  }
+
+  /** Reads each object of an array; those with a fault are left out of the list. */
+  <T> ImmutableList<Placed<T>> each(String name, Function<JsonFields, Optional<T>> reader) {
+    return required(name)
+        .map(array -> eachOf(array, child(name), faults, reader))
+        .orElse(ImmutableList.of());
+  }
+
+  /** Reads each object of {@code array}; those with a fault are left out of the list. */
+  static <T> ImmutableList<Placed<T>> eachOf(
+      JsonNode array,
+      String pointer,
+      FaultCollector faults,
+      Function<JsonFields, Optional<T>> reader) {
+    if (!array.isArray()) {
+      faults.add(pointer, Kind.WRONG_TYPE, "an array");
+      return ImmutableList.of();
+    }
+    ImmutableList.Builder<Placed<T>> values = ImmutableList.builder();
+    for (int index = 0; index < array.size(); index++) {
+      String place = pointer + "/" + index;
+      JsonFields fields = new JsonFields(array.get(index), place, faults);
+      reader.apply(fields).ifPresent(value -> values.add(new Placed<>(place, value)));
+    }
+    return values.build();
+  }
+
+  private <T> T parsed(String name, Function<String, T> parser, T standIn, String expected) {
+    int before = faults.count();
+    String text = text(name);
+    if (faults.count() > before) {
+      return standIn;
+    }
+    try {
+      return parser.apply(text);
+    } catch (DateTimeException | IllegalArgumentException | ArithmeticException e) {
+      fault(name, Kind.MALFORMED_VALUE, text + ", expected " + expected);
+      return standIn;
+    }
+  }
+
+  private Optional<JsonNode> required(String name) {
+    known.add(name);
+    JsonNode value = node.path(name);
+    if (value.isMissingNode() || value.isNull()) {
+      if (node.isObject()) {
+        fault(name, Kind.MISSING_FIELD, "");
+      }
+      return Optional.empty();
+    }
+    return Optional.of(value);
+  }
+
+  private long wholeNumber(String name, Predicate<JsonNode> fits) {
+    Optional<JsonNode> value = required(name);
+    if (value.isEmpty()) {
+      return 0;
+    }
+    if (!value.get().isIntegralNumber()) {
+      fault(name, Kind.WRONG_TYPE, "a whole number");
+      return 0;
+    }
+    if (!fits.test(value.get())) {
+      fault(name, Kind.OUT_OF_RANGE, value.get().asText());
+      return 0;
+    }
+    return value.get().longValue();
+  }
+
+  private String child(String name) {
+    return pointer + "/" + name.replace("~", "~0").replace("/", "~1");
+  }
+}
