Decide which memory on an engine belongs to nobody

A sequence is freed when its deadline has passed, when its owner's life is known to be over, or when the steward that owns it no longer runs it. A sequence of a daemon that was never heard of is freed only after a grace: a fresh steward does not know its peers yet.

--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/cleanup/CleanUpPlan.java
@@ -0,0 +1,13 @@
+package dev.apricotmill.core.cleanup;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.core.engine.ExportId;
+import dev.apricotmill.core.engine.SequenceId;
+
+/**
+ * What to free on an engine.
+ *
+ * @param sequences the sequences to cancel
+ * @param exports the exports to release
+ */
+public record CleanUpPlan(ImmutableList<SequenceId> sequences, ImmutableList<ExportId> exports) {}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/cleanup/CleanUpPlanner.java
@@ -0,0 +1,85 @@
+package dev.apricotmill.core.cleanup;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.coordination.identity.DaemonId;
+import dev.apricotmill.coordination.identity.Incarnation;
+import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.core.engine.ExportId;
+import dev.apricotmill.core.engine.HeldMemory;
+import dev.apricotmill.core.engine.SequenceId;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides which sequences and exports on an engine belong to nobody.
+ *
+ * <p>A sequence is freed when its deadline has passed, when its owner's life is known to be over,
+ * or when this daemon owns it and does not know it. A sequence of a daemon that was never heard of
+ * is freed only after it was seen for {@link #UNKNOWN_OWNER_GRACE}: a fresh steward does not know
+ * its peers yet. Not safe for use by several threads.
+ */
+public final class CleanUpPlanner {
+
+  /** How long a sequence of an unknown daemon is left alone. */
+  public static final Duration UNKNOWN_OWNER_GRACE = Duration.ofSeconds(10);
+
+  /** How long an export may wait to be imported. */
+  public static final Duration EXPORT_LIFETIME = Duration.ofSeconds(30);
+
+  private final Map<DaemonId, Long> unknownSinceNanos = new HashMap<>();
+
+  /**
+   * Decides what to free.
+   *
+   * @param held what the engine holds
+   * @param view what the steward knows
+   * @param running the sequences that the steward runs on this engine
+   * @param nowNanos the monotonic time
+   */
+  public CleanUpPlan plan(
+      HeldMemory held, CleanUpView view, ImmutableSet<SequenceId> running, long nowNanos) {
+    forgetKnownDaemons(view);
+    ImmutableList.Builder<SequenceId> sequences = ImmutableList.builder();
+    for (HeldMemory.Sequence sequence : held.sequences()) {
+      if (isOrphan(sequence, view, running, nowNanos)) {
+        sequences.add(sequence.id());
+      }
+    }
+    ImmutableList.Builder<ExportId> exports = ImmutableList.builder();
+    for (HeldMemory.Export export : held.exports()) {
+      if (export.age().compareTo(EXPORT_LIFETIME) >= 0) {
+        exports.add(export.id());
+      }
+    }
+    return new CleanUpPlan(sequences.build(), exports.build());
+  }
+
+  private boolean isOrphan(
+      HeldMemory.Sequence sequence, CleanUpView view, Set<SequenceId> running, long nowNanos) {
+    if (running.contains(sequence.id())) {
+      return false;
+    }
+    Incarnation owner = sequence.id().owner();
+    if (sequence.remaining().isZero() || owner.daemon().equals(view.self().daemon())) {
+      return true;
+    }
+    Optional<Member> member = view.members().find(owner.daemon());
+    if (member.isEmpty()) {
+      return isUnknownForLong(owner.daemon(), nowNanos);
+    }
+    return !view.members().mayBeRunning(owner);
+  }
+
+  private boolean isUnknownForLong(DaemonId daemon, long nowNanos) {
+    long since = unknownSinceNanos.computeIfAbsent(daemon, unknown -> nowNanos);
+    return nowNanos - since >= UNKNOWN_OWNER_GRACE.toNanos();
+  }
+
+  private void forgetKnownDaemons(CleanUpView view) {
+    unknownSinceNanos.keySet().removeIf(daemon -> view.members().find(daemon).isPresent());
+  }
+}
