Entry and steward roles behind ports

The entry role admits a request, chooses a replica, forwards it to the steward and resumes a broken stream elsewhere where the request may run twice; every chunk is checked for request and position. The steward role queues, dispatches and gives memory back once. Not yet put together into a node.

--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/entry/EntryContext.java
@@ -0,0 +1,107 @@
+package dev.apricotmill.node.entry;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.identity.Incarnation;
+import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.coordination.retry.RetryBudget;
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.peer.ForwardEnd;
+import dev.apricotmill.core.peer.ForwardListener;
+import dev.apricotmill.core.peer.ForwardedRequest;
+import dev.apricotmill.core.peer.StewardEndpoint;
+import dev.apricotmill.core.peer.StewardPeers;
+import dev.apricotmill.core.request.GenerationRequest;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.routing.ReplicaRouter;
+import dev.apricotmill.core.routing.ReplicaView;
+import dev.apricotmill.core.routing.RoutingDecision;
+import dev.apricotmill.core.steward.StewardLoad;
+import dev.apricotmill.node.fleet.FleetView;
+import dev.apricotmill.node.fleet.ReplicaLoads;
+import dev.apricotmill.node.fleet.ReplicaTarget;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Flow;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * What the entry role shares between requests.
+ *
+ * @param timing time and the scheduler
+ * @param self gives the daemon's current life
+ * @param fleet gives the current view of the fleet
+ * @param loads the loads of replicas as heard last
+ * @param router chooses replicas
+ * @param peers reaches other stewards
+ * @param ownSteward the steward role of this daemon
+ * @param retryBudget bounds retries by a share of the requests
+ * @param random the source of random choices
+ */
+record EntryContext(
+    Timing timing,
+    Supplier<Incarnation> self,
+    Supplier<FleetView> fleet,
+    ReplicaLoads loads,
+    ReplicaRouter router,
+    StewardPeers peers,
+    StewardEndpoint ownSteward,
+    RetryBudget retryBudget,
+    RandomGenerator random) {
+
+  /** The most forwards of one request. */
+  static final int MAXIMUM_ATTEMPTS = 4;
+
+  /** Chooses a replica that was not tried before. */
+  RoutingDecision route(GenerationRequest request, Set<ReplicaId> tried) {
+    ImmutableList.Builder<ReplicaView> views = ImmutableList.builder();
+    for (ReplicaTarget target : fleet.get().targetsOf(request.service())) {
+      toView(target).ifPresent(views::add);
+    }
+    return router.choose(request, views.build(), tried, random, timing.nanoTime());
+  }
+
+  /** Forwards a request to the steward of a replica, which may be this daemon. */
+  Flow.Subscription forward(ReplicaId replica, ForwardedRequest request, ForwardListener listener) {
+    Optional<Member> steward = fleet.get().target(replica).flatMap(ReplicaTarget::steward);
+    if (steward.isEmpty()) {
+      listener.onEnd(new ForwardEnd.NotSent());
+      return NoSubscription.INSTANCE;
+    }
+    if (steward.get().incarnation().daemon().equals(self.get().daemon())) {
+      return ownSteward.accept(request, listener);
+    }
+    return peers.forward(steward.get().address(), request, listener);
+  }
+
+  /** Returns the name of the daemon that owns a replica. */
+  String stewardName(ReplicaId replica) {
+    return fleet
+        .get()
+        .target(replica)
+        .flatMap(ReplicaTarget::steward)
+        .map(member -> member.incarnation().daemon().name())
+        .orElse("none");
+  }
+
+  /** Notes a replica's load. */
+  void observeLoad(ReplicaId replica, StewardLoad load) {
+    loads.observe(replica, load, timing.nanoTime());
+  }
+
+  private Optional<ReplicaView> toView(ReplicaTarget target) {
+    ReplicaId replica = target.replica().id();
+    ReplicaLoads.Observation seen = loads.of(replica);
+    return target
+        .steward()
+        .map(
+            steward ->
+                new ReplicaView(
+                    replica,
+                    target.replica().zone(),
+                    steward.incarnation().daemon(),
+                    seen.load(),
+                    seen.atNanos(),
+                    target.usable()));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/entry/GenerationEntry.java
@@ -0,0 +1,154 @@
+package dev.apricotmill.node.entry;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.configuration.Rule;
+import dev.apricotmill.core.configuration.Service;
+import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.outcome.RefusalReason;
+import dev.apricotmill.core.peer.ForwardEnd;
+import dev.apricotmill.core.request.GenerationRequest;
+import dev.apricotmill.core.request.PrefixFingerprint;
+import dev.apricotmill.node.api.AnswerEnd;
+import dev.apricotmill.node.api.AnswerListener;
+import dev.apricotmill.node.api.GenerationSubmission;
+import dev.apricotmill.node.api.NodeStatus;
+import dev.apricotmill.node.trace.HopSpan;
+import io.opentelemetry.api.trace.Tracer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Flow;
+import java.util.function.Supplier;
+
+/** Takes callers' requests for generated text. Safe for use by several threads. */
+public final class GenerationEntry {
+
+  private static final String METHOD = "POST";
+  private static final String PATH = "/";
+  private static final int BYTES_PER_TOKEN = 4;
+  private static final int PREFIX_CHARACTERS = 1024;
+
+  private final EntryContext context;
+  private final AdmissionPolicy policy;
+  private final OpenRequests open;
+  private final Supplier<NodeStatus.Phase> phase;
+  private final RequestMeters meters;
+  private final Tracer tracer;
+
+  GenerationEntry(
+      EntryContext context,
+      AdmissionPolicy policy,
+      OpenRequests open,
+      Supplier<NodeStatus.Phase> phase,
+      RequestMeters meters,
+      Tracer tracer) {
+    this.context = context;
+    this.policy = policy;
+    this.open = open;
+    this.phase = phase;
+    this.meters = meters;
+    this.tracer = tracer;
+  }
+
+  /** Submits a request; see {@link dev.apricotmill.node.api.RequestEntry#generate}. */
+  public Flow.Subscription generate(GenerationSubmission submission, AnswerListener listener) {
+    HopSpan span = HopSpan.start(tracer, "entry", submission.id(), submission.traceParent());
+    Admission admission =
+        policy.decide(
+            context.fleet().get(),
+            phase.get(),
+            submission.customerKey(),
+            submission.service(),
+            METHOD,
+            PATH,
+            submission.timeLimit());
+    if (admission instanceof Admission.Rejected rejected) {
+      return refuse(submission, span, listener, rejected.outcome());
+    }
+    Admission.Admitted admitted = (Admission.Admitted) admission;
+    if (!(admitted.service() instanceof Service.ModelPool)) {
+      return refuse(submission, span, listener, RefusalReason.UNKNOWN_SERVICE);
+    }
+    if (!open.tryOpen()) {
+      return refuse(submission, span, listener, RefusalReason.OVERLOADED);
+    }
+    return relay(submission, admitted, span, listener);
+  }
+
+  private Flow.Subscription relay(
+      GenerationSubmission submission,
+      Admission.Admitted admitted,
+      HopSpan span,
+      AnswerListener listener) {
+    GenerationRequest request = toRequest(submission, admitted);
+    RequestMeters.Watch watch = meters.start(request, context.timing().nanoTime());
+    RelayObserver observer =
+        new RelayObserver() {
+          @Override
+          public void onFirstToken(GenerationRequest done) {
+            watch.firstToken(context.timing().nanoTime());
+          }
+
+          @Override
+          public void onEnd(GenerationRequest done, Outcome outcome) {
+            open.close();
+            watch.end(outcome, context.timing().nanoTime());
+          }
+        };
+    context.retryBudget().onRequest();
+    GenerationRelay relay = new GenerationRelay(context, request, listener, span, observer);
+    relay.start();
+    return relay;
+  }
+
+  private GenerationRequest toRequest(
+      GenerationSubmission submission, Admission.Admitted admitted) {
+    Timing timing = context.timing();
+    return new GenerationRequest(
+        submission.id(),
+        admitted.customer().id(),
+        submission.service(),
+        submission.prompt(),
+        estimateTokens(submission.prompt()),
+        submission.maximumOutputTokens(),
+        admitted.customer().priority(),
+        admitted.customer().weight(),
+        fingerprint(submission.prompt()),
+        admitted.repetition() == Rule.Repetition.IDEMPOTENT,
+        timing.deadlineAfter(admitted.timeLimit()));
+  }
+
+  private static long estimateTokens(String prompt) {
+    return Math.max(1, prompt.length() / BYTES_PER_TOKEN);
+  }
+
+  private static PrefixFingerprint fingerprint(String prompt) {
+    if (prompt.length() < PREFIX_CHARACTERS) {
+      return PrefixFingerprint.NONE;
+    }
+    String prefix = prompt.substring(0, PREFIX_CHARACTERS);
+    long hash = Hashing.farmHashFingerprint64().hashString(prefix, StandardCharsets.UTF_8).asLong();
+    return new PrefixFingerprint(hash == 0 ? 1 : hash);
+  }
+
+  private Flow.Subscription refuse(
+      GenerationSubmission submission,
+      HopSpan span,
+      AnswerListener listener,
+      RefusalReason reason) {
+    return refuse(
+        submission, span, listener, new Outcome.Refused(reason, AdmissionPolicy.RETRY_AFTER));
+  }
+
+  private Flow.Subscription refuse(
+      GenerationSubmission submission,
+      HopSpan span,
+      AnswerListener listener,
+      Outcome.Refused outcome) {
+    span.end(outcome);
+    meters.refused(submission.service(), outcome);
+    ImmutableList<String> hops = ImmutableList.of(context.self().get().daemon().name());
+    listener.onEnd(new AnswerEnd(submission.id(), outcome, ForwardEnd.Usage.NONE, hops));
+    return NoSubscription.INSTANCE;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/entry/GenerationRelay.java
@@ -0,0 +1,298 @@
+package dev.apricotmill.node.entry;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.util.concurrent.MoreExecutors;
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.engine.TokenChunk;
+import dev.apricotmill.core.outcome.FailureReason;
+import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.outcome.RefusalReason;
+import dev.apricotmill.core.outcome.UnknownReason;
+import dev.apricotmill.core.peer.ForwardEnd;
+import dev.apricotmill.core.peer.ForwardListener;
+import dev.apricotmill.core.peer.ForwardedRequest;
+import dev.apricotmill.core.request.GenerationRequest;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.routing.RoutingDecision;
+import dev.apricotmill.node.api.AnswerEnd;
+import dev.apricotmill.node.api.AnswerListener;
+import dev.apricotmill.node.trace.HopSpan;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Flow;
+import java.util.concurrent.Future;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Carries one admitted request to a steward and its answer back to the caller.
+ *
+ * <p>A request that certainly did not run goes to another replica; a stream that broke is resumed
+ * where the request may run twice. All state is confined to one sequential executor.
+ */
+final class GenerationRelay implements Flow.Subscription {
+
+  private final EntryContext context;
+  private final GenerationRequest request;
+  private final AnswerListener caller;
+  private final HopSpan span;
+  private final Timing timing;
+  private final Executor serial;
+  private final RelayObserver observer;
+
+  private final Set<ReplicaId> tried = new HashSet<>();
+  private final StringBuilder received = new StringBuilder();
+  private final ImmutableList.Builder<String> hops = ImmutableList.builder();
+  private ForwardEnd.Usage usage = ForwardEnd.Usage.NONE;
+  private long position;
+  private long credit;
+  private int attempts;
+  private boolean mayHaveStarted;
+  private boolean ended;
+  private @Nullable Attempt current;
+  private @Nullable Future<?> timeout;
+
+  GenerationRelay(
+      EntryContext context,
+      GenerationRequest request,
+      AnswerListener caller,
+      HopSpan span,
+      RelayObserver observer) {
+    this.context = context;
+    this.request = request;
+    this.caller = caller;
+    this.span = span;
+    this.observer = observer;
+    this.timing = context.timing();
+    this.serial = MoreExecutors.newSequentialExecutor(timing.scheduler());
+    hops.add(context.self().get().daemon().name());
+  }
+
+  void start() {
+    serial.execute(
+        () -> {
+          Duration remaining = request.deadline().remaining(timing.nanoTime());
+          timeout = timing.schedule(remaining, () -> serial.execute(this::onDeadline));
+          tryNext(new Outcome.Refused(RefusalReason.NO_REPLICA, AdmissionPolicy.RETRY_AFTER));
+        });
+  }
+
+  @Override
+  public void request(long chunks) {
+    serial.execute(
+        () -> {
+          credit += chunks;
+          if (current != null) {
+            current.subscription().request(chunks);
+          }
+        });
+  }
+
+  @Override
+  public void cancel() {
+    serial.execute(() -> finish(new Outcome.Failed(FailureReason.CALLER_GONE), Notify.NOBODY));
+  }
+
+  private void tryNext(Outcome otherwise) {
+    if (ended) {
+      return;
+    }
+    if (attempts >= EntryContext.MAXIMUM_ATTEMPTS || !mayTryAgain()) {
+      finish(otherwise, Notify.CALLER);
+      return;
+    }
+    RoutingDecision decision = context.route(request, tried);
+    if (decision instanceof RoutingDecision.Refuse refusal) {
+      boolean first = attempts == 0;
+      finish(
+          first ? new Outcome.Refused(refusal.reason(), refusal.retryAfter()) : otherwise,
+          Notify.CALLER);
+      return;
+    }
+    forward(((RoutingDecision.Forward) decision).target().replica());
+  }
+
+  private boolean mayTryAgain() {
+    return attempts == 0 || context.retryBudget().tryTake();
+  }
+
+  private void forward(ReplicaId replica) {
+    attempts++;
+    tried.add(replica);
+    hops.add(context.stewardName(replica));
+    hops.add(replica.value());
+    ForwardedRequest forwarded =
+        new ForwardedRequest(
+            context.self().get(),
+            replica,
+            attempts,
+            request,
+            position,
+            received.toString(),
+            span.traceParent());
+    Attempt attempt = new Attempt(replica);
+    current = attempt;
+    attempt.open(context.forward(replica, forwarded, attempt));
+    if (credit > 0) {
+      attempt.subscription().request(credit);
+    }
+  }
+
+  private void onChunk(Attempt attempt, TokenChunk chunk) {
+    if (ended || attempt != current) {
+      return;
+    }
+    if (!chunk.request().equals(request.id()) || chunk.position() != position) {
+      attempt.subscription().cancel();
+      mayHaveStarted = true;
+      afterBreak(new Outcome.Failed(FailureReason.FOREIGN_CHUNK));
+      return;
+    }
+    if (position == 0) {
+      observer.onFirstToken(request);
+      span.event("first token");
+    }
+    mayHaveStarted = true;
+    position = chunk.endPosition();
+    received.append(chunk.text());
+    credit--;
+    caller.onChunk(chunk);
+  }
+
+  private void onEnd(Attempt attempt, ForwardEnd end) {
+    if (ended || attempt != current) {
+      return;
+    }
+    current = null;
+    if (end instanceof ForwardEnd.Reported reported) {
+      context.observeLoad(attempt.replica(), reported.load());
+      onReported(reported);
+    } else if (end instanceof ForwardEnd.NotSent) {
+      tryNext(refusal(RefusalReason.NO_REPLICA));
+    } else {
+      mayHaveStarted = true;
+      afterBreak(new Outcome.Unknown(UnknownReason.STEWARD_SILENT));
+    }
+  }
+
+  private void onReported(ForwardEnd.Reported reported) {
+    Outcome outcome = reported.outcome();
+    if (outcome instanceof Outcome.Refused refused) {
+      onRefused(refused);
+    } else if (outcome instanceof Outcome.Failed failed && canResumeAfter(failed.reason())) {
+      mayHaveStarted = true;
+      afterBreak(outcome);
+    } else if (outcome instanceof Outcome.Answered && isWhole(reported.usage())) {
+      usage = reported.usage();
+      finish(outcome, Notify.CALLER);
+    } else if (outcome instanceof Outcome.Answered) {
+      mayHaveStarted = true;
+      afterBreak(new Outcome.Failed(FailureReason.STREAM_BROKEN));
+    } else {
+      finish(outcome, Notify.CALLER);
+    }
+  }
+
+  /** An end that arrived before all its chunks is not an end of this answer. */
+  private boolean isWhole(ForwardEnd.Usage reported) {
+    return reported.outputTokens() == position;
+  }
+
+  private void onRefused(Outcome.Refused refused) {
+    Outcome otherwise = mayHaveStarted ? new Outcome.Failed(FailureReason.STREAM_BROKEN) : refused;
+    if (refused.reason().retryable()) {
+      tryNext(otherwise);
+    } else {
+      finish(otherwise, Notify.CALLER);
+    }
+  }
+
+  private static boolean canResumeAfter(FailureReason reason) {
+    return reason == FailureReason.STREAM_BROKEN
+        || reason == FailureReason.FOREIGN_CHUNK
+        || reason == FailureReason.BACKEND_ERROR;
+  }
+
+  private void afterBreak(Outcome otherwise) {
+    current = null;
+    if (request.repeatable()) {
+      tryNext(otherwise);
+    } else {
+      finish(otherwise, Notify.CALLER);
+    }
+  }
+
+  private void onDeadline() {
+    boolean forwarded = mayHaveStarted || current != null;
+    finish(
+        forwarded ? new Outcome.Failed(FailureReason.TIMED_OUT) : refusal(RefusalReason.EXPIRED),
+        Notify.CALLER);
+  }
+
+  private Outcome refusal(RefusalReason reason) {
+    return mayHaveStarted
+        ? new Outcome.Failed(FailureReason.STREAM_BROKEN)
+        : new Outcome.Refused(reason, AdmissionPolicy.RETRY_AFTER);
+  }
+
+  private void finish(Outcome outcome, Notify notify) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    if (timeout != null) {
+      timeout.cancel(false);
+    }
+    if (current != null) {
+      current.subscription().cancel();
+      current = null;
+    }
+    span.end(outcome);
+    observer.onEnd(request, outcome);
+    if (notify == Notify.CALLER) {
+      caller.onEnd(new AnswerEnd(request.id(), outcome, usage, hops.build()));
+    }
+  }
+
+  private enum Notify {
+    CALLER,
+    NOBODY
+  }
+
+  /** One forward of the request; events of an attempt that was replaced are ignored. */
+  private final class Attempt implements ForwardListener {
+
+    private final ReplicaId replica;
+    private Flow.@Nullable Subscription subscription;
+
+    Attempt(ReplicaId replica) {
+      this.replica = replica;
+    }
+
+    ReplicaId replica() {
+      return replica;
+    }
+
+    void open(Flow.Subscription opened) {
+      subscription = opened;
+    }
+
+    Flow.Subscription subscription() {
+      if (subscription == null) {
+        throw new IllegalStateException("attempt was not opened");
+      }
+      return subscription;
+    }
+
+    @Override
+    public void onChunk(TokenChunk chunk) {
+      serial.execute(() -> GenerationRelay.this.onChunk(this, chunk));
+    }
+
+    @Override
+    public void onEnd(ForwardEnd end) {
+      serial.execute(() -> GenerationRelay.this.onEnd(this, end));
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/entry/NoSubscription.java
@@ -0,0 +1,14 @@
+package dev.apricotmill.node.entry;
+
+import java.util.concurrent.Flow;
+
+/** The subscription to an answer that has ended already. */
+enum NoSubscription implements Flow.Subscription {
+  INSTANCE;
+
+  @Override
+  public void request(long chunks) {}
+
+  @Override
+  public void cancel() {}
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/entry/RequestMeters.java
@@ -0,0 +1,104 @@
+package dev.apricotmill.node.entry;
+
+import dev.apricotmill.core.length.LengthClass;
+import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.request.GenerationRequest;
+import dev.apricotmill.core.request.ServiceName;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.Locale;
+
+/** Counts outcomes and times first tokens by service and length class. */
+public final class RequestMeters {
+
+  private static final String OUTCOMES = "apricotmill.requests";
+  private static final String FIRST_TOKEN = "apricotmill.time.to.first.token";
+
+  private final MeterRegistry registry;
+
+  /** Creates meters in a registry. */
+  public RequestMeters(MeterRegistry registry) {
+    this.registry = registry;
+  }
+
+  /** Begins to watch a request. */
+  Watch start(GenerationRequest request, long nowNanos) {
+    return new Watch(request, nowNanos);
+  }
+
+  /** Counts a request that was refused before it was admitted. */
+  public void refused(ServiceName service, Outcome.Refused outcome) {
+    registry
+        .counter(
+            OUTCOMES,
+            "service",
+            knownName(service, outcome),
+            "outcome",
+            outcome.headerValue(),
+            "reason",
+            reasonOf(outcome))
+        .increment();
+  }
+
+  /** Counts the outcome of an admitted request. */
+  public void ended(ServiceName service, Outcome outcome) {
+    registry
+        .counter(
+            OUTCOMES,
+            "service",
+            service.value(),
+            "outcome",
+            outcome.headerValue(),
+            "reason",
+            reasonOf(outcome))
+        .increment();
+  }
+
+  /** A name that no configuration holds must not become a label. */
+  private static String knownName(ServiceName service, Outcome.Refused outcome) {
+    return switch (outcome.reason()) {
+      case UNKNOWN_SERVICE, UNKNOWN_CUSTOMER, NOT_READY, DRAINING, MALFORMED -> "none";
+      default -> service.value();
+    };
+  }
+
+  private static String reasonOf(Outcome outcome) {
+    if (outcome instanceof Outcome.Refused refused) {
+      return lowerCase(refused.reason());
+    }
+    if (outcome instanceof Outcome.Failed failed) {
+      return lowerCase(failed.reason());
+    }
+    return outcome instanceof Outcome.Unknown unknown ? lowerCase(unknown.reason()) : "none";
+  }
+
+  private static String lowerCase(Enum<?> constant) {
+    return constant.name().toLowerCase(Locale.ROOT);
+  }
+
+  /** Times one request. */
+  final class Watch {
+
+    private final GenerationRequest request;
+    private final long startNanos;
+
+    private Watch(GenerationRequest request, long startNanos) {
+      this.request = request;
+      this.startNanos = startNanos;
+    }
+
+    void firstToken(long nowNanos) {
+      Timer.builder(FIRST_TOKEN)
+          .tag("service", request.service().value())
+          .tag("length", lowerCase(LengthClass.of(request.promptTokens())))
+          .publishPercentileHistogram()
+          .register(registry)
+          .record(Duration.ofNanos(nowNanos - startNanos));
+    }
+
+    void end(Outcome outcome, long nowNanos) {
+      ended(request.service(), outcome);
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/fleet/FleetAssembler.java
@@ -0,0 +1,94 @@
+package dev.apricotmill.node.fleet;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.coordination.membership.MembershipView;
+import dev.apricotmill.coordination.platform.Machine;
+import dev.apricotmill.core.configuration.Configuration;
+import dev.apricotmill.core.configuration.Customer;
+import dev.apricotmill.core.configuration.PlannedStop;
+import dev.apricotmill.core.configuration.Replica;
+import dev.apricotmill.core.configuration.Service;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.request.ServiceName;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** Builds a {@link FleetView} from what its parts know. */
+public final class FleetAssembler {
+
+  private FleetAssembler() {}
+
+  /**
+   * Builds a view.
+   *
+   * @param configuration the configuration in force
+   * @param members the daemons
+   * @param machines the VMs by name, as the platform listed them last
+   * @param now the time at which planned stops are judged
+   * @param previous the view before, whose index of customers is kept if it still holds
+   */
+  public static FleetView assemble(
+      Configuration configuration,
+      MembershipView members,
+      ImmutableMap<String, Machine> machines,
+      Instant now,
+      FleetView previous) {
+    Set<String> stopped = stoppedMachines(configuration, machines, now);
+    ImmutableMap.Builder<ServiceName, ImmutableList<ReplicaTarget>> targets =
+        ImmutableMap.builder();
+    ImmutableMap.Builder<ReplicaId, ReplicaTarget> byReplica = ImmutableMap.builder();
+    for (Service service : configuration.services().values()) {
+      ImmutableList.Builder<ReplicaTarget> ofService = ImmutableList.builder();
+      for (Replica replica : service.replicas()) {
+        ReplicaTarget target = target(service, replica, members, stopped);
+        ofService.add(target);
+        byReplica.put(replica.id(), target);
+      }
+      targets.put(service.name(), ofService.build());
+    }
+    return new FleetView(
+        configuration,
+        indexCustomers(configuration, previous),
+        targets.buildOrThrow(),
+        byReplica.buildKeepingLast());
+  }
+
+  private static ReplicaTarget target(
+      Service service, Replica replica, MembershipView members, Set<String> stopped) {
+    Optional<Member> steward = members.owner(replica.zone(), replica.id().value());
+    boolean usable = !stopped.contains(replica.machine());
+    return new ReplicaTarget(service, replica, steward, usable);
+  }
+
+  private static Set<String> stoppedMachines(
+      Configuration configuration, ImmutableMap<String, Machine> machines, Instant now) {
+    Set<String> stopped = new HashSet<>();
+    for (PlannedStop stop : configuration.plannedStops()) {
+      if (stop.inForceAt(now)) {
+        stopped.add(stop.machine());
+      }
+    }
+    for (Machine machine : machines.values()) {
+      if (machine.state() == Machine.State.LEAVING) {
+        stopped.add(machine.name());
+      }
+    }
+    return stopped;
+  }
+
+  private static ImmutableMap<String, Customer> indexCustomers(
+      Configuration configuration, FleetView previous) {
+    if (configuration.generation() == previous.configuration().generation()) {
+      return previous.customersByKeyHash();
+    }
+    ImmutableMap.Builder<String, Customer> byKeyHash = ImmutableMap.builder();
+    for (Customer customer : configuration.customers().values()) {
+      byKeyHash.put(customer.keyHash(), customer);
+    }
+    return byKeyHash.buildKeepingLast();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/fleet/ReplicaTarget.java
@@ -0,0 +1,17 @@
+package dev.apricotmill.node.fleet;
+
+import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.core.configuration.Replica;
+import dev.apricotmill.core.configuration.Service;
+import java.util.Optional;
+
+/**
+ * A replica and the daemon that owns it.
+ *
+ * @param service the replica's service
+ * @param replica the replica
+ * @param steward the owner; absent if no daemon of the replica's zone is known
+ * @param usable whether the replica may get new work: neither leaving nor stopped
+ */
+public record ReplicaTarget(
+    Service service, Replica replica, Optional<Member> steward, boolean usable) {}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/steward/StewardService.java
@@ -0,0 +1,173 @@
+package dev.apricotmill.node.steward;
+
+import dev.apricotmill.coordination.identity.Incarnation;
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.cleanup.CleanUpView;
+import dev.apricotmill.core.configuration.EngineProfile;
+import dev.apricotmill.core.configuration.Objective;
+import dev.apricotmill.core.configuration.Replica;
+import dev.apricotmill.core.configuration.Service;
+import dev.apricotmill.core.engine.EngineConnector;
+import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.outcome.RefusalReason;
+import dev.apricotmill.core.peer.ForwardEnd;
+import dev.apricotmill.core.peer.ForwardListener;
+import dev.apricotmill.core.peer.ForwardedRequest;
+import dev.apricotmill.core.peer.StewardEndpoint;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.steward.ReplicaScheduler;
+import dev.apricotmill.core.steward.StewardLoad;
+import dev.apricotmill.node.fleet.FleetView;
+import dev.apricotmill.node.fleet.ReplicaTarget;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.Flow;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/** Takes forwarded requests for all replicas that this daemon owns. */
+public final class StewardService implements StewardEndpoint {
+
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+  private final Timing timing;
+  private final Supplier<Incarnation> self;
+  private final Supplier<FleetView> fleet;
+  private final EngineConnector engines;
+  private final Runnable onIdle;
+  private final ConcurrentMap<ReplicaId, Entry> stewards = new ConcurrentHashMap<>();
+  private final AtomicInteger open = new AtomicInteger();
+  private volatile boolean draining;
+
+  /**
+   * Creates the steward role.
+   *
+   * @param timing time and the scheduler
+   * @param self gives the daemon's current life
+   * @param fleet gives the current view of the fleet
+   * @param engines gives the ports to engines
+   * @param onIdle called when no forwarded request is open any more
+   */
+  public StewardService(
+      Timing timing,
+      Supplier<Incarnation> self,
+      Supplier<FleetView> fleet,
+      EngineConnector engines,
+      Runnable onIdle) {
+    this.timing = timing;
+    this.self = self;
+    this.fleet = fleet;
+    this.engines = engines;
+    this.onIdle = onIdle;
+  }
+
+  /** What a steward was made for; another replica record or profile needs a new one. */
+  private record Key(Replica replica, EngineProfile profile, Objective objective) {}
+
+  private record Entry(Key key, ReplicaSteward steward) {}
+
+  @Override
+  public Flow.Subscription accept(ForwardedRequest request, ForwardListener listener) {
+    FleetView view = fleet.get();
+    Optional<ReplicaTarget> target = view.target(request.replica());
+    if (target.isEmpty() || !(target.get().service() instanceof Service.ModelPool pool)) {
+      return refuse(listener, RefusalReason.NO_REPLICA);
+    }
+    if (draining) {
+      return refuse(listener, RefusalReason.DRAINING);
+    }
+    if (!target.get().usable()) {
+      return refuse(listener, RefusalReason.NO_REPLICA);
+    }
+    open.incrementAndGet();
+    ReplicaSteward steward = stewardOf(target.get().replica(), pool, view);
+    return steward.accept(request, listener);
+  }
+
+  /** Refuses all that waits and takes no more; what runs goes on. */
+  public void drain() {
+    draining = true;
+    stewards.values().forEach(entry -> entry.steward().closeIntake(RefusalReason.DRAINING));
+  }
+
+  /** Refuses all that waits under a life of this daemon that is over. */
+  public void dropQueues() {
+    stewards.values().forEach(entry -> entry.steward().dropQueue());
+  }
+
+  /** Follows a change of the fleet: replicas that leave get no more work. */
+  public void onFleetChanged(FleetView view) {
+    for (Map.Entry<ReplicaId, Entry> entry : stewards.entrySet()) {
+      boolean usable = view.target(entry.getKey()).map(ReplicaTarget::usable).orElse(false);
+      if (!usable || draining) {
+        entry.getValue().steward().closeIntake(RefusalReason.NO_REPLICA);
+      } else {
+        entry.getValue().steward().openIntake();
+      }
+    }
+  }
+
+  /** Frees what engines of owned replicas hold for nobody. */
+  public void cleanUp(CleanUpView cleanUpView) {
+    FleetView view = fleet.get();
+    for (ReplicaTarget target : view.targetsByReplica().values()) {
+      if (isOwn(target) && target.service() instanceof Service.ModelPool pool) {
+        stewardOf(target.replica(), pool, view).cleanUp(cleanUpView);
+      }
+    }
+  }
+
+  /** Returns how many forwarded requests are open. */
+  public int open() {
+    return open.get();
+  }
+
+  private boolean isOwn(ReplicaTarget target) {
+    return target
+        .steward()
+        .map(member -> member.incarnation().daemon().equals(self.get().daemon()))
+        .orElse(false);
+  }
+
+  private ReplicaSteward stewardOf(Replica replica, Service.ModelPool pool, FleetView view) {
+    Key key = new Key(replica, pool.profile(), view.configuration().objective());
+    return stewards.compute(replica.id(), (id, existing) -> existingOrNew(existing, key)).steward();
+  }
+
+  private Entry existingOrNew(@Nullable Entry existing, Key key) {
+    if (existing != null && existing.key().equals(key)) {
+      return existing;
+    }
+    if (existing != null) {
+      existing.steward().closeIntake(RefusalReason.NO_REPLICA);
+    }
+    ReplicaScheduler scheduler = new ReplicaScheduler(key.profile(), key.objective());
+    return new Entry(
+        key,
+        new ReplicaSteward(
+            timing, self, engines.connect(key.replica()), scheduler, this::onClosed));
+  }
+
+  private static Flow.Subscription refuse(ForwardListener listener, RefusalReason reason) {
+    listener.onEnd(
+        new ForwardEnd.Reported(
+            new Outcome.Refused(reason, RETRY_AFTER), ForwardEnd.Usage.NONE, StewardLoad.UNKNOWN));
+    return new Flow.Subscription() {
+      @Override
+      public void request(long chunks) {}
+
+      @Override
+      public void cancel() {}
+    };
+  }
+
+  private void onClosed() {
+    if (open.decrementAndGet() == 0) {
+      onIdle.run();
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/steward/package-info.java
@@ -0,0 +1,5 @@
+/** The steward role: queues, dispatches and cleans up on the replicas that a daemon owns. */
+@NullMarked
+package dev.apricotmill.node.steward;
+
+import org.jspecify.annotations.NullMarked;
