Membership by probing a few successors, with replacement under a higher incarnation

Gossiped suspicion was ruled out: refuting it needs a higher incarnation, and here an incarnation is what claims and engine sequences are tied to, so every rumour would have cost a daemon its queue.

A daemon that lost all peers of its zone calls none of them dead, and takes a new incarnation itself when it hears from one: a single cut-off daemon replaces one life, not the zone's. Other zones are suspected only.

The view is an immutable value behind an atomic reference.

--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/membership/MemberTable.java
@@ -0,0 +1,224 @@
+package dev.apricotmill.coordination.membership;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
+import dev.apricotmill.coordination.identity.DaemonId;
+import dev.apricotmill.coordination.identity.Incarnation;
+import dev.apricotmill.coordination.identity.Zone;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * The newest knowledge of each daemon, together with this daemon's own suspicions.
+ *
+ * <p>That a daemon is alive, leaves or is dead is a fact of one incarnation, which spreads. A
+ * suspicion stays with the daemon that probes: any answer of the suspect ends it, and only an
+ * unanswered one turns into the fact that the incarnation is dead. So no rumour costs a daemon its
+ * incarnation while it answers those who probe it.
+ */
+final class MemberTable {
+
+  private final TreeMap<DaemonId, Member> facts = new TreeMap<>();
+  private final Map<DaemonId, Long> suspectSince = new HashMap<>();
+  private final Map<DaemonId, Long> deadSince = new HashMap<>();
+  private ImmutableSet<String> leavingByList = ImmutableSet.of();
+  private Member self;
+
+  MemberTable(Member self) {
+    this.self = self;
+  }
+
+  /** What a piece of news meant to this daemon. */
+  enum Merge {
+    /** It was newer than what was known. */
+    NEWER,
+    /** It was known already. */
+    KNOWN,
+    /** Something newer is known. */
+    OUTDATED,
+    /** It says that this daemon's own incarnation is over. */
+    REPLACES_SELF
+  }
+
+  Member self() {
+    return self;
+  }
+
+  void setSelf(Member newSelf) {
+    self = newSelf;
+  }
+
+  /** Takes a higher incarnation than {@code number} and forgets whom it believed dead. */
+  void rejoinAbove(long number) {
+    MemberState state =
+        self.state() == MemberState.LEAVING ? MemberState.LEAVING : MemberState.ALIVE;
+    Incarnation next = new Incarnation(self.incarnation().daemon(), number + 1);
+    self = new Member(next, self.zone(), self.address(), state);
+    suspectSince.clear();
+    deadSince.keySet().forEach(facts::remove);
+    deadSince.clear();
+  }
+
+  /**
+   * Returns whether this daemon lost all the peers of its zone, so that it may be cut off itself.
+   */
+  boolean isAlone() {
+    ImmutableList<Member> peers =
+        facts.values().stream()
+            .filter(member -> member.zone().equals(self.zone()))
+            .collect(ImmutableList.toImmutableList());
+    return !peers.isEmpty() && peers.stream().noneMatch(member -> member.state().reachable());
+  }
+
+  Merge merge(Member news, long nowNanos) {
+    DaemonId daemon = news.incarnation().daemon();
+    if (daemon.equals(self.incarnation().daemon())) {
+      return news.supersedes(self) ? Merge.REPLACES_SELF : Merge.KNOWN;
+    }
+    Member known = facts.get(daemon);
+    if (known == null || news.supersedes(known)) {
+      MemberState state = withoutSuspicion(news.state());
+      setFact(news.withState(state), nowNanos);
+      return Merge.NEWER;
+    }
+    return known.supersedes(news) ? Merge.OUTDATED : Merge.KNOWN;
+  }
+
+  /** Ends a suspicion of the incarnation that was just heard from. */
+  void heardFrom(Incarnation incarnation) {
+    Member known = facts.get(incarnation.daemon());
+    if (known != null && known.incarnation().equals(incarnation)) {
+      suspectSince.remove(incarnation.daemon());
+    }
+  }
+
+  /** Returns whether the incarnation is known to be over. */
+  boolean isOver(Incarnation incarnation) {
+    Member known = facts.get(incarnation.daemon());
+    return known != null
+        && (known.incarnation().replaces(incarnation)
+            || (known.incarnation().equals(incarnation) && known.state() == MemberState.DEAD));
+  }
+
+  void suspect(Incarnation incarnation, long nowNanos) {
+    Member known = facts.get(incarnation.daemon());
+    if (known != null
+        && known.incarnation().equals(incarnation)
+        && known.state() != MemberState.DEAD) {
+      suspectSince.putIfAbsent(incarnation.daemon(), nowNanos);
+    }
+  }
+
+  /** Declares dead the suspects of the own zone that did not answer in time. */
+  ImmutableList<Member> expireSuspects(long nowNanos, long timeoutNanos) {
+    ImmutableList<Member> expired =
+        suspectSince.entrySet().stream()
+            .filter(entry -> nowNanos - entry.getValue() >= timeoutNanos)
+            .map(entry -> facts.get(entry.getKey()))
+            .filter(member -> member.zone().equals(self.zone()))
+            .map(member -> member.withState(MemberState.DEAD))
+            .sorted((a, b) -> a.incarnation().daemon().compareTo(b.incarnation().daemon()))
+            .collect(ImmutableList.toImmutableList());
+    expired.forEach(member -> setFact(member, nowNanos));
+    return expired;
+  }
+
+  /** Declares dead a suspect of another zone that the platform no longer lists. */
+  ImmutableList<Member> expireUnlisted(
+      ImmutableSet<String> listed, long nowNanos, long retentionNanos) {
+    ImmutableList<Member> expired =
+        facts.values().stream()
+            .filter(member -> !listed.contains(member.incarnation().daemon().name()))
+            .filter(member -> isSuspectFor(member, nowNanos, retentionNanos))
+            .map(member -> member.withState(MemberState.DEAD))
+            .collect(ImmutableList.toImmutableList());
+    expired.forEach(member -> setFact(member, nowNanos));
+    return expired;
+  }
+
+  /** Forgets daemons that have been dead for long. */
+  boolean forgetDead(long nowNanos, long retentionNanos) {
+    ImmutableList<DaemonId> old =
+        deadSince.entrySet().stream()
+            .filter(entry -> nowNanos - entry.getValue() >= retentionNanos)
+            .map(Map.Entry::getKey)
+            .collect(ImmutableList.toImmutableList());
+    old.forEach(facts::remove);
+    old.forEach(deadSince::remove);
+    return !old.isEmpty();
+  }
+
+  void setLeavingByList(ImmutableSet<String> names) {
+    leavingByList = names;
+  }
+
+  Optional<Member> fact(DaemonId daemon) {
+    return Optional.ofNullable(facts.get(daemon));
+  }
+
+  ImmutableList<Member> facts() {
+    return ImmutableList.copyOf(facts.values());
+  }
+
+  ImmutableList<Member> suspects() {
+    return facts.values().stream()
+        .filter(member -> suspectSince.containsKey(member.incarnation().daemon()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  MembershipView view() {
+    ImmutableSortedMap.Builder<DaemonId, Member> members = ImmutableSortedMap.naturalOrder();
+    members.put(self.incarnation().daemon(), listedAsLeaving(self));
+    facts.forEach((daemon, member) -> members.put(daemon, listedAsLeaving(suspected(member))));
+    return new MembershipView(members.build());
+  }
+
+  private Member suspected(Member member) {
+    boolean suspect = suspectSince.containsKey(member.incarnation().daemon());
+    return suspect && member.state() == MemberState.ALIVE
+        ? member.withState(MemberState.SUSPECT)
+        : member;
+  }
+
+  private Member listedAsLeaving(Member member) {
+    boolean leaving =
+        member.state().ownsReplicas()
+            && leavingByList.contains(member.incarnation().daemon().name())
+            && hasStayingMember(member.zone());
+    return leaving ? member.withState(MemberState.LEAVING) : member;
+  }
+
+  /** A list that would leave a zone without an owner is taken to be wrong. */
+  private boolean hasStayingMember(Zone zone) {
+    return stays(self, zone) || facts.values().stream().anyMatch(member -> stays(member, zone));
+  }
+
+  private boolean stays(Member member, Zone zone) {
+    return member.zone().equals(zone)
+        && member.state().ownsReplicas()
+        && !leavingByList.contains(member.incarnation().daemon().name());
+  }
+
+  private boolean isSuspectFor(Member member, long nowNanos, long durationNanos) {
+    Long since = suspectSince.get(member.incarnation().daemon());
+    return since != null && nowNanos - since >= durationNanos;
+  }
+
+  private void setFact(Member member, long nowNanos) {
+    DaemonId daemon = member.incarnation().daemon();
+    facts.put(daemon, member);
+    suspectSince.remove(daemon);
+    if (member.state() == MemberState.DEAD) {
+      deadSince.put(daemon, nowNanos);
+    } else {
+      deadSince.remove(daemon);
+    }
+  }
+
+  private static MemberState withoutSuspicion(MemberState state) {
+    return state == MemberState.SUSPECT ? MemberState.ALIVE : state;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/membership/Membership.java
@@ -0,0 +1,368 @@
+package dev.apricotmill.coordination.membership;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.errorprone.annotations.concurrent.GuardedBy;
+import dev.apricotmill.coordination.identity.DaemonId;
+import dev.apricotmill.coordination.platform.Machine;
+import dev.apricotmill.coordination.time.Timing;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongSupplier;
+
+/**
+ * Knows which daemons are alive, by probing a few of them and passing on what it learns.
+ *
+ * <p>A daemon that does not answer directly or through helpers is suspected, and declared dead by a
+ * daemon of its own zone when the suspicion times out. A dead incarnation never comes back: a
+ * daemon that wakes up after a pause, or hears that it was declared dead, takes a higher
+ * incarnation and tells its owner through {@link MembershipListener#onReplaced}. A zone that cannot
+ * be reached is only suspected, since its daemons go on serving it.
+ *
+ * <p>The view is a hint for speed. What must never happen twice needs a conditional update at the
+ * platform.
+ */
+public final class Membership implements AutoCloseable {
+
+  private static final System.Logger LOGGER = System.getLogger(Membership.class.getName());
+
+  private final Timing timing;
+  private final PeerProbes probes;
+  private final MembershipSettings settings;
+  private final MembershipListener listener;
+  private final PauseDetector pauses;
+  private final AtomicReference<MembershipView> view;
+  private final Object lock = new Object();
+
+  @GuardedBy("lock")
+  private final MemberTable table;
+
+  @GuardedBy("lock")
+  private final ProbeComposer composer;
+
+  @GuardedBy("lock")
+  private final ProbeSchedule schedule;
+
+  @GuardedBy("lock")
+  private final SeedList seeds = new SeedList();
+
+  @GuardedBy("lock")
+  private Optional<Future<?>> ticking = Optional.empty();
+
+  /**
+   * Makes a membership that knows only its own daemon.
+   *
+   * @param timing time and the scheduler for the probes
+   * @param self this daemon as it starts
+   * @param probes the port to the peers
+   * @param settings intervals and bounds
+   * @param listener is told of changes; called under a lock, so it must not block
+   * @param configurationGeneration gives the generation of the own configuration, zero if none
+   */
+  public Membership(
+      Timing timing,
+      Member self,
+      PeerProbes probes,
+      MembershipSettings settings,
+      MembershipListener listener,
+      LongSupplier configurationGeneration) {
+    this.timing = timing;
+    this.probes = probes;
+    this.settings = settings;
+    this.listener = listener;
+    this.pauses = new PauseDetector(settings.pauseThreshold(), timing.nanoTime());
+    this.table = new MemberTable(self);
+    this.composer = new ProbeComposer(table, settings, configurationGeneration);
+    this.schedule = new ProbeSchedule(settings);
+    this.view = new AtomicReference<>(table.view());
+  }
+
+  /** Begins to probe. */
+  public void start() {
+    synchronized (lock) {
+      pauses.tick(timing.nanoTime());
+      ticking = Optional.of(timing.scheduleRepeatedly(settings.probeInterval(), this::tick));
+    }
+  }
+
+  /** Takes over the platform's list of VMs: where daemons may be found and which ones leave. */
+  public void seed(ImmutableList<Machine> machines) {
+    synchronized (lock) {
+      seeds.set(machines);
+      table.setLeavingByList(seeds.leavingNames());
+      publishView();
+    }
+  }
+
+  /** Returns the newest view; never blocks. */
+  public MembershipView view() {
+    return view.get();
+  }
+
+  /** Returns this daemon as it sees itself, with its present incarnation. */
+  public Member self() {
+    synchronized (lock) {
+      return table.self();
+    }
+  }
+
+  /** Tells the peers that this daemon takes no new work. */
+  public void leave() {
+    synchronized (lock) {
+      table.setSelf(table.self().withState(MemberState.LEAVING));
+      LOGGER.log(System.Logger.Level.INFO, "membership: leaving as {0}", table.self());
+      composer.spread(table.self());
+      publishView();
+    }
+  }
+
+  /** Spreads a small value with the probes. */
+  public void publish(ProbePayload payload) {
+    synchronized (lock) {
+      composer.offer(payload);
+    }
+  }
+
+  /** Returns the newest payloads whose names begin with {@code prefix}, ordered by name. */
+  public ImmutableList<ProbePayload> payloads(String prefix) {
+    synchronized (lock) {
+      return composer.payloads(prefix);
+    }
+  }
+
+  /**
+   * Takes a higher incarnation if this process was frozen since it last ran, and returns whether it
+   * did. To be called right before work that was queued is dispatched; costs one volatile read when
+   * nothing happened.
+   */
+  public boolean noticePause() {
+    if (!pauses.hasJumped(timing.nanoTime())) {
+      return false;
+    }
+    synchronized (lock) {
+      return noticePauseLocked();
+    }
+  }
+
+  /** Answers a probe; see {@link ProbeEndpoint#onProbe}. */
+  public ProbeMessage onProbe(ProbeMessage message) {
+    synchronized (lock) {
+      noticePauseLocked();
+      ImmutableList<Member> corrections = absorb(message);
+      return composer.compose(Optional.of(message.sender().incarnation().daemon()), corrections);
+    }
+  }
+
+  /** Probes {@code target} for a peer; see {@link ProbeEndpoint#onProbeThrough}. */
+  public CompletionStage<ProbeResult> onProbeThrough(Member target, ProbeMessage message) {
+    synchronized (lock) {
+      noticePauseLocked();
+      absorb(message);
+    }
+    return probes.probe(target.address(), message, settings.probeTimeout());
+  }
+
+  /** Stops probing. */
+  @Override
+  public void close() {
+    synchronized (lock) {
+      ticking.ifPresent(future -> future.cancel(false));
+    }
+  }
+
+  private void tick() {
+    ImmutableList<Member> targets;
+    ImmutableSet<PeerAddress> addresses;
+    synchronized (lock) {
+      noticePauseLocked();
+      long now = timing.nanoTime();
+      pauses.tick(now);
+      expire(now);
+      targets = schedule.next(view.get(), table.self(), table.suspects());
+      addresses = seeds.next(view.get(), table.self());
+    }
+    targets.forEach(this::probe);
+    addresses.forEach(this::probeUnknown);
+  }
+
+  @GuardedBy("lock")
+  private void expire(long now) {
+    ImmutableList<Member> dead =
+        ImmutableList.<Member>builder()
+            .addAll(table.expireSuspects(now, settings.suspicionTimeout().toNanos()))
+            .addAll(table.expireUnlisted(seeds.names(), now, settings.deadRetention().toNanos()))
+            .build();
+    for (Member member : dead) {
+      LOGGER.log(System.Logger.Level.INFO, "membership: declares dead {0}", member.incarnation());
+      composer.spread(member);
+    }
+    boolean forgotten = table.forgetDead(now, settings.deadRetention().toNanos());
+    if (forgotten || !dead.isEmpty()) {
+      publishView();
+    }
+  }
+
+  private void probe(Member target) {
+    ProbeMessage message;
+    Member sender;
+    synchronized (lock) {
+      message = composer.compose(Optional.of(target.incarnation().daemon()), ImmutableList.of());
+      sender = table.self();
+    }
+    probes
+        .probe(target.address(), message, settings.probeTimeout())
+        .thenAccept(result -> onResult(sender, target, message, result));
+  }
+
+  private void probeUnknown(PeerAddress address) {
+    ProbeMessage message;
+    synchronized (lock) {
+      Optional<DaemonId> receiver =
+          table.facts().stream()
+              .filter(member -> member.address().equals(address))
+              .map(member -> member.incarnation().daemon())
+              .findFirst();
+      message = composer.compose(receiver, ImmutableList.of());
+    }
+    probes.probe(address, message, settings.probeTimeout()).thenAccept(this::absorbAnswer);
+  }
+
+  private void onResult(Member sender, Member target, ProbeMessage message, ProbeResult result) {
+    if (result instanceof ProbeResult.Answered) {
+      absorbAnswer(result);
+      return;
+    }
+    ImmutableList<Member> helpers;
+    synchronized (lock) {
+      if (wasInterrupted(sender)) {
+        return;
+      }
+      helpers = schedule.helpers(view.get(), table.self(), target);
+    }
+    probeThrough(helpers, target, message)
+        .thenAccept(answered -> onIndirectResult(sender, target, answered));
+  }
+
+  private CompletableFuture<Boolean> probeThrough(
+      ImmutableList<Member> helpers, Member target, ProbeMessage message) {
+    CompletableFuture<Boolean> answered = CompletableFuture.completedFuture(false);
+    for (Member helper : helpers) {
+      CompletionStage<ProbeResult> stage =
+          probes.probeThrough(
+              helper.address(), target, message, settings.probeTimeout().multipliedBy(2));
+      answered =
+          answered.thenCombine(
+              stage,
+              (before, result) -> {
+                absorbAnswer(result);
+                return before || result instanceof ProbeResult.Answered;
+              });
+    }
+    return answered;
+  }
+
+  private void onIndirectResult(Member sender, Member target, boolean answered) {
+    synchronized (lock) {
+      if (answered || wasInterrupted(sender)) {
+        return;
+      }
+      table.suspect(target.incarnation(), timing.nanoTime());
+      publishView();
+    }
+  }
+
+  /** Silence that began before a pause of this process says nothing of the peer. */
+  @GuardedBy("lock")
+  private boolean wasInterrupted(Member sender) {
+    noticePauseLocked();
+    return !sender.incarnation().equals(table.self().incarnation());
+  }
+
+  private void absorbAnswer(ProbeResult result) {
+    if (result instanceof ProbeResult.Answered answered) {
+      synchronized (lock) {
+        noticePauseLocked();
+        absorb(answered.reply());
+      }
+    }
+  }
+
+  /** Takes in a message and returns newer knowledge than what it said. */
+  @GuardedBy("lock")
+  private ImmutableList<Member> absorb(ProbeMessage message) {
+    ImmutableList.Builder<Member> corrections = ImmutableList.builder();
+    if (table.isOver(message.sender().incarnation()) && table.isAlone()) {
+      rejoinAbove(table.self().incarnation().number());
+    }
+    boolean senderIsOver = table.isOver(message.sender().incarnation());
+    for (Member news : message.news()) {
+      if (isOwnDaemon(news)) {
+        merge(news);
+      }
+    }
+    if (!senderIsOver) {
+      merge(message.sender());
+      table.heardFrom(message.sender().incarnation());
+      for (Member news : message.news()) {
+        if (!isOwnDaemon(news) && merge(news) == MemberTable.Merge.OUTDATED) {
+          table.fact(news.incarnation().daemon()).ifPresent(corrections::add);
+        }
+      }
+    }
+    message.payloads().forEach(composer::offer);
+    publishView();
+    if (!isOwnDaemon(message.sender())) {
+      listener.onPeerGeneration(message.sender().address(), message.configurationGeneration());
+    }
+    return corrections.build();
+  }
+
+  @GuardedBy("lock")
+  private MemberTable.Merge merge(Member news) {
+    MemberTable.Merge merge = table.merge(news, timing.nanoTime());
+    if (merge == MemberTable.Merge.NEWER) {
+      table.fact(news.incarnation().daemon()).ifPresent(composer::spread);
+    } else if (merge == MemberTable.Merge.REPLACES_SELF) {
+      rejoinAbove(news.incarnation().number());
+    }
+    return merge;
+  }
+
+  @GuardedBy("lock")
+  private boolean noticePauseLocked() {
+    long now = timing.nanoTime();
+    if (!pauses.hasJumped(now)) {
+      return false;
+    }
+    pauses.tick(now);
+    rejoinAbove(table.self().incarnation().number());
+    return true;
+  }
+
+  @GuardedBy("lock")
+  private void rejoinAbove(long number) {
+    table.rejoinAbove(number);
+    composer.forgetNews();
+    LOGGER.log(System.Logger.Level.WARNING, "membership: rejoins as {0}", table.self());
+    composer.spread(table.self());
+    listener.onReplaced(table.self());
+    publishView();
+  }
+
+  @GuardedBy("lock")
+  private boolean isOwnDaemon(Member member) {
+    return member.incarnation().daemon().equals(table.self().incarnation().daemon());
+  }
+
+  @GuardedBy("lock")
+  private void publishView() {
+    MembershipView next = table.view();
+    if (!next.equals(view.get())) {
+      view.set(next);
+      listener.onViewChanged(next);
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/membership/ProbeSchedule.java
@@ -0,0 +1,141 @@
+package dev.apricotmill.coordination.membership;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
+import dev.apricotmill.coordination.identity.DaemonId;
+import dev.apricotmill.coordination.identity.Zone;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+/**
+ * Chooses whom a daemon probes in each interval, a number that does not grow with the zone.
+ *
+ * <p>Each interval takes one of the few successors on the zone's ring; every few intervals a member
+ * of the whole zone, so that old knowledge meets, and, on the few daemons that have this duty, a
+ * member of another zone.
+ */
+final class ProbeSchedule {
+
+  private static final int EXCHANGE_EVERY_TICKS = 4;
+  private static final int REMOTE_EVERY_TICKS = 2;
+
+  private final MembershipSettings settings;
+  private long tick;
+
+  ProbeSchedule(MembershipSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Returns the members to probe in the next interval, suspects of the own zone among them. */
+  ImmutableList<Member> next(MembershipView view, Member self, ImmutableList<Member> suspects) {
+    tick++;
+    List<Member> targets = new ArrayList<>();
+    ImmutableList<Member> ring = ringAfter(view, self);
+    addByRotation(targets, firstOf(ring, settings.successors()), tick);
+    if (tick % EXCHANGE_EVERY_TICKS == 0) {
+      addByRotation(targets, ring, tick / EXCHANGE_EVERY_TICKS);
+    }
+    if (tick % REMOTE_EVERY_TICKS == 0) {
+      addRemote(targets, view, self);
+    }
+    ImmutableList<Member> watched = firstOf(ring, settings.successors());
+    suspects.stream().filter(watched::contains).forEach(targets::add);
+    return ImmutableList.copyOf(
+        targets.stream()
+            .collect(
+                Collectors.toMap(
+                    member -> member.incarnation().daemon(),
+                    member -> member,
+                    (first, second) -> first,
+                    LinkedHashMap::new))
+            .values());
+  }
+
+  /** Returns the peers through which a silent member is probed. */
+  ImmutableList<Member> helpers(MembershipView view, Member self, Member target) {
+    ImmutableList<Member> candidates =
+        view.reachable().stream()
+            .filter(member -> member.zone().equals(self.zone()))
+            .filter(member -> member.state() != MemberState.SUSPECT)
+            .filter(member -> !sameDaemon(member, self) && !sameDaemon(member, target))
+            .collect(ImmutableList.toImmutableList());
+    return rotated(candidates, tick * settings.helpers()).stream()
+        .limit(settings.helpers())
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private void addRemote(List<Member> targets, MembershipView view, Member self) {
+    ImmutableList<Member> remote =
+        view.reachable().stream()
+            .filter(member -> !member.zone().equals(self.zone()))
+            .collect(ImmutableList.toImmutableList());
+    TreeSet<Zone> zones =
+        remote.stream().map(Member::zone).collect(Collectors.toCollection(TreeSet::new));
+    for (Zone zone : zones) {
+      if (probesZone(view, self, zone)) {
+        ImmutableList<Member> members =
+            remote.stream()
+                .filter(member -> member.zone().equals(zone))
+                .collect(ImmutableList.toImmutableList());
+        addByRotation(targets, members, tick / REMOTE_EVERY_TICKS);
+      }
+    }
+  }
+
+  private boolean probesZone(MembershipView view, Member self, Zone zone) {
+    return RendezvousHash.ranked(view.owners(self.zone()), "remote-probes/" + zone)
+        .limit(settings.remoteProbers())
+        .anyMatch(member -> sameDaemon(member, self));
+  }
+
+  private static ImmutableList<Member> ringAfter(MembershipView view, Member self) {
+    Comparator<Member> byRing =
+        Comparator.<Member>comparingLong(member -> ringPosition(member.incarnation().daemon()))
+            .thenComparing(member -> member.incarnation().daemon());
+    List<Member> ring = new ArrayList<>();
+    view.reachable().stream()
+        .filter(member -> member.zone().equals(self.zone()))
+        .filter(member -> !sameDaemon(member, self))
+        .sorted(byRing)
+        .forEach(ring::add);
+    int start = 0;
+    while (start < ring.size() && byRing.compare(ring.get(start), self) < 0) {
+      start++;
+    }
+    return rotated(ImmutableList.copyOf(ring), start);
+  }
+
+  private static long ringPosition(DaemonId daemon) {
+    return Hashing.murmur3_128().hashString(daemon.name(), StandardCharsets.UTF_8).asLong();
+  }
+
+  private static boolean sameDaemon(Member one, Member other) {
+    return one.incarnation().daemon().equals(other.incarnation().daemon());
+  }
+
+  private static ImmutableList<Member> firstOf(ImmutableList<Member> members, int count) {
+    return members.subList(0, Math.min(count, members.size()));
+  }
+
+  private static void addByRotation(List<Member> targets, ImmutableList<Member> from, long turn) {
+    if (!from.isEmpty()) {
+      targets.add(from.get((int) (turn % from.size())));
+    }
+  }
+
+  private static ImmutableList<Member> rotated(ImmutableList<Member> members, long by) {
+    if (members.isEmpty()) {
+      return members;
+    }
+    int split = (int) (by % members.size());
+    return ImmutableList.<Member>builder()
+        .addAll(members.subList(split, members.size()))
+        .addAll(members.subList(0, split))
+        .build();
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/membership/SeedList.java
@@ -0,0 +1,65 @@
+package dev.apricotmill.coordination.membership;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.coordination.identity.DaemonId;
+import dev.apricotmill.coordination.platform.Machine;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The addresses at which daemons may be found that are not known as reachable: entry VMs of the
+ * platform's list and daemons believed dead.
+ *
+ * <p>Some are tried in every interval, so that groups that lost each other meet again.
+ */
+final class SeedList {
+
+  /** How many addresses a daemon without any reachable peer tries in one interval. */
+  private static final int TRIES_WHILE_ALONE = 4;
+
+  private ImmutableList<Machine> machines = ImmutableList.of();
+  private long turn;
+
+  void set(ImmutableList<Machine> list) {
+    machines =
+        list.stream()
+            .filter(machine -> machine.role() == Machine.Role.ENTRY)
+            .collect(ImmutableList.toImmutableList());
+  }
+
+  ImmutableSet<String> names() {
+    return machines.stream().map(Machine::name).collect(ImmutableSet.toImmutableSet());
+  }
+
+  ImmutableSet<String> leavingNames() {
+    return machines.stream()
+        .filter(machine -> machine.state() == Machine.State.LEAVING)
+        .map(Machine::name)
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
+  /** Returns the addresses to try in the next interval. */
+  ImmutableSet<PeerAddress> next(MembershipView view, Member self) {
+    List<PeerAddress> candidates = new ArrayList<>();
+    for (Machine machine : machines) {
+      if (!isReachable(view, new DaemonId(machine.name()))) {
+        candidates.add(PeerAddress.parse(machine.address()));
+      }
+    }
+    view.members().values().stream()
+        .filter(member -> member.state() == MemberState.DEAD)
+        .forEach(member -> candidates.add(member.address()));
+    candidates.remove(self.address());
+    int tries = view.reachable().size() > 1 ? 1 : TRIES_WHILE_ALONE;
+    ImmutableSet.Builder<PeerAddress> chosen = ImmutableSet.builder();
+    for (int i = 0; i < Math.min(tries, candidates.size()); i++) {
+      chosen.add(candidates.get((int) (turn++ % candidates.size())));
+    }
+    return chosen.build();
+  }
+
+  private static boolean isReachable(MembershipView view, DaemonId daemon) {
+    return view.find(daemon).map(member -> member.state().reachable()).orElse(false);
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/dev/apricotmill/coordination/membership/MembershipCluster.java
@@ -0,0 +1,70 @@
+package dev.apricotmill.coordination.membership;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.platform.Machine;
+import dev.apricotmill.coordination.testing.FakePeerNetwork;
+import dev.apricotmill.coordination.testing.VirtualTime;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Daemons that run only a membership, on virtual time. */
+final class MembershipCluster {
+
+  private final VirtualTime time = new VirtualTime();
+  private final FakePeerNetwork network = new FakePeerNetwork(time);
+  private final List<ClusterDaemon> daemons = new ArrayList<>();
+
+  MembershipCluster(int zones, int daemonsPerZone) {
+    for (int zone = 0; zone < zones; zone++) {
+      for (int i = 0; i < daemonsPerZone; i++) {
+        daemons.add(
+            new ClusterDaemon(
+                time, network, "d" + zone + "-" + i, new Zone("z" + zone), daemons.size() + 1));
+      }
+    }
+    daemons.forEach(daemon -> daemon.membership().seed(machines()));
+    daemons.forEach(daemon -> daemon.membership().start());
+  }
+
+  ImmutableList<Machine> machines() {
+    return daemons.stream()
+        .map(daemon -> daemon.machine(Machine.State.LIVE))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  ClusterDaemon daemon(int index) {
+    return daemons.get(index);
+  }
+
+  FakePeerNetwork network() {
+    return network;
+  }
+
+  ImmutableList<ClusterDaemon> daemons() {
+    return ImmutableList.copyOf(daemons);
+  }
+
+  void advance(Duration duration) {
+    time.advance(duration);
+  }
+
+  /** Returns whether every running daemon sees every running daemon alive as it sees itself. */
+  boolean allAgree() {
+    return daemons.stream().filter(ClusterDaemon::runs).allMatch(this::seesAllRunning);
+  }
+
+  private boolean seesAllRunning(ClusterDaemon viewer) {
+    return daemons.stream()
+        .filter(ClusterDaemon::runs)
+        .allMatch(
+            seen ->
+                viewer
+                    .membership()
+                    .view()
+                    .find(seen.id())
+                    .filter(member -> member.equals(seen.membership().self()))
+                    .isPresent());
+  }
+}
