Scheduler: memory account, class queues, fair shares and admission by time to first token

Cause: the first scheduler was a plain queue without account, order or admission. A replica's steward now reserves memory before dispatch and gives it back once, serves shorter classes first with ageing, leaves long prompts a guaranteed share, shares between customers by start-time fair queueing, and refuses at once what cannot end in its time. Group members are held until their coordinator commits them. Ruled out: dispatching every fitting request to the engine, which would leave fairness to the engine's own queue.

--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/fairness/FairQueue.java
@@ -0,0 +1,129 @@
+package dev.apricotmill.core.fairness;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.core.request.CustomerId;
+import dev.apricotmill.core.request.GenerationRequest;
+import dev.apricotmill.core.request.RequestId;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * Start-time fair queue of waiting requests: customers share by weight and priority, with prompt
+ * tokens as the cost.
+ *
+ * <p>Goyal, Vin and Cheng, "Start-time Fair Queueing", SIGCOMM 1996. Not safe for use by several
+ * threads.
+ */
+public final class FairQueue {
+
+  private static final int KEPT_CUSTOMERS = 64;
+
+  private final TreeSet<Entry> order = new TreeSet<>();
+  private final Map<RequestId, Entry> entries = new HashMap<>();
+  private final Map<CustomerId, Double> finishTags = new HashMap<>();
+  private double virtualTime;
+  private long nextNumber;
+
+  /** Appends a request; it must not be queued already. */
+  public void add(GenerationRequest request) {
+    double start = startTag(request.customer());
+    finishTags.put(request.customer(), start + request.promptTokens() / share(request));
+    Entry entry = new Entry(start, nextNumber, request);
+    nextNumber++;
+    entries.put(request.id(), entry);
+    order.add(entry);
+  }
+
+  /** Returns the request that goes next. */
+  public Optional<GenerationRequest> peek() {
+    return order.isEmpty() ? Optional.empty() : Optional.of(order.first().request);
+  }
+
+  /** Removes a request that goes on to be served. */
+  public boolean serve(RequestId id) {
+    Entry entry = entries.get(id);
+    if (entry == null) {
+      return false;
+    }
+    virtualTime = Math.max(virtualTime, entry.startTag);
+    drop(entry);
+    forgetIdleCustomers();
+    return true;
+  }
+
+  /** Removes a request that will not be served; its customer is not charged for it. */
+  public boolean withdraw(RequestId id) {
+    Entry entry = entries.get(id);
+    if (entry == null) {
+      return false;
+    }
+    GenerationRequest request = entry.request;
+    finishTags.computeIfPresent(
+        request.customer(), (customer, tag) -> tag - request.promptTokens() / share(request));
+    drop(entry);
+    return true;
+  }
+
+  /** Returns the waiting prompt tokens that would be served before a new request of a customer. */
+  public long tokensBefore(CustomerId customer) {
+    double start = startTag(customer);
+    long tokens = 0;
+    for (Entry entry : order) {
+      if (entry.startTag > start) {
+        break;
+      }
+      tokens += entry.request.promptTokens();
+    }
+    return tokens;
+  }
+
+  /** Returns the waiting requests in the order of service. */
+  public ImmutableList<GenerationRequest> requests() {
+    return order.stream().map(entry -> entry.request).collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns whether the request waits here. */
+  public boolean contains(RequestId id) {
+    return entries.containsKey(id);
+  }
+
+  /** Returns how many requests wait. */
+  public int size() {
+    return entries.size();
+  }
+
+  private void drop(Entry entry) {
+    order.remove(entry);
+    entries.remove(entry.request.id());
+    if (entries.isEmpty()) {
+      finishTags.clear();
+      virtualTime = 0;
+    }
+  }
+
+  private void forgetIdleCustomers() {
+    if (finishTags.size() > 2 * entries.size() + KEPT_CUSTOMERS) {
+      finishTags.values().removeIf(tag -> tag <= virtualTime);
+    }
+  }
+
+  private double startTag(CustomerId customer) {
+    return Math.max(virtualTime, finishTags.getOrDefault(customer, 0.0));
+  }
+
+  private static double share(GenerationRequest request) {
+    return (double) Math.max(1, request.weight()) * request.priority().shareFactor();
+  }
+
+  private record Entry(double startTag, long number, GenerationRequest request)
+      implements Comparable<Entry> {
+
+    @Override
+    public int compareTo(Entry other) {
+      int byTag = Double.compare(startTag, other.startTag);
+      return byTag != 0 ? byTag : Long.compare(number, other.number);
+    }
+  }
+}
--- a/core/src/main/java/dev/apricotmill/core/length/LengthClass.java
+++ b/core/src/main/java/dev/apricotmill/core/length/LengthClass.java
@@ -22,6 +22,11 @@
     return maximumTokens;
   }
 
+  /** Returns whether prompts of the class are read apart from the short and medium ones. */
+  public boolean isLong() {
+    return this == LONG || this == HUGE;
+  }
+
   /** Returns the class of a prompt of that many tokens. */
   public static LengthClass of(long tokens) {
     for (LengthClass candidate : values()) {
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/length/LengthEstimator.java
@@ -0,0 +1,55 @@
+package dev.apricotmill.core.length;
+
+import dev.apricotmill.core.request.ServiceName;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Estimates a prompt's tokens from its bytes, corrected for each service by the engine's counts.
+ *
+ * <p>Mean and mean deviation of the tokens for each byte follow the estimator of RFC 6298. Safe for
+ * use by several threads.
+ */
+public final class LengthEstimator {
+
+  private static final double INITIAL_TOKENS_PER_BYTE = 0.25;
+  private static final double INITIAL_DEVIATION = INITIAL_TOKENS_PER_BYTE / 4;
+  private static final double MEAN_GAIN = 1.0 / 8;
+  private static final double DEVIATION_GAIN = 1.0 / 4;
+  private static final double DEVIATIONS_TO_UPPER = 4;
+  private static final Ratio INITIAL = new Ratio(INITIAL_TOKENS_PER_BYTE, INITIAL_DEVIATION);
+
+  private final ConcurrentHashMap<ServiceName, Ratio> ratios = new ConcurrentHashMap<>();
+
+  /** Returns the estimate for a prompt of that many bytes; at least one token. */
+  public LengthEstimate estimate(ServiceName service, long promptBytes) {
+    Ratio ratio = ratios.getOrDefault(service, INITIAL);
+    double upperRatio = ratio.mean + DEVIATIONS_TO_UPPER * ratio.deviation;
+    long tokens = Math.max(1, (long) Math.ceil(promptBytes * ratio.mean));
+    long upper = Math.max(tokens, (long) Math.ceil(promptBytes * upperRatio));
+    return new LengthEstimate(tokens, upper);
+  }
+
+  /** Notes the engine's own count of a prompt. */
+  public void observe(ServiceName service, long promptBytes, long promptTokens) {
+    if (promptBytes <= 0 || promptTokens <= 0) {
+      return;
+    }
+    double sample = (double) promptTokens / promptBytes;
+    ratios.merge(service, INITIAL.corrected(sample), (current, first) -> current.corrected(sample));
+  }
+
+  /** Forgets the services that are no longer configured. */
+  public void retain(Set<ServiceName> configured) {
+    ratios.keySet().retainAll(configured);
+  }
+
+  private record Ratio(double mean, double deviation) {
+
+    Ratio corrected(double sample) {
+      double error = sample - mean;
+      double newDeviation = deviation + DEVIATION_GAIN * (Math.abs(error) - deviation);
+      return new Ratio(mean + MEAN_GAIN * error, newDeviation);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/steward/FadingSum.java
@@ -0,0 +1,33 @@
+package dev.apricotmill.core.steward;
+
+import java.util.concurrent.TimeUnit;
+
+/** Sum over the recent past in which old amounts fade. Not safe for use by several threads. */
+final class FadingSum {
+
+  private final double horizonSeconds;
+  private double sum;
+  private long fadedAtNanos;
+
+  FadingSum(double horizonSeconds) {
+    this.horizonSeconds = horizonSeconds;
+  }
+
+  /** Adds an amount. */
+  void add(double amount, long nowNanos) {
+    fade(nowNanos);
+    sum += amount;
+  }
+
+  /** Returns the recent amount a second. */
+  double perSecond(long nowNanos) {
+    fade(nowNanos);
+    return sum / horizonSeconds;
+  }
+
+  private void fade(long nowNanos) {
+    double seconds = (double) Math.max(0, nowNanos - fadedAtNanos) / TimeUnit.SECONDS.toNanos(1);
+    sum *= Math.exp(-seconds / horizonSeconds);
+    fadedAtNanos = nowNanos;
+  }
+}
--- a/core/src/main/java/dev/apricotmill/core/steward/QueueDecision.java
+++ b/core/src/main/java/dev/apricotmill/core/steward/QueueDecision.java
@@ -18,6 +18,14 @@
    */
   record Dispatch(RequestId request, int enginePriority) implements QueueDecision {}
 
+  /**
+   * Tell the coordinator of its group that memory for its part is held. It is dispatched after
+   * {@link ReplicaScheduler#commitMember}, or given back by {@link ReplicaScheduler#release}.
+   *
+   * @param request the request
+   */
+  record Hold(RequestId request) implements QueueDecision {}
+
   /**
    * Refuse it now; it has not run and holds no memory.
    *
--- a/core/src/main/java/dev/apricotmill/core/steward/ReplicaScheduler.java
+++ b/core/src/main/java/dev/apricotmill/core/steward/ReplicaScheduler.java
@@ -3,93 +3,320 @@
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.core.configuration.EngineProfile;
 import dev.apricotmill.core.configuration.Objective;
+import dev.apricotmill.core.length.LengthClass;
 import dev.apricotmill.core.outcome.RefusalReason;
 import dev.apricotmill.core.request.GenerationRequest;
 import dev.apricotmill.core.request.RequestId;
 import java.time.Duration;
-import java.util.LinkedHashMap;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
- * Queue and memory account of one replica. Not safe for use by several threads: the replica's
- * serial executor owns it.
+ * Queue, memory account and admission of one replica.
+ *
+ * <p>Not safe for use by several threads: the replica's serial executor owns it.
  */
 public final class ReplicaScheduler {
 
+  private static final Duration IDLE_POLL = Duration.ofSeconds(1);
+  private static final Duration SHORTEST_POLL = Duration.ofMillis(1);
+
   private final EngineProfile profile;
-  private final Map<RequestId, GenerationRequest> waiting = new LinkedHashMap<>();
-  private final Map<RequestId, Long> reserved = new LinkedHashMap<>();
-  private long reservedTokens;
+  private final WaitingQueues queues = new WaitingQueues();
+  private final Map<RequestId, RunningRequest> running = new HashMap<>();
+  private final MemoryAccount account;
+  private final PrefillBacklog backlog;
+  private final GuaranteedShare longShare;
+  private final AnswerTimeModel model;
 
   /** Creates an empty scheduler for an engine of the given profile. */
   public ReplicaScheduler(EngineProfile profile, Objective objective) {
     this.profile = profile;
+    this.account =
+        new MemoryAccount(profile.memoryTokens(), ShortHeadroom.tokens(profile, objective));
+    this.backlog = new PrefillBacklog(profile.prefillTokensPerSecond(), profile.memoryTokens());
+    this.longShare =
+        new GuaranteedShare(objective.longPromptShare(), LengthClass.MEDIUM.maximumTokens());
+    this.model = new AnswerTimeModel(profile, objective);
   }
 
   /** Decides whether a request may wait here, and queues it if so. */
   public AdmissionDecision offer(GenerationRequest request, long nowNanos) {
-    if (request.memoryTokens() > profile.memoryTokens()) {
-      return new AdmissionDecision.Refused(RefusalReason.NEVER_FITS, Duration.ZERO);
+    return offer(request, WaitingRequest.Kind.WHOLE, nowNanos);
+  }
+
+  /**
+   * Decides whether one part of a prompt that takes several engines may wait here. When its turn
+   * comes, {@link #poll} answers {@link QueueDecision.Hold}.
+   *
+   * @param part the request with the length of the part
+   * @param nowNanos the monotonic time
+   */
+  public AdmissionDecision offerMember(GenerationRequest part, long nowNanos) {
+    return offer(part, WaitingRequest.Kind.GROUP_MEMBER, nowNanos);
+  }
+
+  /**
+   * Starts a part that is held.
+   *
+   * @return the dispatch, or a refusal if the part is not held here any more
+   */
+  public QueueDecision commitMember(RequestId request, long nowNanos) {
+    RunningRequest held = running.get(request);
+    if (held == null || held.phase() != RunningRequest.Phase.HELD) {
+      return new QueueDecision.Refuse(request, RefusalReason.EXPIRED, Duration.ZERO);
     }
-    waiting.put(request.id(), request);
-    return new AdmissionDecision.Admitted(Duration.ZERO);
+    held.enter(RunningRequest.Phase.PREFILL, nowNanos);
+    return startPrefill(held.origin().request(), nowNanos);
   }
 
   /** Returns what to do now with waiting requests, in order; reserves memory for dispatches. */
   public ImmutableList<QueueDecision> poll(long nowNanos) {
     ImmutableList.Builder<QueueDecision> decisions = ImmutableList.builder();
-    var remaining = waiting.values().iterator();
-    while (remaining.hasNext()) {
-      GenerationRequest request = remaining.next();
-      if (request.deadline().hasPassed(nowNanos)) {
-        remaining.remove();
-        decisions.add(
-            new QueueDecision.Refuse(request.id(), RefusalReason.EXPIRED, Duration.ofSeconds(1)));
-      } else if (reservedTokens + request.memoryTokens() <= profile.memoryTokens()) {
-        remaining.remove();
-        reserved.put(request.id(), request.memoryTokens());
-        reservedTokens += request.memoryTokens();
-        decisions.add(new QueueDecision.Dispatch(request.id(), 0));
+    refuseLate(decisions, nowNanos);
+    if (!longIsPresent()) {
+      longShare.reset(nowNanos);
+    }
+    for (LengthClass lengthClass : queues.classesInOrder(nowNanos)) {
+      if (lengthClass.isLong()) {
+        dispatchLong(lengthClass, decisions, nowNanos);
+      } else {
+        dispatchShort(lengthClass, decisions, nowNanos);
       }
     }
     return decisions.build();
   }
 
-  /** Notes the first token of a dispatched request. */
-  public void onFirstToken(RequestId request, long promptTokens, long nowNanos) {}
+  /**
+   * Notes the first token of a dispatched request.
+   *
+   * @param request the request
+   * @param promptTokens the engine's count of the prompt, zero if it gave none
+   * @param nowNanos the monotonic time
+   */
+  public void onFirstToken(RequestId request, long promptTokens, long nowNanos) {
+    RunningRequest started = running.get(request);
+    if (started == null || !backlog.finish(request, nowNanos)) {
+      return;
+    }
+    WaitingRequest origin = started.origin();
+    model.onFirstToken(
+        origin.lengthClass(), origin.predictedSeconds(), nowNanos - origin.sinceNanos());
+    started.enter(RunningRequest.Phase.DECODE, nowNanos);
+    if (promptTokens > 0) {
+      account.correct(request, promptTokens + origin.request().maximumOutputTokens());
+    }
+  }
 
   /** Gives back the memory of a dispatched request; returns false if it was already given back. */
   public boolean release(RequestId request, long nowNanos) {
-    Long tokens = reserved.remove(request);
-    if (tokens == null) {
+    RunningRequest ended = running.remove(request);
+    if (ended == null) {
       return false;
     }
-    reservedTokens -= tokens;
-    return true;
+    model.onRelease(account.reservedFor(request), nowNanos);
+    if (ended.phase() == RunningRequest.Phase.DECODE) {
+      model.onAnswer(
+          ended.origin().request().maximumOutputTokens(), nowNanos - ended.phaseSinceNanos());
+    }
+    backlog.abandon(request, nowNanos);
+    return account.release(request);
   }
 
   /** Removes a request that still waits; returns false if it does not wait here. */
   public boolean withdraw(RequestId request, long nowNanos) {
-    return waiting.remove(request) != null;
+    return queues.withdraw(request);
   }
 
   /** Returns the delay after which {@link #poll} should be called though nothing happened. */
   public Duration nextPoll(long nowNanos) {
-    return Duration.ofMillis(50);
+    long delay = IDLE_POLL.toNanos();
+    for (WaitingRequest entry : queues.all()) {
+      delay = Math.min(delay, entry.request().deadline().atNanos() - nowNanos);
+      long agesIn = entry.sinceNanos() + entry.patienceNanos() - nowNanos;
+      if (agesIn > 0) {
+        delay = Math.min(delay, agesIn);
+      }
+    }
+    if (queues.size() > 0 && longIsPresent()) {
+      long permittedIn = longShare.nanosUntilPermitted(backlog.tokensPerSecond(), nowNanos);
+      if (permittedIn > 0) {
+        delay = Math.min(delay, permittedIn);
+      }
+    }
+    return Duration.ofNanos(Math.max(SHORTEST_POLL.toNanos(), delay));
   }
 
   /** Returns the replica's load. */
   public StewardLoad load(long nowNanos) {
+    long shortTokens = pendingTokens(LengthClass.SHORT, nowNanos);
+    long mediumTokens = pendingTokens(LengthClass.MEDIUM, nowNanos);
+    long longTokens = pendingTokens(LengthClass.LONG, nowNanos);
+    long hugeTokens = pendingTokens(LengthClass.HUGE, nowNanos);
+    double rate = backlog.tokensPerSecond();
     return new StewardLoad(
-        profile.memoryTokens(),
-        reservedTokens,
-        waiting.size(),
-        waiting.values().stream().mapToLong(GenerationRequest::promptTokens).sum(),
-        0,
-        0,
-        0,
-        0,
-        profile.prefillTokensPerSecond(),
-        Duration.ZERO);
+        account.capacityTokens(),
+        account.reservedTokens(),
+        queues.size(),
+        shortTokens + mediumTokens + longTokens + hugeTokens,
+        shortTokens,
+        mediumTokens,
+        longTokens,
+        backlog.longPrompts() + queues.count(LengthClass.LONG) + queues.count(LengthClass.HUGE),
+        rate,
+        Duration.ofNanos((long) (shortTokens / rate * TimeUnit.SECONDS.toNanos(1))));
+  }
+
+  private AdmissionDecision offer(
+      GenerationRequest request, WaitingRequest.Kind kind, long nowNanos) {
+    if (request.memoryTokens() > profile.memoryTokens()) {
+      return new AdmissionDecision.Refused(RefusalReason.NEVER_FITS, Duration.ZERO);
+    }
+    if (queues.contains(request.id()) || running.containsKey(request.id())) {
+      return new AdmissionDecision.Refused(RefusalReason.KEY_IN_PROGRESS, Duration.ZERO);
+    }
+    LengthClass lengthClass = LengthClass.of(request.promptTokens());
+    double firstToken = predictedSeconds(request, lengthClass, nowNanos);
+    double cautious = firstToken * model.cautionFactor(lengthClass) + model.answerSeconds(request);
+    double remaining = AnswerTimeModel.seconds(request.deadline().remaining(nowNanos).toNanos());
+    if (cautious > remaining) {
+      return new AdmissionDecision.Refused(
+          RefusalReason.DEADLINE_UNREACHABLE, duration(cautious - remaining));
+    }
+    model.onArrival(lengthClass, request.promptTokens(), nowNanos);
+    queues.add(
+        new WaitingRequest(request, kind, nowNanos, patienceNanos(request, remaining), firstToken));
+    return new AdmissionDecision.Admitted(duration(firstToken));
+  }
+
+  private double predictedSeconds(
+      GenerationRequest request, LengthClass lengthClass, long nowNanos) {
+    int priority = EnginePriority.of(request.promptTokens());
+    long before =
+        queues.tokensBefore(lengthClass, request.customer())
+            + backlog.remainingTokensUpTo(priority, nowNanos);
+    double rate = backlog.tokensPerSecond();
+    double reading = (before + request.promptTokens()) / model.rateFor(lengthClass, rate, nowNanos);
+    long missing = request.memoryTokens() - account.freeTokens();
+    return reading + model.secondsUntilReleased(missing, rate, nowNanos);
+  }
+
+  private long patienceNanos(GenerationRequest request, double remainingSeconds) {
+    double bareSeconds = request.promptTokens() / backlog.tokensPerSecond();
+    double slackSeconds = remainingSeconds - bareSeconds - model.answerSeconds(request);
+    return duration(Math.min(bareSeconds, Math.max(0, slackSeconds / 2))).toNanos();
+  }
+
+  private void refuseLate(ImmutableList.Builder<QueueDecision> decisions, long nowNanos) {
+    List<WaitingRequest> late = new ArrayList<>();
+    for (WaitingRequest entry : queues.all()) {
+      if (entry.request().deadline().hasPassed(nowNanos)) {
+        late.add(entry);
+      }
+    }
+    for (WaitingRequest entry : late) {
+      RequestId id = entry.request().id();
+      queues.withdraw(id);
+      double wait = predictedSeconds(entry.request(), entry.lengthClass(), nowNanos);
+      decisions.add(new QueueDecision.Refuse(id, RefusalReason.EXPIRED, duration(wait)));
+    }
+    releaseUncommitted(nowNanos);
+  }
+
+  private void releaseUncommitted(long nowNanos) {
+    List<RequestId> late = new ArrayList<>();
+    for (RunningRequest entry : running.values()) {
+      GenerationRequest request = entry.origin().request();
+      if (entry.phase() == RunningRequest.Phase.HELD && request.deadline().hasPassed(nowNanos)) {
+        late.add(request.id());
+      }
+    }
+    late.forEach(id -> release(id, nowNanos));
+  }
+
+  private void dispatchShort(
+      LengthClass lengthClass, ImmutableList.Builder<QueueDecision> decisions, long nowNanos) {
+    WaitingRequest head = queues.head(lengthClass).orElse(null);
+    while (head != null && mayDispatchShort(head, nowNanos)) {
+      if (longIsPresent()) {
+        longShare.charge(head.request().promptTokens());
+      }
+      decisions.add(dispatch(head, nowNanos));
+      head = queues.head(lengthClass).orElse(null);
+    }
+  }
+
+  private boolean mayDispatchShort(WaitingRequest entry, long nowNanos) {
+    LengthClass lengthClass = entry.lengthClass();
+    GenerationRequest request = entry.request();
+    int priority = EnginePriority.of(request.promptTokens());
+    return running.size() < profile.maximumSequences()
+        && account.fits(lengthClass, request.memoryTokens())
+        && backlog.remainingTokensUpTo(priority, nowNanos) < lengthClass.maximumTokens()
+        && (lengthClass == LengthClass.SHORT || leavesMemoryForAgedLong(request, nowNanos))
+        && (!longIsPresent() || longShare.permits(backlog.tokensPerSecond(), nowNanos));
+  }
+
+  private boolean leavesMemoryForAgedLong(GenerationRequest request, long nowNanos) {
+    long claimed = 0;
+    for (LengthClass lengthClass : LengthClass.values()) {
+      if (lengthClass.isLong()) {
+        WaitingRequest head = queues.head(lengthClass).orElse(null);
+        if (head != null && head.isAged(nowNanos)) {
+          claimed = Math.max(claimed, head.request().memoryTokens());
+        }
+      }
+    }
+    return claimed == 0 || account.freeTokens() - request.memoryTokens() >= claimed;
+  }
+
+  private void dispatchLong(
+      LengthClass lengthClass, ImmutableList.Builder<QueueDecision> decisions, long nowNanos) {
+    for (WaitingRequest entry : queues.inOrder(lengthClass)) {
+      GenerationRequest request = entry.request();
+      int priority = EnginePriority.of(request.promptTokens());
+      if (running.size() < profile.maximumSequences()
+          && priority < backlog.bestLongPriority()
+          && account.fits(lengthClass, request.memoryTokens())) {
+        decisions.add(dispatch(entry, nowNanos));
+      }
+    }
+  }
+
+  private QueueDecision dispatch(WaitingRequest entry, long nowNanos) {
+    GenerationRequest request = entry.request();
+    if (!account.reserve(request.id(), entry.lengthClass(), request.memoryTokens())) {
+      throw new IllegalStateException("memory was checked before: " + request.id());
+    }
+    queues.serve(entry);
+    if (entry.kind() == WaitingRequest.Kind.GROUP_MEMBER) {
+      running.put(request.id(), new RunningRequest(entry, RunningRequest.Phase.HELD, nowNanos));
+      return new QueueDecision.Hold(request.id());
+    }
+    running.put(request.id(), new RunningRequest(entry, RunningRequest.Phase.PREFILL, nowNanos));
+    return startPrefill(request, nowNanos);
+  }
+
+  private QueueDecision startPrefill(GenerationRequest request, long nowNanos) {
+    int priority = EnginePriority.of(request.promptTokens());
+    backlog.start(request.id(), request.promptTokens(), priority, nowNanos);
+    return new QueueDecision.Dispatch(request.id(), priority);
+  }
+
+  private boolean longIsPresent() {
+    return backlog.longPrompts() > 0
+        || queues.count(LengthClass.LONG) > 0
+        || queues.count(LengthClass.HUGE) > 0;
+  }
+
+  private long pendingTokens(LengthClass lengthClass, long nowNanos) {
+    return queues.tokens(lengthClass) + backlog.remainingTokens(lengthClass, nowNanos);
+  }
+
+  private static Duration duration(double seconds) {
+    return Duration.ofNanos((long) (seconds * TimeUnit.SECONDS.toNanos(1)));
   }
 }
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/steward/ShortHeadroom.java
@@ -0,0 +1,18 @@
+package dev.apricotmill.core.steward;
+
+import dev.apricotmill.core.configuration.EngineProfile;
+import dev.apricotmill.core.configuration.Objective;
+import dev.apricotmill.core.length.LengthClass;
+
+/** Derives the memory that long prompts leave to short and medium ones on one replica. */
+public final class ShortHeadroom {
+
+  private ShortHeadroom() {}
+
+  /** Returns the headroom in tokens: one medium prompt, but no more than the short ones' part. */
+  public static long tokens(EngineProfile profile, Objective objective) {
+    double shortPart = 1 - objective.longPromptShare();
+    long largest = (long) (profile.memoryTokens() * shortPart / LengthClass.values().length);
+    return Math.min(LengthClass.MEDIUM.maximumTokens(), largest);
+  }
+}
