Check the operators' configuration file as a whole

Form and meaning are checked in one pass: every fault has a kind, a JSON pointer and the line and column in the file.

--- a/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationDecoding.java
+++ b/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationDecoding.java
@@ -34,7 +34,13 @@
     }
     ConfigurationDraft draft =
         new ConfigurationDraft(
-            objective, customers, services, rules, stops, reader.namedServices());
+            objective,
+            customers,
+            services,
+            rules,
+            stops,
+            reader.namedServices(),
+            reader.ruledServices());
     return new DecodeResult.Decoded(draft.toConfiguration(generation));
   }
 
--- a/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationDraft.java
+++ b/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationDraft.java
@@ -16,6 +16,7 @@
  * @param rules the rules in their order
  * @param plannedStops the planned stops
  * @param namedServices the names of all services, also of those that could not be read whole
+ * @param ruledServices the services that rules name, also rules that could not be read whole
  */
 record ConfigurationDraft(
     Objective objective,
@@ -23,7 +24,8 @@
     ImmutableList<Placed<Service>> services,
     ImmutableList<Placed<Rule>> rules,
     ImmutableList<Placed<PlannedStop>> plannedStops,
-    ImmutableSet<ServiceName> namedServices) {
+    ImmutableSet<ServiceName> namedServices,
+    ImmutableSet<ServiceName> ruledServices) {
 
   /** Returns a draft whose places are those in a configuration file of the same content. */
   static ConfigurationDraft of(Configuration configuration) {
@@ -33,7 +35,8 @@
         placed("/services", configuration.services().values().asList()),
         placed("/rules", configuration.rules()),
         placed("/plannedStops", configuration.plannedStops()),
-        configuration.services().keySet());
+        configuration.services().keySet(),
+        configuration.rules().stream().map(Rule::service).collect(ImmutableSet.toImmutableSet()));
   }
 
   /** Returns the configuration, in which the last of several equal identifiers stays. */
@@ -61,7 +64,8 @@
     return placed.stream().map(Placed::value).collect(ImmutableList.toImmutableList());
   }
 
-  private static <T> ImmutableList<Placed<T>> placed(String pointer, ImmutableList<T> values) {
+  /** Returns the values with the places of an array's elements. */
+  static <T> ImmutableList<Placed<T>> placed(String pointer, ImmutableList<T> values) {
     return IntStream.range(0, values.size())
         .mapToObj(index -> new Placed<>(pointer + "/" + index, values.get(index)))
         .collect(ImmutableList.toImmutableList());
--- a/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationReader.java
+++ b/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationReader.java
@@ -15,12 +15,18 @@
   private static final Zone STAND_IN_ZONE = new Zone("?");
 
   private final ImmutableSet.Builder<ServiceName> namedServices = ImmutableSet.builder();
+  private final ImmutableSet.Builder<ServiceName> ruledServices = ImmutableSet.builder();
 
   /** Returns the names of all services read so far, also of those with faults. */
   ImmutableSet<ServiceName> namedServices() {
     return namedServices.build();
   }
 
+  /** Returns the services that rules name, also rules with faults. */
+  ImmutableSet<ServiceName> ruledServices() {
+    return ruledServices.build();
+  }
+
   /** Reads a customer as the platform stores it. */
   Optional<Customer> storedCustomer(JsonFields fields) {
     return customer(fields, fields.text("keyHash"));
@@ -90,9 +96,11 @@
   }
 
   Optional<Rule> rule(JsonFields fields) {
+    ServiceName service = new ServiceName(fields.text("service"));
+    ruledServices.add(service);
     Rule rule =
         new Rule(
-            new ServiceName(fields.text("service")),
+            service,
             fields.text("method"),
             fields.text("pathPrefix"),
             fields.choice("access", Rule.Access.class),
--- a/core/src/main/java/dev/apricotmill/core/configuration/JsonFields.java
+++ b/core/src/main/java/dev/apricotmill/core/configuration/JsonFields.java
@@ -140,6 +140,14 @@
         .orElse(ImmutableList.of());
   }
 
+  /** Reads each object of an array that must not be empty. */
+  <T> ImmutableList<Placed<T>> atLeastOne(String name, Function<JsonFields, Optional<T>> reader) {
+    if (node.path(name).isArray() && node.path(name).isEmpty()) {
+      fault(name, Kind.EMPTY, "");
+    }
+    return each(name, reader);
+  }
+
   /** Reads each object of {@code array}; those with a fault are left out of the list. */
   static <T> ImmutableList<Placed<T>> eachOf(
       JsonNode array,
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/configuration/PlannedStopChecks.java
@@ -0,0 +1,85 @@
+package dev.apricotmill.core.configuration;
+
+import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.core.configuration.ConfigurationFault.Kind;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+
+/** Checks that planned stops are well-formed and leave every service a replica at all times. */
+final class PlannedStopChecks {
+  private final ConfigurationDraft draft;
+  private final FaultCollector faults;
+
+  private PlannedStopChecks(ConfigurationDraft draft, FaultCollector faults) {
+    this.draft = draft;
+    this.faults = faults;
+  }
+
+  static void check(ConfigurationDraft draft, FaultCollector faults) {
+    PlannedStopChecks checks = new PlannedStopChecks(draft, faults);
+    List<Placed<PlannedStop>> stops = draft.plannedStops();
+    for (int index = 0; index < stops.size(); index++) {
+      checks.checkAlone(stops.get(index).value(), stops.get(index).pointer());
+      checks.checkOverlap(stops.get(index), stops.subList(0, index));
+      checks.checkServices(stops.get(index));
+    }
+  }
+
+  private void checkAlone(PlannedStop stop, String pointer) {
+    EntryChecks.name(stop.machine(), pointer + "/machine", faults);
+    if (!stop.from().isBefore(stop.until())) {
+      faults.add(
+          pointer + "/until", Kind.STOP_ENDS_BEFORE_IT_BEGINS, stop.from() + " to " + stop.until());
+    } else if (Duration.between(stop.from(), stop.until())
+            .compareTo(ConfigurationLimits.LONGEST_STOP)
+        > 0) {
+      faults.add(
+          pointer + "/until",
+          Kind.OUT_OF_RANGE,
+          "longer than " + ConfigurationLimits.LONGEST_STOP.toDays() + " days");
+    }
+  }
+
+  private void checkOverlap(Placed<PlannedStop> later, List<Placed<PlannedStop>> earlierStops) {
+    earlierStops.stream()
+        .filter(earlier -> overlap(earlier.value(), later.value()))
+        .findFirst()
+        .ifPresent(
+            earlier ->
+                faults.add(
+                    later.pointer(),
+                    Kind.OVERLAPPING_STOPS,
+                    later.value().machine() + ", see " + earlier.pointer()));
+  }
+
+  private static boolean overlap(PlannedStop left, PlannedStop right) {
+    return left.machine().equals(right.machine())
+        && left.from().isBefore(right.until())
+        && right.from().isBefore(left.until());
+  }
+
+  /** Checks the instant at which a stop begins: only then can the last replica go. */
+  private void checkServices(Placed<PlannedStop> placed) {
+    ImmutableSet<String> stopped = machinesStoppedAt(placed.value().from());
+    for (Placed<Service> service : draft.services()) {
+      List<Replica> replicas = service.value().replicas();
+      boolean concerned =
+          replicas.stream().anyMatch(each -> each.machine().equals(placed.value().machine()));
+      if (concerned && replicas.stream().allMatch(each -> stopped.contains(each.machine()))) {
+        faults.add(
+            placed.pointer(),
+            Kind.STOP_TAKES_LAST_REPLICA,
+            service.value().name() + " at " + placed.value().from());
+      }
+    }
+  }
+
+  private ImmutableSet<String> machinesStoppedAt(Instant time) {
+    return draft.plannedStops().stream()
+        .map(Placed::value)
+        .filter(stop -> stop.inForceAt(time))
+        .map(PlannedStop::machine)
+        .collect(ImmutableSet.toImmutableSet());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/configuration/RuleChecks.java
@@ -0,0 +1,129 @@
+package dev.apricotmill.core.configuration;
+
+import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.core.configuration.ConfigurationFault.Kind;
+import dev.apricotmill.core.request.ServiceName;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Checks what rules refer to, and that each of them can hold. */
+final class RuleChecks {
+  private static final String ANY_METHOD = "*";
+  private static final ImmutableSet<String> METHODS_THAT_REPEAT_EFFECTS =
+      ImmutableSet.of("POST", "PATCH", ANY_METHOD);
+
+  private final ConfigurationDraft draft;
+  private final FaultCollector faults;
+  private final Map<ServiceName, Service> services = new HashMap<>();
+
+  private RuleChecks(ConfigurationDraft draft, FaultCollector faults) {
+    this.draft = draft;
+    this.faults = faults;
+    draft.services().forEach(placed -> services.put(placed.value().name(), placed.value()));
+  }
+
+  static void check(ConfigurationDraft draft, FaultCollector faults) {
+    new RuleChecks(draft, faults).check();
+  }
+
+  private void check() {
+    List<Placed<Rule>> rules = draft.rules();
+    for (int index = 0; index < rules.size(); index++) {
+      checkAlone(rules.get(index).value(), rules.get(index).pointer());
+      checkAgainstEarlier(rules.get(index), rules.subList(0, index));
+    }
+    for (Placed<Service> placed : draft.services()) {
+      if (!draft.ruledServices().contains(placed.value().name())) {
+        faults.add(placed.pointer(), Kind.SERVICE_WITHOUT_RULE, placed.value().name().value());
+      }
+    }
+  }
+
+  private void checkAlone(Rule rule, String pointer) {
+    if (!draft.namedServices().contains(rule.service())) {
+      faults.add(pointer + "/service", Kind.UNKNOWN_SERVICE, rule.service().value());
+    }
+    if (!ConfigurationLimits.isMethod(rule.method())) {
+      faults.add(
+          pointer + "/method",
+          Kind.MALFORMED_VALUE,
+          rule.method() + ", expected an upper-case HTTP method or *");
+    }
+    if (!ConfigurationLimits.isPathPrefix(rule.pathPrefix())) {
+      faults.add(
+          pointer + "/pathPrefix",
+          Kind.MALFORMED_VALUE,
+          rule.pathPrefix() + ", expected a path that begins with a slash");
+    }
+    EntryChecks.range(
+        rule.timeLimit(), ConfigurationLimits.TIME_LIMIT, pointer + "/timeLimit", faults);
+    Optional.ofNullable(services.get(rule.service()))
+        .ifPresent(service -> checkRepetition(rule, service, pointer));
+  }
+
+  private void checkRepetition(Rule rule, Service service, String pointer) {
+    if (rule.access() == Rule.Access.DENY) {
+      return;
+    }
+    Optional<KeyPolicy> policy =
+        service instanceof Service.PlainPool pool
+            ? Optional.of(pool.keyPolicy())
+            : Optional.empty();
+    if (rule.repetition() == Rule.Repetition.AT_MOST_ONCE) {
+      checkKeyPolicy(rule, policy, pointer);
+    } else if (policy.isPresent() && METHODS_THAT_REPEAT_EFFECTS.contains(rule.method())) {
+      faults.add(pointer + "/repetition", Kind.UNSAFE_METHOD_IDEMPOTENT, rule.method());
+    }
+  }
+
+  private void checkKeyPolicy(Rule rule, Optional<KeyPolicy> policy, String pointer) {
+    if (policy.isEmpty()) {
+      faults.add(pointer + "/repetition", Kind.MISSING_KEY_POLICY, rule.service().value());
+    } else if (policy.get().window().compareTo(rule.timeLimit()) < 0) {
+      faults.add(
+          pointer + "/timeLimit",
+          Kind.WINDOW_SHORTER_THAN_TIME_LIMIT,
+          policy.get().window() + " is shorter than " + rule.timeLimit());
+    }
+  }
+
+  private void checkAgainstEarlier(Placed<Rule> later, List<Placed<Rule>> earlierRules) {
+    for (Placed<Rule> earlier : earlierRules) {
+      if (covers(earlier.value(), later.value())) {
+        faults.add(later.pointer(), Kind.UNREACHABLE_RULE, "see " + earlier.pointer());
+        return;
+      }
+    }
+    earlierRules.stream()
+        .filter(earlier -> crosses(earlier.value(), later.value()))
+        .findFirst()
+        .ifPresent(
+            earlier ->
+                faults.add(later.pointer(), Kind.OVERLAPPING_RULES, "see " + earlier.pointer()));
+  }
+
+  private static boolean covers(Rule wide, Rule narrow) {
+    return wide.service().equals(narrow.service())
+        && (wide.method().equals(ANY_METHOD) || wide.method().equals(narrow.method()))
+        && narrow.pathPrefix().startsWith(wide.pathPrefix());
+  }
+
+  private static boolean crosses(Rule earlier, Rule later) {
+    boolean methodsMeet =
+        earlier.method().equals(later.method())
+            || earlier.method().equals(ANY_METHOD)
+            || later.method().equals(ANY_METHOD);
+    boolean pathsMeet =
+        earlier.pathPrefix().startsWith(later.pathPrefix())
+            || later.pathPrefix().startsWith(earlier.pathPrefix());
+    boolean decisionsDiffer =
+        earlier.access() != later.access() || earlier.repetition() != later.repetition();
+    return earlier.service().equals(later.service())
+        && methodsMeet
+        && pathsMeet
+        && decisionsDiffer
+        && !covers(later, earlier);
+  }
+}
