Stand-ins answer under any host name and stay alive as processes

Without a route for every host the server library answered 421 to requests by IP number, and the processes ended because the library's I/O threads are daemon threads. All three were run as processes and called with curl.

--- a/test_helpers/src/main/java/dev/apricotmill/testhelpers/StandInMain.java
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/StandInMain.java
@@ -8,12 +8,13 @@
 import dev.apricotmill.coordination.time.Timing;
 import java.io.IOException;
 import java.time.InstantSource;
-import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 
 /** Runs one stand-in as a process: {@code platform}, {@code engine} or {@code service}. */
 public final class StandInMain {
 
   private static final int USAGE_EXIT_CODE = 2;
+  private static final int SCHEDULER_THREADS = 2;
   private static final int START_EXIT_CODE = 1;
 
   private StandInMain() {}
@@ -54,7 +55,9 @@
   }
 
   private static Timing systemTiming() {
-    return new Timing(
-        InstantSource.system(), Ticker.systemTicker(), Executors.newScheduledThreadPool(2));
+    ScheduledThreadPoolExecutor scheduler = new ScheduledThreadPoolExecutor(SCHEDULER_THREADS);
+    // The I/O threads are daemon threads; these keep the process alive.
+    scheduler.prestartAllCoreThreads();
+    return new Timing(InstantSource.system(), Ticker.systemTicker(), scheduler);
   }
 }
--- a/test_helpers/src/main/java/dev/apricotmill/testhelpers/http/StandInHttpServer.java
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/http/StandInHttpServer.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.http.nio.AsyncServerRequestHandler;
 import org.apache.hc.core5.http.nio.entity.BasicAsyncEntityConsumer;
 import org.apache.hc.core5.http.nio.support.BasicRequestConsumer;
+import org.apache.hc.core5.http.nio.support.BasicServerExchangeHandler;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
@@ -35,11 +36,12 @@
 
   /** Starts a server on a port of the loopback address, zero for any. */
   public static StandInHttpServer start(int port, StandInHandler handler) throws IOException {
+    RequestAdapter adapter = new RequestAdapter(handler);
     HttpAsyncServer server =
         AsyncServerBootstrap.bootstrap()
             .setIOReactorConfig(
                 IOReactorConfig.custom().setIoThreadCount(2).setTcpNoDelay(true).build())
-            .register("*", new RequestAdapter(handler))
+            .setRequestRouter((request, context) -> () -> new BasicServerExchangeHandler<>(adapter))
             .create();
     server.start();
     InetAddress loopback = InetAddress.getLoopbackAddress();
