--- a/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.adapters;
 
+import dev.apricotmill.coordination.membership.PeerAddress;
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.Future;
@@ -18,6 +19,7 @@
 import org.apache.hc.core5.http.nio.entity.AsyncEntityProducers;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.net.URIAuthority;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,13 +36,15 @@
     ENDED
   }
 
+  private final PeerAddress peer;
   private final HttpCall call;
   private final @Nullable AsyncEntityProducer body;
   private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.WAITING);
   private final AtomicReference<@Nullable AsyncClientEndpoint> endpoint = new AtomicReference<>();
   private volatile @Nullable Future<?> timeoutTask;
 
-  ClientExchange(HttpCall call) {
+  ClientExchange(PeerAddress peer, HttpCall call) {
+    this.peer = peer;
     this.call = call;
     this.body =
         call.body().length == 0
@@ -57,6 +61,10 @@
   /** Takes the failure of the exchange; it is the last call. */
   abstract void onFailure(boolean sent, ExchangeFailure failure);
 
+  final PeerAddress peer() {
+    return peer;
+  }
+
   final void endWith(Future<?> task) {
     timeoutTask = task;
     if (phase.get() == Phase.ENDED) {
@@ -128,6 +136,7 @@
     }
     BasicHttpRequest request = new BasicHttpRequest(call.method(), call.path());
     request.setScheme("http");
+    request.setAuthority(new URIAuthority(peer.host(), peer.port()));
     call.headers().forEach(request::setHeader);
     channel.sendRequest(request, body, context);
   }
--- a/adapters/src/main/java/dev/apricotmill/adapters/GenerationExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/GenerationExchange.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.core.engine.EngineFailure;
 import dev.apricotmill.core.engine.EngineRefusal;
 import dev.apricotmill.core.engine.EngineRequest;
@@ -39,8 +40,14 @@
   private volatile @Nullable HttpResponse head;
   private final AtomicBoolean ended = new AtomicBoolean();
 
-  GenerationExchange(EngineRequest request, GenerationListener listener, Runnable cancelOnEngine) {
-    super(HttpCall.post("/v1/completions", Json.write(EngineMessages.Completion.of(request))));
+  GenerationExchange(
+      PeerAddress engine,
+      EngineRequest request,
+      GenerationListener listener,
+      Runnable cancelOnEngine) {
+    super(
+        engine,
+        HttpCall.post("/v1/completions", Json.write(EngineMessages.Completion.of(request))));
     this.delivery = new ChunkDelivery(listener, this::readOn);
     this.stream = new CompletionStream(request);
     this.decoder = new ServerSentEventDecoder(MAXIMUM_EVENT_BYTES, this::onEvent);
@@ -146,9 +153,13 @@
     if (response == null || isStream()) {
       cancelOnEngine.run();
       delivery.end(new GenerationEnd.Broken(EngineFailure.CONNECTION_LOST));
-    } else {
-      delivery.end(EngineRefusals.endOf(response, refusal.toString(UTF_8)));
+      return;
+    }
+    GenerationEnd end = EngineRefusals.endOf(response, refusal.toString(UTF_8));
+    if (end instanceof GenerationEnd.Broken) {
+      cancelOnEngine.run();
     }
+    delivery.end(end);
   }
 
   @Override
--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
@@ -54,6 +54,7 @@
             .setIOReactorConfig(reactorConfig(settings))
             .setHttp1Config(http1Config())
             .setHttpProcessor(requestProcessor())
+            .setIOSessionListener(new IdleTimeoutRemover())
             .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
             .setDefaultMaxPerRoute(settings.connectionsPerPeer())
             .setMaxTotal(settings.connections())
@@ -99,13 +100,13 @@
   /** Sends a request and gathers the whole answer, of at most {@code maximumBytes}. */
   CompletableFuture<ExchangeResult> send(
       PeerAddress peer, HttpCall call, int maximumBytes, Duration timeout) {
-    WholeExchange exchange = new WholeExchange(call, maximumBytes);
-    start(peer, exchange, timeout);
+    WholeExchange exchange = new WholeExchange(peer, call, maximumBytes);
+    start(exchange, timeout);
     return exchange.result();
   }
 
   /** Opens a connection for {@code exchange}, and ends it when {@code limit} has passed. */
-  void start(PeerAddress peer, ClientExchange exchange, Duration limit) {
+  void start(ClientExchange exchange, Duration limit) {
     if (limit.isZero() || limit.isNegative()) {
       exchange.abort(ExchangeFailure.TIMEOUT);
       return;
@@ -114,7 +115,7 @@
     Duration connectTimeout =
         limit.compareTo(settings.connectTimeout()) < 0 ? limit : settings.connectTimeout();
     requester.connect(
-        new HttpHost("http", peer.host(), peer.port()),
+        new HttpHost("http", exchange.peer().host(), exchange.peer().port()),
         timeout(connectTimeout),
         null,
         new ExchangeStarter(exchange));
--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpModelEngine.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpModelEngine.java
@@ -39,8 +39,9 @@
   @Override
   public Flow.Subscription generate(EngineRequest request, GenerationListener listener) {
     GenerationExchange exchange =
-        new GenerationExchange(request, listener, () -> cancel(request.sequence(), CANCEL_TIMEOUT));
-    clients.start(engine, exchange, request.timeLimit());
+        new GenerationExchange(
+            engine, request, listener, () -> cancel(request.sequence(), CANCEL_TIMEOUT));
+    clients.start(exchange, request.timeLimit());
     return exchange.subscription();
   }
 
--- a/adapters/src/main/java/dev/apricotmill/adapters/WholeExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/WholeExchange.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.adapters;
 
+import dev.apricotmill.coordination.membership.PeerAddress;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -16,8 +17,8 @@
   private final CompletableFuture<ExchangeResult> result = new CompletableFuture<>();
   private volatile @Nullable HttpResponse head;
 
-  WholeExchange(HttpCall call, int maximumBytes) {
-    super(call);
+  WholeExchange(PeerAddress peer, HttpCall call, int maximumBytes) {
+    super(peer, call);
     this.maximumBytes = maximumBytes;
   }
 
--- /dev/null
+++ b/adapters/src/test/java/dev/apricotmill/adapters/AdapterFixture.java
@@ -0,0 +1,86 @@
+package dev.apricotmill.adapters;
+
+import com.google.common.base.Ticker;
+import com.google.common.io.Closer;
+import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.configuration.Replica;
+import dev.apricotmill.core.request.ReplicaId;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+
+/** Real time and a shared client for one test, with a guard against hanging. */
+final class AdapterFixture implements AutoCloseable {
+
+  /** Longer than any test takes; not part of a verdict. */
+  static final Duration PLENTY = Duration.ofSeconds(10);
+
+  /** A time limit for calls that never get an answer. */
+  static final Duration SHORT = Duration.ofMillis(100);
+
+  private final Closer closer = Closer.create();
+  private final ScheduledThreadPoolExecutor scheduler = new ScheduledThreadPoolExecutor(2);
+  private final Timing timing =
+      new Timing(InstantSource.system(), Ticker.systemTicker(), scheduler);
+  private final HttpClients clients = HttpClients.start(timing);
+
+  AdapterFixture() {
+    closer.register(scheduler::shutdownNow);
+    closer.register(clients::close);
+  }
+
+  Timing timing() {
+    return timing;
+  }
+
+  HttpClients clients() {
+    return clients;
+  }
+
+  void closeAtEnd(Closeable resource) {
+    closer.register(resource);
+  }
+
+  static Replica replicaAt(PeerAddress address) {
+    return new Replica(new ReplicaId("replica"), new Zone("one"), address, "machine");
+  }
+
+  /** Returns an address at which nobody listens. */
+  static PeerAddress deadAddress() throws IOException {
+    InetAddress loopback = InetAddress.getLoopbackAddress();
+    try (ServerSocket socket = new ServerSocket(0, 1, loopback)) {
+      return new PeerAddress(loopback.getHostAddress(), socket.getLocalPort());
+    }
+  }
+
+  static <T> T await(CompletionStage<T> stage)
+      throws ExecutionException, InterruptedException, TimeoutException {
+    return stage.toCompletableFuture().get(PLENTY.toSeconds(), TimeUnit.SECONDS);
+  }
+
+  static void awaitUntil(BooleanSupplier condition) throws TimeoutException {
+    long deadline = System.nanoTime() + PLENTY.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() - deadline > 0) {
+        throw new TimeoutException("the condition never held");
+      }
+      Thread.onSpinWait();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    closer.close();
+  }
+}
--- /dev/null
+++ b/adapters/src/test/java/dev/apricotmill/adapters/HttpPlainServiceTest.java
@@ -0,0 +1,112 @@
+package dev.apricotmill.adapters;
+
+import static com.google.common.truth.Truth.assertThat;
+import static dev.apricotmill.adapters.AdapterFixture.PLENTY;
+import static dev.apricotmill.adapters.AdapterFixture.SHORT;
+import static dev.apricotmill.adapters.AdapterFixture.await;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.core.request.CustomerId;
+import dev.apricotmill.core.request.RequestId;
+import dev.apricotmill.core.request.ServiceCall;
+import dev.apricotmill.core.request.ServiceName;
+import dev.apricotmill.core.service.CallResult;
+import dev.apricotmill.testhelpers.fault.Fault;
+import dev.apricotmill.testhelpers.service.ServiceOperation;
+import dev.apricotmill.testhelpers.service.ServiceServer;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class HttpPlainServiceTest {
+
+  private AdapterFixture fixture;
+  private ServiceServer server;
+
+  @BeforeEach
+  void start() throws Exception {
+    fixture = new AdapterFixture();
+    server = new ServiceServer("one", 0, fixture.timing());
+    fixture.closeAtEnd(server::close);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    fixture.close();
+  }
+
+  private CallResult order(PeerAddress address, Duration timeout) throws Exception {
+    ServiceCall call =
+        new ServiceCall(
+            new RequestId("r-1"),
+            new CustomerId("c"),
+            new ServiceName("dispatch"),
+            "POST",
+            "/circuits/7/off?why=storm",
+            ImmutableMap.of(
+                "idempotency-key", "k-1", "content-type", "application/json", "host", "spoofed"),
+            "{}".getBytes(UTF_8),
+            fixture.timing().deadlineAfter(timeout));
+    return await(
+        new HttpPlainService(fixture.clients())
+            .call(AdapterFixture.replicaAt(address), call, timeout));
+  }
+
+  @Test
+  void anOrderReachesTheServiceWithItsKeyAndItsIdentifier() throws Exception {
+    CallResult.Response response = (CallResult.Response) order(server.address(), PLENTY);
+
+    assertThat(response.status()).isEqualTo(201);
+    assertThat(response.headers()).containsEntry("content-type", "application/json");
+    assertThat(server.core().ordersWithKey("k-1")).isEqualTo(1);
+    assertThat(server.core().executionsOf("r-1")).isEqualTo(1);
+    assertThat(server.core().log().get(0).path()).isEqualTo("/circuits/7/off?why=storm");
+  }
+
+  @ParameterizedTest
+  @CsvSource({"LOST_AFTER_EFFECT", "FROZEN", "CUT", "TRUNCATED", "OVERSIZE"})
+  void anOrderWhoseAnswerIsLostIsNeverSentAgain(Fault fault) throws Exception {
+    server.faults().once(ServiceOperation.ORDER, fault);
+    boolean silent = fault == Fault.LOST_AFTER_EFFECT || fault == Fault.FROZEN;
+
+    assertThat(order(server.address(), silent ? SHORT : PLENTY)).isEqualTo(new CallResult.Lost());
+    assertThat(server.core().orders()).isAtMost(1);
+  }
+
+  @Test
+  void aServiceThatRefusesConnectionsGotNothing() throws Exception {
+    assertThat(order(AdapterFixture.deadAddress(), PLENTY)).isEqualTo(new CallResult.NotSent());
+  }
+
+  @Test
+  void noByteLeavesWhenNoTimeRemains() throws Exception {
+    assertThat(order(server.address(), Duration.ZERO)).isEqualTo(new CallResult.NotSent());
+    assertThat(server.core().log()).isEmpty();
+  }
+
+  @Test
+  void anOrderOnAConnectionThatThePeerClosedIsNeverExecutedTwice() throws Exception {
+    assertThat(order(server.address(), PLENTY)).isInstanceOf(CallResult.Response.class);
+    int port = server.address().port();
+    server.close();
+    try (ServiceServer restarted = new ServiceServer("one", port, fixture.timing())) {
+      CallResult result = order(restarted.address(), PLENTY);
+
+      assertThat(restarted.core().orders())
+          .isEqualTo(result instanceof CallResult.Response ? 1 : 0);
+    }
+  }
+
+  @Test
+  void aLateAnswerWithinTheTimeIsPassedOnAlsoOnAUsedConnection() throws Exception {
+    server.faults().always(ServiceOperation.ORDER, Fault.LATE);
+
+    assertThat(order(server.address(), PLENTY)).isInstanceOf(CallResult.Response.class);
+    assertThat(order(server.address(), PLENTY)).isInstanceOf(CallResult.Response.class);
+  }
+}
--- /dev/null
+++ b/adapters/src/test/java/dev/apricotmill/adapters/HttpPlatformTest.java
@@ -0,0 +1,225 @@
+package dev.apricotmill.adapters;
+
+import static com.google.common.truth.Truth.assertThat;
+import static dev.apricotmill.adapters.AdapterFixture.PLENTY;
+import static dev.apricotmill.adapters.AdapterFixture.SHORT;
+import static dev.apricotmill.adapters.AdapterFixture.await;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.platform.ListResult;
+import dev.apricotmill.coordination.platform.Machine;
+import dev.apricotmill.coordination.platform.MachineListResult;
+import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.Platform;
+import dev.apricotmill.coordination.platform.PlatformFailure;
+import dev.apricotmill.coordination.platform.Precondition;
+import dev.apricotmill.coordination.platform.ReadResult;
+import dev.apricotmill.coordination.platform.StoredObject;
+import dev.apricotmill.coordination.platform.WatchResult;
+import dev.apricotmill.coordination.platform.WriteResult;
+import dev.apricotmill.testhelpers.fault.Fault;
+import dev.apricotmill.testhelpers.platform.PlatformOperation;
+import dev.apricotmill.testhelpers.platform.PlatformServer;
+import dev.apricotmill.testhelpers.platform.PlatformSettings;
+import java.time.Duration;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class HttpPlatformTest {
+
+  private static final ObjectKey KEY = new ObjectKey("config/head of today");
+  private static final byte[] VALUE = "value".getBytes(UTF_8);
+
+  private AdapterFixture fixture;
+  private PlatformServer server;
+  private Platform platform;
+
+  @BeforeEach
+  void start() throws Exception {
+    fixture = new AdapterFixture();
+    PlatformSettings settings = new PlatformSettings(500, 2000, Duration.ZERO);
+    server = new PlatformServer(settings, 0, fixture.timing());
+    fixture.closeAtEnd(server::close);
+    platform = new HttpPlatform(fixture.clients(), server.address());
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    fixture.close();
+  }
+
+  private WriteResult create() throws Exception {
+    return await(platform.put(KEY, VALUE, Precondition.absent(), PLENTY));
+  }
+
+  @Test
+  void aWrittenObjectIsReadBackWithItsVersion() throws Exception {
+    assertThat(create()).isEqualTo(new WriteResult.Written(1));
+    assertThat(await(platform.get(KEY, PLENTY)))
+        .isEqualTo(new ReadResult.Found(new StoredObject(KEY, 1, VALUE)));
+  }
+
+  @Test
+  void anObjectThatWasNeverWrittenIsNotFound() throws Exception {
+    assertThat(await(platform.get(KEY, PLENTY))).isEqualTo(new ReadResult.NotFound());
+  }
+
+  @Test
+  void aWriteWhoseConditionFailsTellsTheCurrentVersion() throws Exception {
+    create();
+
+    assertThat(create()).isEqualTo(new WriteResult.Conflict(1));
+    assertThat(await(platform.put(KEY, VALUE, Precondition.versionIs(9), PLENTY)))
+        .isEqualTo(new WriteResult.Conflict(1));
+    assertThat(await(platform.put(KEY, VALUE, Precondition.versionIs(1), PLENTY)))
+        .isEqualTo(new WriteResult.Written(2));
+  }
+
+  @Test
+  void aDeletedObjectIsGone() throws Exception {
+    create();
+
+    assertThat(await(platform.delete(KEY, Precondition.versionIs(1), PLENTY)))
+        .isEqualTo(new WriteResult.Written(2));
+    assertThat(await(platform.get(KEY, PLENTY))).isEqualTo(new ReadResult.NotFound());
+  }
+
+  @Test
+  void aListHoldsTheObjectsUnderThePrefixAlone() throws Exception {
+    create();
+    await(platform.put(new ObjectKey("other"), VALUE, Precondition.absent(), PLENTY));
+
+    assertThat(await(platform.list("config/", PLENTY)))
+        .isEqualTo(new ListResult.Listed(ImmutableList.of(new StoredObject(KEY, 1, VALUE)), 2));
+  }
+
+  @Test
+  void aWaitingWatchAnswersWhenAnObjectChanges() throws Exception {
+    CompletionStage<WatchResult> watch = platform.watch("config/", 0, PLENTY);
+    create();
+
+    assertThat(await(watch))
+        .isEqualTo(
+            new WatchResult.Changes(
+                ImmutableList.of(new StoredObject(KEY, 1, VALUE)), ImmutableList.of(), 1));
+  }
+
+  @Test
+  void aWatchTellsRemovedObjects() throws Exception {
+    create();
+    await(platform.delete(KEY, Precondition.versionIs(1), PLENTY));
+
+    assertThat(await(platform.watch("config/", 1, PLENTY)))
+        .isEqualTo(new WatchResult.Changes(ImmutableList.of(), ImmutableList.of(KEY), 2));
+  }
+
+  @Test
+  void aWatchWithoutAnyChangeEndsEmpty() throws Exception {
+    assertThat(await(platform.watch("config/", 0, SHORT)))
+        .isEqualTo(new WatchResult.Changes(ImmutableList.of(), ImmutableList.of(), 0));
+  }
+
+  @Test
+  void aWatchFromARevisionThatTheStoreNeverHadIsCompacted() throws Exception {
+    assertThat(await(platform.watch("config/", 77, PLENTY))).isEqualTo(new WatchResult.Compacted());
+  }
+
+  @Test
+  void theListOfMachinesIsRead() throws Exception {
+    Machine machine =
+        new Machine(
+            "vm-1", Machine.Role.ENTRY, new Zone("one"), "127.0.0.1:1", Machine.State.LEAVING);
+    server.setMachines(ImmutableList.of(machine));
+    AdapterFixture.awaitUntil(() -> machinesNow().equals(ImmutableList.of(machine)));
+  }
+
+  private ImmutableList<Machine> machinesNow() {
+    MachineListResult result = platform.machines(PLENTY).toCompletableFuture().join();
+    return ((MachineListResult.Listed) result).machines();
+  }
+
+  @Test
+  void aValueAboveTheLimitIsNotSent() throws Exception {
+    byte[] value = new byte[Platform.MAX_VALUE_BYTES + 1];
+
+    assertThat(await(platform.put(KEY, value, Precondition.absent(), PLENTY)))
+        .isEqualTo(new WriteResult.NotWritten(PlatformFailure.TOO_LARGE));
+  }
+
+  @Test
+  void aValueAtTheLimitComesBackWhole() throws Exception {
+    byte[] value = new byte[Platform.MAX_VALUE_BYTES];
+    value[value.length - 1] = 1;
+    await(platform.put(KEY, value, Precondition.absent(), PLENTY));
+
+    assertThat(await(platform.get(KEY, PLENTY)))
+        .isEqualTo(new ReadResult.Found(new StoredObject(KEY, 1, value)));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "LOST_AFTER_EFFECT, NO_ANSWER",
+    "CUT, NO_ANSWER",
+    "ERROR, OUT_OF_SERVICE",
+    "MALFORMED, MALFORMED_ANSWER",
+    "OVERSIZE, MALFORMED_ANSWER",
+  })
+  void aWriteWhoseAnswerIsLostOrSpoiledIsIndeterminate(Fault fault, PlatformFailure failure)
+      throws Exception {
+    server.faults().once(PlatformOperation.WRITE, fault);
+    Duration timeout = fault == Fault.LOST_AFTER_EFFECT ? SHORT : PLENTY;
+
+    assertThat(await(platform.put(KEY, VALUE, Precondition.absent(), timeout)))
+        .isEqualTo(new WriteResult.Indeterminate(failure));
+    assertThat(await(platform.get(KEY, PLENTY))).isInstanceOf(ReadResult.Found.class);
+  }
+
+  @Test
+  void aWriteOverTheRateLimitIsNotWritten() throws Exception {
+    server.faults().once(PlatformOperation.WRITE, Fault.REFUSED);
+
+    assertThat(create()).isEqualTo(new WriteResult.NotWritten(PlatformFailure.RATE_LIMITED));
+    assertThat(await(platform.get(KEY, PLENTY))).isEqualTo(new ReadResult.NotFound());
+  }
+
+  @Test
+  void aPlatformThatRefusesConnectionsIsUnreachable() throws Exception {
+    Platform dead = new HttpPlatform(fixture.clients(), AdapterFixture.deadAddress());
+
+    assertThat(await(dead.put(KEY, VALUE, Precondition.absent(), PLENTY)))
+        .isEqualTo(new WriteResult.NotWritten(PlatformFailure.UNREACHABLE));
+    assertThat(await(dead.get(KEY, PLENTY)))
+        .isEqualTo(new ReadResult.Unavailable(PlatformFailure.UNREACHABLE));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "LOST_AFTER_EFFECT, NO_ANSWER",
+    "CUT, NO_ANSWER",
+    "ERROR, OUT_OF_SERVICE",
+    "REFUSED, RATE_LIMITED",
+    "OVERSIZE, MALFORMED_ANSWER",
+  })
+  void aReadWithoutUsableAnswerIsUnavailable(Fault fault, PlatformFailure failure)
+      throws Exception {
+    create();
+    server.faults().once(PlatformOperation.GET, fault);
+    Duration timeout = fault == Fault.LOST_AFTER_EFFECT ? SHORT : PLENTY;
+
+    assertThat(await(platform.get(KEY, timeout))).isEqualTo(new ReadResult.Unavailable(failure));
+  }
+
+  @Test
+  void aMalformedListIsUnavailable() throws Exception {
+    server.faults().once(PlatformOperation.LIST, Fault.MALFORMED);
+
+    assertThat(await(platform.list("", PLENTY)))
+        .isEqualTo(new ListResult.Unavailable(PlatformFailure.MALFORMED_ANSWER));
+  }
+}
--- a/test_helpers/src/main/java/dev/apricotmill/testhelpers/http/StandInHttpServer.java
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/http/StandInHttpServer.java
@@ -40,7 +40,11 @@
     HttpAsyncServer server =
         AsyncServerBootstrap.bootstrap()
             .setIOReactorConfig(
-                IOReactorConfig.custom().setIoThreadCount(2).setTcpNoDelay(true).build())
+                IOReactorConfig.custom()
+                    .setIoThreadCount(2)
+                    .setTcpNoDelay(true)
+                    .setSoReuseAddress(true)
+                    .build())
             .setRequestRouter((request, context) -> () -> new BasicServerExchangeHandler<>(adapter))
             .create();
     server.start();
