Configuration head, store and follower; conditional writes that settle lost answers

A change is accepted by one conditional update of config/head. A lost answer is followed up by reading back: a version that moved shuts the update out, one that did not is moved first by writing the same value again. The head that is replaced is recorded before the update, so that a change identifier can be found after others followed it.

Thirty daemons of a zone made at most 90 calls under config/ in a minute (ConfigurationFollowerTest).

--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/configuration/ConfigurationFollower.java
@@ -0,0 +1,281 @@
+package dev.apricotmill.coordination.configuration;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.membership.FetchResult;
+import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.coordination.membership.MembershipView;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.membership.PeerProbes;
+import dev.apricotmill.coordination.membership.RendezvousHash;
+import dev.apricotmill.coordination.platform.Platform;
+import dev.apricotmill.coordination.time.Timing;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Keeps a daemon's configuration up to date without every daemon asking the platform.
+ *
+ * <p>A few daemons of each zone watch the platform in turn. The others learn of a new generation
+ * from the probes and fetch its head and the parts that changed from the peer that told them. A
+ * lower generation is never taken. A fresh daemon is ready once it has what the platform says, or,
+ * while the platform is silent, the highest generation among the peers that it asked.
+ */
+public final class ConfigurationFollower implements AutoCloseable {
+
+  private static final System.Logger LOGGER =
+      System.getLogger(ConfigurationFollower.class.getName());
+  private static final String HEAD_PREFIX = "head/";
+  private static final String LATEST_HEAD = HEAD_PREFIX + "latest";
+
+  private final Timing timing;
+  private final PeerProbes peers;
+  private final FollowerSettings settings;
+  private final Supplier<Member> self;
+  private final Supplier<MembershipView> view;
+  private final ConfigurationListener listener;
+  private final PartFetcher fetcher;
+  private final HeadWatcher watcher;
+  private final AtomicReference<Optional<ConfigurationBundle>> current =
+      new AtomicReference<>(Optional.empty());
+  private final Object lock = new Object();
+  private final FollowerReadiness readiness = new FollowerReadiness();
+  private long pursuedGeneration;
+  private boolean askingPeers;
+  private Optional<Future<?>> ticking = Optional.empty();
+
+  /**
+   * Makes a follower without a configuration.
+   *
+   * @param timing time and the scheduler
+   * @param platform the platform's store
+   * @param peers the port to the peers
+   * @param settings intervals and bounds
+   * @param random the source of jitter, safe for use by several threads
+   * @param self gives this daemon as the membership knows it
+   * @param view gives the newest view of the membership
+   * @param listener is told of each configuration; called under a lock, so it must not block
+   */
+  public ConfigurationFollower(
+      Timing timing,
+      Platform platform,
+      PeerProbes peers,
+      FollowerSettings settings,
+      RandomGenerator random,
+      Supplier<Member> self,
+      Supplier<MembershipView> view,
+      ConfigurationListener listener) {
+    this.timing = timing;
+    this.peers = peers;
+    this.settings = settings;
+    this.self = self;
+    this.view = view;
+    this.listener = listener;
+    this.fetcher = new PartFetcher(platform, peers, settings);
+    this.watcher =
+        new HeadWatcher(timing, platform, settings, random, this::isTurn, new PlatformObserver());
+  }
+
+  /** Begins to ask the platform and, in turn with others, to watch it. */
+  public void start() {
+    watcher.readAndWatch();
+    synchronized (lock) {
+      ticking = Optional.of(timing.scheduleRepeatedly(settings.tickInterval(), this::tick));
+    }
+  }
+
+  /** Returns the configuration in force; never blocks. */
+  public Optional<ConfigurationBundle> current() {
+    return current.get();
+  }
+
+  /** Returns the generation in force, zero if there is none; never blocks. */
+  public long generation() {
+    return current.get().map(ConfigurationBundle::generation).orElse(0L);
+  }
+
+  /** Returns whether this daemon knows that it is not behind what it can reach. */
+  public boolean isReady() {
+    synchronized (lock) {
+      return readiness.isReady(generation());
+    }
+  }
+
+  /** Takes note that a peer has a generation; fetches it if it is higher. */
+  public void onPeerGeneration(PeerAddress peer, long generation) {
+    if (generation <= generation() || !pursue(generation)) {
+      return;
+    }
+    fetchHead(peer, HEAD_PREFIX + generation)
+        .thenAccept(
+            head -> {
+              if (head.isPresent()) {
+                collect(head.get(), Optional.of(peer));
+              } else {
+                giveUp(generation);
+              }
+            });
+  }
+
+  /** Gives a peer the head or a part; see {@code ProbeEndpoint.onFetch}. */
+  public FetchResult onFetch(String partName) {
+    Optional<ConfigurationBundle> held = current.get();
+    if (!partName.startsWith(HEAD_PREFIX)) {
+      return fetcher
+          .held(partName)
+          .<FetchResult>map(part -> new FetchResult.Fetched(part.toByteArray()))
+          .orElse(new FetchResult.NotHeld());
+    }
+    return held.filter(
+            bundle ->
+                partName.equals(LATEST_HEAD) || partName.equals(HEAD_PREFIX + bundle.generation()))
+        .<FetchResult>map(bundle -> new FetchResult.Fetched(HeadCodec.encode(bundle.head())))
+        .orElse(new FetchResult.NotHeld());
+  }
+
+  /** Stops following. */
+  @Override
+  public void close() {
+    synchronized (lock) {
+      ticking.ifPresent(future -> future.cancel(false));
+    }
+  }
+
+  private void tick() {
+    if (!isReady() || isTurn()) {
+      watcher.readAndWatch();
+    }
+  }
+
+  private boolean isTurn() {
+    return WatchTurn.isOf(
+        self.get(),
+        view.get(),
+        timing.clock().instant(),
+        settings.turn(),
+        settings.watchersPerZone());
+  }
+
+  private CompletionStage<Optional<ConfigurationHead>> fetchHead(
+      PeerAddress peer, String partName) {
+    return peers
+        .fetch(peer, partName, settings.fetchTimeout())
+        .thenApply(
+            result ->
+                result instanceof FetchResult.Fetched fetched
+                    ? HeadCodec.decode(fetched.value())
+                    : Optional.empty());
+  }
+
+  private void collect(ConfigurationHead head, Optional<PeerAddress> source) {
+    fetcher
+        .collect(head, source)
+        .thenAccept(
+            bundle -> {
+              bundle.ifPresent(this::adopt);
+              giveUp(head.generation());
+            });
+  }
+
+  private void adopt(ConfigurationBundle bundle) {
+    synchronized (lock) {
+      if (bundle.generation() <= generation()) {
+        return;
+      }
+      current.set(Optional.of(bundle));
+      fetcher.keepOnly(bundle);
+      LOGGER.log(
+          System.Logger.Level.INFO, "configuration: generation {0} in force", bundle.generation());
+      listener.onConfiguration(bundle);
+    }
+  }
+
+  /** Returns whether nobody pursues this or a higher generation yet. */
+  private boolean pursue(long generation) {
+    synchronized (lock) {
+      if (generation <= pursuedGeneration) {
+        return false;
+      }
+      pursuedGeneration = generation;
+      return true;
+    }
+  }
+
+  private void giveUp(long generation) {
+    synchronized (lock) {
+      if (pursuedGeneration == generation) {
+        pursuedGeneration = 0;
+      }
+    }
+  }
+
+  /** Asks some peers for their newest configuration, once at a time. */
+  private void askPeers() {
+    synchronized (lock) {
+      if (askingPeers || readiness.isReady(generation())) {
+        return;
+      }
+      askingPeers = true;
+    }
+    CompletableFuture<Void> all = CompletableFuture.completedFuture(null);
+    for (Member peer : peersToAsk()) {
+      CompletionStage<Optional<ConfigurationHead>> answer = fetchHead(peer.address(), LATEST_HEAD);
+      all = all.thenCombine(answer, (ignored, head) -> onPeerHead(peer, head));
+    }
+    all.thenRun(this::onPeersAsked);
+  }
+
+  private Void onPeerHead(Member peer, Optional<ConfigurationHead> head) {
+    head.ifPresent(
+        found -> {
+          synchronized (lock) {
+            readiness.onPeerHead(found.generation());
+          }
+          if (found.generation() > generation() && pursue(found.generation())) {
+            collect(found, Optional.of(peer.address()));
+          }
+        });
+    return null;
+  }
+
+  private void onPeersAsked() {
+    synchronized (lock) {
+      askingPeers = false;
+      readiness.onPeersAsked();
+    }
+  }
+
+  private ImmutableList<Member> peersToAsk() {
+    Member own = self.get();
+    ImmutableList<Member> others =
+        view.get().reachable().stream()
+            .filter(member -> !member.incarnation().daemon().equals(own.incarnation().daemon()))
+            .collect(ImmutableList.toImmutableList());
+    return RendezvousHash.ranked(others, "ask/" + own.incarnation())
+        .limit(settings.peersAsked())
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Takes in what the platform says. */
+  private final class PlatformObserver implements HeadWatcher.Observer {
+
+    @Override
+    public void onHead(ConfigurationHead head) {
+      synchronized (lock) {
+        readiness.onPlatformHead(head.generation());
+      }
+      if (head.generation() > generation() && pursue(head.generation())) {
+        collect(head, Optional.empty());
+      }
+    }
+
+    @Override
+    public void onSilence() {
+      askPeers();
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/configuration/ConfigurationProposal.java
@@ -0,0 +1,212 @@
+package dev.apricotmill.coordination.configuration;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.coordination.platform.ConditionalWriter;
+import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.Platform;
+import dev.apricotmill.coordination.platform.PlatformFailure;
+import dev.apricotmill.coordination.platform.Precondition;
+import dev.apricotmill.coordination.platform.ReadResult;
+import dev.apricotmill.coordination.platform.StoredObject;
+import dev.apricotmill.coordination.platform.UpdateResult;
+import dev.apricotmill.coordination.platform.WriteResult;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+
+/**
+ * Carries one change to the platform: its parts, then the record of the configuration that it
+ * replaces, then the head.
+ *
+ * <p>Only the update of the head accepts the change. What was written before it is immutable and
+ * named by content or by an accepted generation, so that a proposal which stops on the way leaves
+ * nothing that counts.
+ */
+final class ConfigurationProposal {
+
+  private static final int HEAD_ATTEMPTS = 4;
+  private static final int PART_ATTEMPTS = 3;
+
+  private final Platform platform;
+  private final ConditionalWriter writer;
+  private final Duration callTimeout;
+  private final ConfigurationChange change;
+  private final ConfigurationHead proposed;
+
+  ConfigurationProposal(
+      Platform platform,
+      ConditionalWriter writer,
+      Duration callTimeout,
+      ConfigurationChange change,
+      Instant instant) {
+    this.platform = platform;
+    this.writer = writer;
+    this.callTimeout = callTimeout;
+    this.change = change;
+    this.proposed = headOf(change, instant);
+  }
+
+  CompletionStage<ChangeResult> run() {
+    return change.parts().entrySet().stream()
+        .filter(entry -> entry.getValue().size() > Platform.MAX_VALUE_BYTES)
+        .findFirst()
+        .<CompletionStage<ChangeResult>>map(
+            entry -> done(new ChangeResult.PartTooLarge(entry.getKey(), entry.getValue().size())))
+        .orElseGet(() -> attempt(HEAD_ATTEMPTS));
+  }
+
+  private CompletionStage<ChangeResult> attempt(int attempts) {
+    if (attempts == 0) {
+      return unavailable(PlatformFailure.NO_ANSWER);
+    }
+    return writer
+        .readOrCreate(ConfigurationKeys.HEAD, HeadCodec.encode(ConfigurationHead.none()))
+        .thenCompose(
+            result -> {
+              if (result instanceof ReadResult.Found found) {
+                return withHead(found.object(), head -> proceed(found.object(), head, attempts));
+              }
+              return unavailable(
+                  result instanceof ReadResult.Unavailable failed
+                      ? failed.failure()
+                      : PlatformFailure.MALFORMED_ANSWER);
+            });
+  }
+
+  private CompletionStage<ChangeResult> proceed(
+      StoredObject object, ConfigurationHead head, int attempts) {
+    if (head.generation() != change.expectedGeneration()) {
+      return conclude(head);
+    }
+    return writePrerequisites(head)
+        .thenCompose(
+            failure ->
+                failure.isPresent() ? unavailable(failure.get()) : updateHead(object, attempts));
+  }
+
+  private CompletionStage<ChangeResult> updateHead(StoredObject object, int attempts) {
+    return writer
+        .update(object, HeadCodec.encode(proposed))
+        .thenCompose(
+            result -> {
+              if (result instanceof UpdateResult.Written) {
+                return done(new ChangeResult.Accepted(proposed));
+              }
+              if (result instanceof UpdateResult.NotWritten refused) {
+                return unavailable(refused.failure());
+              }
+              if (result instanceof UpdateResult.Moved moved) {
+                return withHead(
+                    moved.current(),
+                    head ->
+                        head.generation() == change.expectedGeneration()
+                            ? attempt(attempts - 1)
+                            : conclude(head));
+              }
+              return done(new ChangeResult.Undetermined(change.changeId()));
+            });
+  }
+
+  /** Says what became of the change when another generation than the expected one stands. */
+  private CompletionStage<ChangeResult> conclude(ConfigurationHead current) {
+    if (current.generation() <= proposed.generation()) {
+      return done(verdict(current, current));
+    }
+    return platform
+        .get(ConfigurationKeys.history(proposed.generation()), callTimeout)
+        .thenApply(
+            result ->
+                decoded(result)
+                    .map(successor -> verdict(successor, current))
+                    .orElse(new ChangeResult.Undetermined(change.changeId())));
+  }
+
+  private ChangeResult verdict(ConfigurationHead successor, ConfigurationHead current) {
+    return successor.changeId().equals(change.changeId())
+        ? new ChangeResult.Accepted(successor)
+        : new ChangeResult.ConflictsWith(successor, current);
+  }
+
+  private CompletionStage<Optional<PlatformFailure>> writePrerequisites(ConfigurationHead head) {
+    ImmutableSet<String> present =
+        head.parts().stream().map(ConfigurationPart::sha256).collect(ImmutableSet.toImmutableSet());
+    CompletionStage<Optional<PlatformFailure>> written =
+        CompletableFuture.completedFuture(Optional.empty());
+    for (PartContent part : ImmutableSet.copyOf(change.parts().values())) {
+      if (!present.contains(part.sha256())) {
+        written = andThen(written, ConfigurationKeys.part(part.sha256()), part.toByteArray());
+      }
+    }
+    return head.generation() == 0
+        ? written
+        : andThen(written, ConfigurationKeys.history(head.generation()), HeadCodec.encode(head));
+  }
+
+  private CompletionStage<Optional<PlatformFailure>> andThen(
+      CompletionStage<Optional<PlatformFailure>> before, ObjectKey key, byte[] value) {
+    return before.thenCompose(
+        failure ->
+            failure.isPresent()
+                ? CompletableFuture.completedFuture(failure)
+                : writeImmutable(key, value, PART_ATTEMPTS));
+  }
+
+  /** Writes an object that never changes; one that is there already is the same. */
+  private CompletionStage<Optional<PlatformFailure>> writeImmutable(
+      ObjectKey key, byte[] value, int attempts) {
+    return platform
+        .put(key, value, Precondition.absent(), callTimeout)
+        .thenCompose(
+            result -> {
+              if (result instanceof WriteResult.NotWritten refused) {
+                return CompletableFuture.completedFuture(Optional.of(refused.failure()));
+              }
+              if (result instanceof WriteResult.Indeterminate lost) {
+                return attempts == 1
+                    ? CompletableFuture.completedFuture(Optional.of(lost.failure()))
+                    : writeImmutable(key, value, attempts - 1);
+              }
+              return CompletableFuture.completedFuture(Optional.empty());
+            });
+  }
+
+  private static CompletionStage<ChangeResult> withHead(
+      StoredObject object, Function<ConfigurationHead, CompletionStage<ChangeResult>> next) {
+    return HeadCodec.decode(object.value())
+        .map(next)
+        .orElseGet(() -> unavailable(PlatformFailure.MALFORMED_ANSWER));
+  }
+
+  private static Optional<ConfigurationHead> decoded(ReadResult result) {
+    return result instanceof ReadResult.Found found
+        ? HeadCodec.decode(found.object().value())
+        : Optional.empty();
+  }
+
+  private static ConfigurationHead headOf(ConfigurationChange change, Instant instant) {
+    return new ConfigurationHead(
+        change.expectedGeneration() + 1,
+        change.changeId(),
+        change.author(),
+        instant,
+        change.parts().entrySet().stream()
+            .map(
+                entry ->
+                    new ConfigurationPart(
+                        entry.getKey(), entry.getValue().sha256(), entry.getValue().size()))
+            .collect(ImmutableList.toImmutableList()),
+        change.expectedGeneration());
+  }
+
+  private static CompletionStage<ChangeResult> unavailable(PlatformFailure failure) {
+    return done(new ChangeResult.Unavailable(failure));
+  }
+
+  private static CompletionStage<ChangeResult> done(ChangeResult result) {
+    return CompletableFuture.completedFuture(result);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/configuration/ConfigurationStore.java
@@ -0,0 +1,136 @@
+package dev.apricotmill.coordination.configuration;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.platform.ConditionalWriter;
+import dev.apricotmill.coordination.platform.Platform;
+import dev.apricotmill.coordination.platform.PlatformFailure;
+import dev.apricotmill.coordination.platform.ReadResult;
+import dev.apricotmill.coordination.platform.WriterSettings;
+import dev.apricotmill.coordination.time.Timing;
+import java.util.Iterator;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.random.RandomGenerator;
+
+/**
+ * The configurations at the platform, for those who write or inspect them.
+ *
+ * <p>Accepting a change is one conditional update of the head. Of two racing changes one is
+ * accepted and the other told of it. A proposal whose answer was lost can be repeated with the same
+ * identifier and gets the true result.
+ */
+public final class ConfigurationStore {
+
+  private final Timing timing;
+  private final Platform platform;
+  private final WriterSettings settings;
+  private final ConditionalWriter writer;
+
+  /** Makes a store; {@code random} must be safe for use by several threads. */
+  public ConfigurationStore(
+      Timing timing, Platform platform, WriterSettings settings, RandomGenerator random) {
+    this.timing = timing;
+    this.platform = platform;
+    this.settings = settings;
+    this.writer = new ConditionalWriter(timing, platform, settings, random);
+  }
+
+  /** Proposes a change. */
+  public CompletionStage<ChangeResult> propose(ConfigurationChange change) {
+    return new ConfigurationProposal(
+            platform, writer, settings.callTimeout(), change, timing.clock().instant())
+        .run();
+  }
+
+  /** Reads the head that stands now. */
+  public CompletionStage<HeadResult> readHead() {
+    return platform
+        .get(ConfigurationKeys.HEAD, settings.callTimeout())
+        .thenApply(ConfigurationStore::headOf);
+  }
+
+  /** Reads the head of one generation. */
+  public CompletionStage<HeadResult> show(long generation) {
+    return readHead()
+        .thenCompose(
+            result -> {
+              boolean older =
+                  result instanceof HeadResult.Found found
+                      && found.head().generation() != generation;
+              return older
+                  ? platform
+                      .get(ConfigurationKeys.history(generation), settings.callTimeout())
+                      .thenApply(ConfigurationStore::headOf)
+                  : CompletableFuture.completedFuture(result);
+            });
+  }
+
+  /** Reads the newest heads, at most {@code limit}. */
+  public CompletionStage<HistoryResult> history(int limit) {
+    return readHead().thenCompose(result -> collect(result, ImmutableList.of(), limit));
+  }
+
+  /** Loads all parts of a configuration. */
+  public CompletionStage<BundleResult> load(ConfigurationHead head) {
+    return loadNext(head, head.parts().iterator(), ImmutableMap.builder());
+  }
+
+  private CompletionStage<HistoryResult> collect(
+      HeadResult next, ImmutableList<ConfigurationHead> heads, int limit) {
+    if (next instanceof HeadResult.Unavailable failed) {
+      return CompletableFuture.completedFuture(new HistoryResult.Unavailable(failed.failure()));
+    }
+    if (!(next instanceof HeadResult.Found found) || heads.size() == limit) {
+      return CompletableFuture.completedFuture(new HistoryResult.Listed(heads));
+    }
+    ImmutableList<ConfigurationHead> longer =
+        ImmutableList.<ConfigurationHead>builder().addAll(heads).add(found.head()).build();
+    if (found.head().previousGeneration() == 0) {
+      return CompletableFuture.completedFuture(new HistoryResult.Listed(longer));
+    }
+    return platform
+        .get(ConfigurationKeys.history(found.head().previousGeneration()), settings.callTimeout())
+        .thenCompose(read -> collect(headOf(read), longer, limit));
+  }
+
+  private CompletionStage<BundleResult> loadNext(
+      ConfigurationHead head,
+      Iterator<ConfigurationPart> rest,
+      ImmutableMap.Builder<String, PartContent> loaded) {
+    if (!rest.hasNext()) {
+      return CompletableFuture.completedFuture(
+          new BundleResult.Loaded(new ConfigurationBundle(head, loaded.buildOrThrow())));
+    }
+    ConfigurationPart part = rest.next();
+    return platform
+        .get(ConfigurationKeys.part(part.sha256()), settings.callTimeout())
+        .thenCompose(
+            result -> {
+              if (result instanceof ReadResult.Unavailable failed) {
+                return CompletableFuture.completedFuture(
+                    new BundleResult.Unavailable(failed.failure()));
+              }
+              if (result instanceof ReadResult.Found found) {
+                PartContent content = PartContent.copyOf(found.object().value());
+                if (content.sha256().equals(part.sha256())) {
+                  return loadNext(head, rest, loaded.put(part.name(), content));
+                }
+              }
+              return CompletableFuture.completedFuture(new BundleResult.PartMissing(part.name()));
+            });
+  }
+
+  static HeadResult headOf(ReadResult result) {
+    if (result instanceof ReadResult.Unavailable failed) {
+      return new HeadResult.Unavailable(failed.failure());
+    }
+    if (!(result instanceof ReadResult.Found found)) {
+      return new HeadResult.None();
+    }
+    return HeadCodec.decode(found.object().value())
+        .<HeadResult>map(
+            head -> head.generation() == 0 ? new HeadResult.None() : new HeadResult.Found(head))
+        .orElse(new HeadResult.Unavailable(PlatformFailure.MALFORMED_ANSWER));
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/platform/ConditionalWriter.java
@@ -0,0 +1,164 @@
+package dev.apricotmill.coordination.platform;
+
+import dev.apricotmill.coordination.time.Deadline;
+import dev.apricotmill.coordination.time.Delays;
+import dev.apricotmill.coordination.time.Timing;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.random.RandomGenerator;
+
+/**
+ * Updates one object conditionally and settles lost answers.
+ *
+ * <p>Nothing is concluded from silence. When the answer to an update is lost, the object is read
+ * back. If its version moved, the update can no longer take effect, since it expects the old
+ * version. If it did not move, the same value is written again under the old version, which moves
+ * it and so shuts out the lost update wherever it is on its way.
+ */
+public final class ConditionalWriter {
+
+  private static final int CREATE_ATTEMPTS = 4;
+
+  private final Timing timing;
+  private final Platform platform;
+  private final WriterSettings settings;
+  private final RandomGenerator random;
+
+  /** Makes a writer; {@code random} must be safe for use by several threads. */
+  public ConditionalWriter(
+      Timing timing, Platform platform, WriterSettings settings, RandomGenerator random) {
+    this.timing = timing;
+    this.platform = platform;
+    this.settings = settings;
+    this.random = random;
+  }
+
+  /** Replaces the value of {@code current} if the object still has that version. */
+  public CompletionStage<UpdateResult> update(StoredObject current, byte[] newValue) {
+    Deadline deadline = timing.deadlineAfter(settings.resolveTimeout());
+    return put(current, newValue)
+        .thenCompose(
+            result -> {
+              if (result instanceof WriteResult.Written written) {
+                return done(
+                    new UpdateResult.Written(
+                        new StoredObject(current.key(), written.version(), newValue)));
+              }
+              if (result instanceof WriteResult.NotWritten refused) {
+                return done(new UpdateResult.NotWritten(refused.failure()));
+              }
+              if (result instanceof WriteResult.Conflict) {
+                return readAfterConflict(current.key());
+              }
+              return settle(current, deadline, 0);
+            });
+  }
+
+  /** Reads the object, creating it with {@code initialValue} if it does not exist. */
+  public CompletionStage<ReadResult> readOrCreate(ObjectKey key, byte[] initialValue) {
+    return readOrCreate(key, initialValue, CREATE_ATTEMPTS);
+  }
+
+  private CompletionStage<ReadResult> readOrCreate(
+      ObjectKey key, byte[] initialValue, int attempts) {
+    return platform
+        .get(key, settings.callTimeout())
+        .thenCompose(
+            result ->
+                result instanceof ReadResult.NotFound
+                    ? create(key, initialValue, attempts)
+                    : CompletableFuture.completedFuture(result));
+  }
+
+  private CompletionStage<ReadResult> create(ObjectKey key, byte[] initialValue, int attempts) {
+    if (attempts == 0) {
+      return CompletableFuture.completedFuture(
+          new ReadResult.Unavailable(PlatformFailure.NO_ANSWER));
+    }
+    return platform
+        .put(key, initialValue, Precondition.absent(), settings.callTimeout())
+        .thenCompose(
+            result -> {
+              if (result instanceof WriteResult.Written written) {
+                return CompletableFuture.completedFuture(
+                    new ReadResult.Found(new StoredObject(key, written.version(), initialValue)));
+              }
+              if (result instanceof WriteResult.NotWritten refused) {
+                return CompletableFuture.completedFuture(
+                    new ReadResult.Unavailable(refused.failure()));
+              }
+              return readOrCreate(key, initialValue, attempts - 1);
+            });
+  }
+
+  private CompletionStage<WriteResult> put(StoredObject current, byte[] value) {
+    return platform.put(
+        current.key(), value, Precondition.versionIs(current.version()), settings.callTimeout());
+  }
+
+  private CompletionStage<UpdateResult> readAfterConflict(ObjectKey key) {
+    return platform
+        .get(key, settings.callTimeout())
+        .thenApply(
+            result -> {
+              if (result instanceof ReadResult.Found found) {
+                return new UpdateResult.Moved(found.object());
+              }
+              return new UpdateResult.NotWritten(failureOf(result));
+            });
+  }
+
+  private CompletionStage<UpdateResult> settle(
+      StoredObject current, Deadline deadline, int failures) {
+    return platform
+        .get(current.key(), settings.callTimeout())
+        .thenCompose(
+            result -> {
+              if (result instanceof ReadResult.Found found) {
+                return found.object().version() == current.version()
+                    ? moveVersion(current, deadline, failures)
+                    : done(new UpdateResult.Moved(found.object()));
+              }
+              return settleLater(current, deadline, failures, failureOf(result));
+            });
+  }
+
+  /** Writes the old value again, so that the lost update finds another version. */
+  private CompletionStage<UpdateResult> moveVersion(
+      StoredObject current, Deadline deadline, int failures) {
+    return put(current, current.value())
+        .thenCompose(
+            result -> {
+              if (result instanceof WriteResult.Written written) {
+                return done(
+                    new UpdateResult.Moved(
+                        new StoredObject(current.key(), written.version(), current.value())));
+              }
+              if (result instanceof WriteResult.Conflict) {
+                return settle(current, deadline, failures);
+              }
+              return settleLater(current, deadline, failures, PlatformFailure.NO_ANSWER);
+            });
+  }
+
+  private CompletionStage<UpdateResult> settleLater(
+      StoredObject current, Deadline deadline, int failures, PlatformFailure failure) {
+    if (deadline.hasPassed(timing.nanoTime())) {
+      return done(new UpdateResult.Undetermined(failure));
+    }
+    return Delays.after(
+        timing,
+        settings.backoff().delay(failures + 1, random),
+        () -> settle(current, deadline, failures + 1));
+  }
+
+  private static PlatformFailure failureOf(ReadResult result) {
+    return result instanceof ReadResult.Unavailable unavailable
+        ? unavailable.failure()
+        : PlatformFailure.MALFORMED_ANSWER;
+  }
+
+  private static CompletionStage<UpdateResult> done(UpdateResult result) {
+    return CompletableFuture.completedFuture(result);
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/dev/apricotmill/coordination/configuration/ConfigurationFollowerTest.java
@@ -0,0 +1,213 @@
+package dev.apricotmill.coordination.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Ordering;
+import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.platform.Machine;
+import dev.apricotmill.coordination.platform.WriterSettings;
+import dev.apricotmill.coordination.testing.FakePeerNetwork;
+import dev.apricotmill.coordination.testing.FakePlatform;
+import dev.apricotmill.coordination.testing.PlatformFault;
+import dev.apricotmill.coordination.testing.PlatformOperation;
+import dev.apricotmill.coordination.testing.VirtualScheduler;
+import dev.apricotmill.coordination.testing.VirtualTime;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.Test;
+
+final class ConfigurationFollowerTest {
+
+  private static final Duration IN_FORCE_WITHIN = Duration.ofSeconds(14);
+
+  private final VirtualTime time = new VirtualTime();
+  private final FakePlatform platform = new FakePlatform(time);
+  private final FakePeerNetwork network = new FakePeerNetwork(time);
+  private final ConfigurationStore store = newStore();
+  private final List<FollowerDaemon> daemons = new ArrayList<>();
+
+  @Test
+  void anAcceptedConfigurationIsInForceEverywhereInTime() {
+    startDaemons(3, 7);
+    accept(1);
+    time.advance(IN_FORCE_WITHIN);
+    assertAllHave(1);
+  }
+
+  @Test
+  void daemonsCutOffFromThePlatformLearnFromTheirPeers() {
+    startDaemons(3, 4);
+    platform.failZone(new Zone("z1"), PlatformFault.UNREACHABLE);
+    platform.failProcess("z0-1", PlatformFault.UNREACHABLE);
+    accept(1);
+    time.advance(IN_FORCE_WITHIN);
+    assertAllHave(1);
+  }
+
+  @Test
+  void onlyChangedPartsAreTransferred() {
+    startDaemons(1, 4);
+    accept(1);
+    time.advance(IN_FORCE_WITHIN);
+    long before = partReads();
+    accept(2);
+    time.advance(IN_FORCE_WITHIN);
+    assertAllHave(2);
+    assertThat(partReads() - before).isAtMost(2);
+  }
+
+  @Test
+  void theCallsOnThePlatformDoNotGrowWithTheDaemons() {
+    startDaemons(1, 30);
+    accept(1);
+    time.advance(Duration.ofSeconds(60));
+    long start = time.nanoTime();
+    time.advance(Duration.ofSeconds(60));
+    long calls = platform.log().countSince(start, call -> call.path().startsWith("config/"));
+    assertThat(calls).isAtMost(90);
+  }
+
+  @Test
+  void aDaemonNeverTakesALowerGeneration() {
+    startDaemons(3, 2);
+    accept(1);
+    time.advance(IN_FORCE_WITHIN);
+    network.cutZone(new Zone("z2"));
+    platform.failZone(new Zone("z2"), PlatformFault.UNREACHABLE);
+    accept(2);
+    accept(3);
+    time.advance(IN_FORCE_WITHIN);
+    network.heal();
+    platform.heal();
+    time.advance(IN_FORCE_WITHIN);
+    assertAllHave(3);
+    for (FollowerDaemon daemon : daemons) {
+      assertThat(Ordering.natural().isStrictlyOrdered(daemon.generations())).isTrue();
+    }
+  }
+
+  @Test
+  void aFreshDaemonIsNotReadyBeforeItAskedThePlatform() {
+    accept(1);
+    FollowerDaemon fresh = newDaemon("z0-0");
+    fresh.start(machines());
+    assertThat(fresh.follower().isReady()).isFalse();
+    time.advance(Duration.ofSeconds(1));
+    assertThat(fresh.follower().isReady()).isTrue();
+    assertThat(fresh.generation()).isEqualTo(1);
+  }
+
+  @Test
+  void aFreshDaemonTakesTheHighestGenerationOfItsPeersWhileThePlatformIsDown() {
+    startDaemons(1, 3);
+    accept(1);
+    time.advance(IN_FORCE_WITHIN);
+    platform.fail(PlatformFault.UNREACHABLE);
+    FollowerDaemon fresh = newDaemon("z0-9");
+    fresh.start(machines());
+    time.advance(Duration.ofMillis(100));
+    assertThat(fresh.follower().isReady()).isFalse();
+    time.advance(Duration.ofSeconds(20));
+    assertThat(fresh.follower().isReady()).isTrue();
+    assertThat(fresh.generation()).isEqualTo(1);
+  }
+
+  @Test
+  void aFreshDaemonWithoutPlatformAndPeersStaysUnreadyUntilThePlatformReturns() {
+    accept(1);
+    platform.fail(PlatformFault.UNREACHABLE);
+    FollowerDaemon fresh = newDaemon("z0-0");
+    fresh.start(machines());
+    time.advance(Duration.ofMinutes(5));
+    assertThat(fresh.follower().isReady()).isFalse();
+    platform.heal();
+    time.advance(Duration.ofSeconds(10));
+    assertThat(fresh.follower().isReady()).isTrue();
+  }
+
+  @Test
+  void aDamagedPartFromAPeerIsFetchedFromThePlatform() {
+    accept(1);
+    FollowerDaemon holder = newDaemon("z0-0");
+    holder.start(machines());
+    time.advance(Duration.ofSeconds(1));
+    VirtualScheduler scheduler = time.newScheduler();
+    ConfigurationFollower fresh =
+        new ConfigurationFollower(
+            time.timingOf(scheduler),
+            platform.clientFor("z0-1", new Zone("z0"), scheduler),
+            new DamagingProbes(holder.follower()),
+            FollowerSettings.defaults(),
+            new SplittableRandom(5),
+            holder::self,
+            holder::view,
+            bundle -> {});
+    long before = partReads();
+    fresh.onPeerGeneration(new PeerAddress("127.0.0.1", 1), 1);
+    time.advance(Duration.ofSeconds(1));
+    assertThat(fresh.generation()).isEqualTo(1);
+    assertThat(partReads() - before).isEqualTo(2);
+  }
+
+  private void startDaemons(int zones, int daemonsPerZone) {
+    for (int zone = 0; zone < zones; zone++) {
+      for (int i = 0; i < daemonsPerZone; i++) {
+        newDaemon("z" + zone + "-" + i);
+      }
+    }
+    daemons.forEach(daemon -> daemon.start(machines()));
+    time.advance(Duration.ofSeconds(20));
+  }
+
+  private FollowerDaemon newDaemon(String name) {
+    FollowerDaemon daemon = new FollowerDaemon(time, platform, network, name, daemons.size() + 1);
+    daemons.add(daemon);
+    return daemon;
+  }
+
+  private ImmutableList<Machine> machines() {
+    return daemons.stream().map(FollowerDaemon::machine).collect(ImmutableList.toImmutableList());
+  }
+
+  private void assertAllHave(long generation) {
+    for (FollowerDaemon daemon : daemons) {
+      assertThat(daemon.generation()).isEqualTo(generation);
+    }
+  }
+
+  private long partReads() {
+    return platform
+        .log()
+        .count(
+            call ->
+                call.operation() == PlatformOperation.GET
+                    && call.path().startsWith("config/parts/"));
+  }
+
+  private void accept(long generation) {
+    ImmutableMap<String, PartContent> parts =
+        ImmutableMap.of(
+            "stays", PartContent.copyOf("same".getBytes(UTF_8)),
+            "changes", PartContent.copyOf(("v" + generation).getBytes(UTF_8)));
+    CompletionStage<ChangeResult> result =
+        store.propose(new ConfigurationChange(generation - 1, parts, "ana", "c" + generation));
+    time.advance(Duration.ofMillis(100));
+    assertThat(result.toCompletableFuture().join()).isInstanceOf(ChangeResult.Accepted.class);
+  }
+
+  private ConfigurationStore newStore() {
+    VirtualScheduler scheduler = time.newScheduler();
+    return new ConfigurationStore(
+        time.timingOf(scheduler),
+        platform.clientFor("operator", new Zone("office"), scheduler),
+        WriterSettings.defaults(),
+        new SplittableRandom(3));
+  }
+}
