--- a/coordination/src/main/java/dev/apricotmill/coordination/retry/package-info.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/retry/package-info.java
@@ -1,4 +1,4 @@
-/** When and how often to try again. */
+/** How often and when to try again: a back-off with jitter and a budget of retries. */
 @NullMarked
 package dev.apricotmill.coordination.retry;
 
