--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/NodeRoles.java
@@ -0,0 +1,79 @@
+package dev.apricotmill.node;
+
+import dev.apricotmill.coordination.identity.Incarnation;
+import dev.apricotmill.coordination.retry.RetryBudget;
+import dev.apricotmill.core.peer.StewardEndpoint;
+import dev.apricotmill.core.routing.ReplicaRouter;
+import dev.apricotmill.node.api.NodeStatus;
+import dev.apricotmill.node.call.CallContext;
+import dev.apricotmill.node.call.CallEntry;
+import dev.apricotmill.node.entry.AdmissionPolicy;
+import dev.apricotmill.node.entry.EntryContext;
+import dev.apricotmill.node.entry.GenerationEntry;
+import dev.apricotmill.node.entry.OpenRequests;
+import dev.apricotmill.node.entry.RequestMeters;
+import dev.apricotmill.node.fleet.FleetView;
+import dev.apricotmill.node.fleet.ReplicaLoads;
+import java.util.function.Supplier;
+
+/** Makes the roles that callers' requests pass, from what they share. */
+final class NodeRoles {
+
+  private static final double RETRIES_PER_REQUEST = 0.1;
+  private static final int RETRY_RESERVE = 20;
+
+  private final NodeSettings settings;
+  private final NodePorts ports;
+  private final Supplier<Incarnation> self;
+  private final Supplier<FleetView> fleet;
+  private final OpenRequests open;
+  private final Supplier<NodeStatus.Phase> phase;
+  private final AdmissionPolicy policy;
+  private final RequestMeters meters;
+  private final RetryBudget retryBudget = new RetryBudget(RETRIES_PER_REQUEST, RETRY_RESERVE);
+
+  NodeRoles(
+      NodeSettings settings,
+      NodePorts ports,
+      Supplier<Incarnation> self,
+      Supplier<FleetView> fleet,
+      OpenRequests open,
+      Supplier<NodeStatus.Phase> phase) {
+    this.settings = settings;
+    this.ports = ports;
+    this.self = self;
+    this.fleet = fleet;
+    this.open = open;
+    this.phase = phase;
+    this.policy = new AdmissionPolicy(settings);
+    this.meters = new RequestMeters(ports.meters());
+  }
+
+  GenerationEntry generations(StewardEndpoint ownSteward, ReplicaLoads loads) {
+    EntryContext context =
+        new EntryContext(
+            ports.timing(),
+            self,
+            fleet,
+            loads,
+            new ReplicaRouter(settings.zone()),
+            ports.stewards(),
+            ownSteward,
+            retryBudget,
+            ports.random());
+    return new GenerationEntry(context, policy, open, phase, meters, ports.tracer());
+  }
+
+  CallEntry calls() {
+    CallContext context =
+        new CallContext(
+            ports.timing(),
+            settings.zone(),
+            self,
+            fleet,
+            ports.services(),
+            retryBudget,
+            ports.random());
+    return new CallEntry(context, phase, policy, open, meters, ports.tracer());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/call/CallContext.java
@@ -0,0 +1,57 @@
+package dev.apricotmill.node.call;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.identity.Incarnation;
+import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.retry.RetryBudget;
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.configuration.Replica;
+import dev.apricotmill.core.request.ServiceName;
+import dev.apricotmill.core.service.PlainService;
+import dev.apricotmill.node.fleet.FleetView;
+import dev.apricotmill.node.fleet.ReplicaTarget;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * What calls of plain services share.
+ *
+ * @param timing time and the scheduler
+ * @param zone the daemon's availability zone
+ * @param self gives the daemon's current life
+ * @param fleet gives the current view of the fleet
+ * @param services reaches the services
+ * @param retryBudget bounds retries by a share of the requests
+ * @param random the source of random choices
+ */
+public record CallContext(
+    Timing timing,
+    Zone zone,
+    Supplier<Incarnation> self,
+    Supplier<FleetView> fleet,
+    PlainService services,
+    RetryBudget retryBudget,
+    RandomGenerator random) {
+
+  /** Returns the usable replicas of a service, those of the own zone first, shuffled within. */
+  ImmutableList<Replica> candidates(ServiceName service) {
+    List<Replica> near = new ArrayList<>();
+    List<Replica> far = new ArrayList<>();
+    for (ReplicaTarget target : fleet.get().targetsOf(service)) {
+      if (target.usable()) {
+        (target.replica().zone().equals(zone) ? near : far).add(target.replica());
+      }
+    }
+    shuffle(near);
+    shuffle(far);
+    return ImmutableList.<Replica>builder().addAll(near).addAll(far).build();
+  }
+
+  private void shuffle(List<Replica> replicas) {
+    Collections.shuffle(replicas, new Random(random.nextLong()));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/call/CallEntry.java
@@ -0,0 +1,130 @@
+package dev.apricotmill.node.call;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.identity.Incarnation;
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.configuration.Rule;
+import dev.apricotmill.core.configuration.Service;
+import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.outcome.RefusalReason;
+import dev.apricotmill.core.request.ServiceCall;
+import dev.apricotmill.node.api.CallAnswer;
+import dev.apricotmill.node.api.CallSubmission;
+import dev.apricotmill.node.api.NodeStatus;
+import dev.apricotmill.node.entry.Admission;
+import dev.apricotmill.node.entry.AdmissionPolicy;
+import dev.apricotmill.node.entry.OpenRequests;
+import dev.apricotmill.node.entry.RequestMeters;
+import dev.apricotmill.node.fleet.FleetView;
+import dev.apricotmill.node.trace.HopSpan;
+import io.opentelemetry.api.trace.Tracer;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+/** Takes callers' calls of plain services. Safe for use by several threads. */
+public final class CallEntry {
+
+  private final Timing timing;
+  private final Supplier<Incarnation> self;
+  private final Supplier<FleetView> fleet;
+  private final Supplier<NodeStatus.Phase> phase;
+  private final AdmissionPolicy policy;
+  private final OpenRequests open;
+  private final RequestMeters meters;
+  private final Tracer tracer;
+  private final IdempotentCalls idempotentCalls;
+
+  /** Creates the entry for calls. */
+  public CallEntry(
+      CallContext context,
+      Supplier<NodeStatus.Phase> phase,
+      AdmissionPolicy policy,
+      OpenRequests open,
+      RequestMeters meters,
+      Tracer tracer) {
+    this.timing = context.timing();
+    this.self = context.self();
+    this.fleet = context.fleet();
+    this.phase = phase;
+    this.policy = policy;
+    this.open = open;
+    this.meters = meters;
+    this.tracer = tracer;
+    this.idempotentCalls = new IdempotentCalls(context);
+  }
+
+  /** Calls a plain service; see {@link dev.apricotmill.node.api.RequestEntry#call}. */
+  public CompletionStage<CallAnswer> call(CallSubmission submission) {
+    HopSpan span = HopSpan.start(tracer, "entry", submission.id(), submission.traceParent());
+    Admission admission =
+        policy.decide(
+            fleet.get(),
+            phase.get(),
+            submission.customerKey(),
+            submission.service(),
+            submission.method(),
+            submission.path(),
+            submission.timeLimit());
+    if (admission instanceof Admission.Rejected rejected) {
+      return refuse(submission, span, rejected.outcome());
+    }
+    Admission.Admitted admitted = (Admission.Admitted) admission;
+    if (!(admitted.service() instanceof Service.PlainPool)) {
+      return refuse(submission, span, RefusalReason.UNKNOWN_SERVICE);
+    }
+    if (!open.tryOpen()) {
+      return refuse(submission, span, RefusalReason.OVERLOADED);
+    }
+    return run(submission, admitted, span).thenApply(answer -> close(submission, span, answer));
+  }
+
+  private CompletionStage<CallConclusion> run(
+      CallSubmission submission, Admission.Admitted admitted, HopSpan span) {
+    ServiceCall call =
+        new ServiceCall(
+            submission.id(),
+            admitted.customer().id(),
+            submission.service(),
+            submission.method(),
+            submission.path(),
+            CallHeaders.forBackend(submission, span.traceParent()),
+            submission.body(),
+            timing.deadlineAfter(admitted.timeLimit()));
+    if (admitted.repetition() == Rule.Repetition.IDEMPOTENT) {
+      return idempotentCalls.run(call);
+    }
+    return CompletableFuture.completedFuture(
+        CallConclusion.without(
+            new Outcome.Refused(RefusalReason.CLAIMS_UNAVAILABLE, AdmissionPolicy.RETRY_AFTER),
+            ImmutableList.of()));
+  }
+
+  private CallAnswer close(CallSubmission submission, HopSpan span, CallConclusion result) {
+    open.close();
+    span.end(result.outcome());
+    meters.ended(submission.service(), result.outcome());
+    ImmutableList<String> hops =
+        ImmutableList.<String>builder()
+            .add(self.get().daemon().name())
+            .addAll(result.replicas())
+            .build();
+    return new CallAnswer(
+        submission.id(), result.outcome(), result.response(), result.replayed(), hops);
+  }
+
+  private CompletionStage<CallAnswer> refuse(
+      CallSubmission submission, HopSpan span, RefusalReason reason) {
+    return refuse(submission, span, new Outcome.Refused(reason, AdmissionPolicy.RETRY_AFTER));
+  }
+
+  private CompletionStage<CallAnswer> refuse(
+      CallSubmission submission, HopSpan span, Outcome.Refused outcome) {
+    span.end(outcome);
+    meters.refused(submission.service(), outcome);
+    ImmutableList<String> hops = ImmutableList.of(self.get().daemon().name());
+    return CompletableFuture.completedFuture(
+        new CallAnswer(submission.id(), outcome, Optional.empty(), false, hops));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/call/IdempotentCalls.java
@@ -0,0 +1,79 @@
+package dev.apricotmill.node.call;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.core.configuration.Replica;
+import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.outcome.RefusalReason;
+import dev.apricotmill.core.outcome.UnknownReason;
+import dev.apricotmill.core.request.ServiceCall;
+import dev.apricotmill.core.service.CallResult;
+import dev.apricotmill.node.entry.AdmissionPolicy;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+/** Runs calls that may be repeated: a call that was lost goes to another replica. */
+final class IdempotentCalls {
+
+  /** The most replicas that one call is sent to. */
+  private static final int MAXIMUM_ATTEMPTS = 3;
+
+  private final CallContext context;
+
+  IdempotentCalls(CallContext context) {
+    this.context = context;
+  }
+
+  CompletionStage<CallConclusion> run(ServiceCall call) {
+    context.retryBudget().onRequest();
+    ImmutableList<Replica> candidates = context.candidates(call.service());
+    Outcome none = new Outcome.Refused(RefusalReason.NO_REPLICA, AdmissionPolicy.RETRY_AFTER);
+    return attempt(call, candidates, ImmutableList.of(), none);
+  }
+
+  private CompletionStage<CallConclusion> attempt(
+      ServiceCall call,
+      ImmutableList<Replica> candidates,
+      ImmutableList<String> tried,
+      Outcome otherwise) {
+    Duration remaining = call.deadline().remaining(context.timing().nanoTime());
+    if (!mayTry(candidates, tried) || remaining.isZero()) {
+      return CompletableFuture.completedFuture(CallConclusion.without(otherwise, tried));
+    }
+    Replica replica = candidates.get(0);
+    ImmutableList<Replica> rest = candidates.subList(1, candidates.size());
+    ImmutableList<String> now =
+        ImmutableList.<String>builder().addAll(tried).add(replica.id().value()).build();
+    Duration timeout = attemptTimeout(remaining, rest);
+    return context
+        .services()
+        .call(replica, call, timeout)
+        .thenCompose(result -> conclude(call, result, rest, now, otherwise));
+  }
+
+  private CompletionStage<CallConclusion> conclude(
+      ServiceCall call,
+      CallResult result,
+      ImmutableList<Replica> rest,
+      ImmutableList<String> tried,
+      Outcome before) {
+    if (result instanceof CallResult.Response response) {
+      return CompletableFuture.completedFuture(CallConclusion.answered(response, tried));
+    }
+    boolean lost = result instanceof CallResult.Lost || before instanceof Outcome.Unknown;
+    Outcome otherwise = lost ? new Outcome.Unknown(UnknownReason.BACKEND_SILENT) : before;
+    return attempt(call, rest, tried, otherwise);
+  }
+
+  private boolean mayTry(ImmutableList<Replica> candidates, ImmutableList<String> tried) {
+    if (candidates.isEmpty() || tried.size() >= MAXIMUM_ATTEMPTS) {
+      return false;
+    }
+    return tried.isEmpty() || context.retryBudget().tryRetry();
+  }
+
+  /** Leaves time for another replica, if there is one. */
+  private static Duration attemptTimeout(Duration remaining, ImmutableList<Replica> rest) {
+    return rest.isEmpty() ? remaining : remaining.dividedBy(2);
+  }
+}
--- a/node/src/main/java/dev/apricotmill/node/entry/EntryContext.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/EntryContext.java
@@ -38,7 +38,7 @@
  * @param retryBudget bounds retries by a share of the requests
  * @param random the source of random choices
  */
-record EntryContext(
+public record EntryContext(
     Timing timing,
     Supplier<Incarnation> self,
     Supplier<FleetView> fleet,
--- a/node/src/main/java/dev/apricotmill/node/entry/GenerationEntry.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/GenerationEntry.java
@@ -35,7 +35,8 @@
   private final RequestMeters meters;
   private final Tracer tracer;
 
-  GenerationEntry(
+  /** Creates the entry for generated text. */
+  public GenerationEntry(
       EntryContext context,
       AdmissionPolicy policy,
       OpenRequests open,
--- a/node/src/main/java/dev/apricotmill/node/entry/GenerationRelay.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/GenerationRelay.java
@@ -114,7 +114,7 @@
   }
 
   private boolean mayTryAgain() {
-    return attempts == 0 || context.retryBudget().tryTake();
+    return attempts == 0 || context.retryBudget().tryRetry();
   }
 
   private void forward(ReplicaId replica) {
