--- a/coordination/src/main/java/dev/apricotmill/coordination/retry/RetryBudget.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/retry/RetryBudget.java
@@ -3,44 +3,44 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Bounds retries to a ratio of the requests, so that a failing back end is not buried under them.
+ * Bounds retries to a share of the requests, so that they cannot multiply the load of a back end
+ * that fails.
  *
- * <p>Every request earns a fraction of a retry, every retry spends a whole one. What was earned and
- * not spent is kept up to a maximum, and a full reserve is there at the start, so that a service
- * with few requests may still retry.
+ * <p>Each request adds a fraction of a retry, each retry takes a whole one. A reserve lets a daemon
+ * with few requests retry at all. Safe for use by several threads without a lock.
  */
 public final class RetryBudget {
 
-  private static final long UNITS_PER_RETRY = 1000;
+  private static final long RETRY = 1_000;
 
-  private final long earnedPerRequest;
-  private final long maximum;
+  private final long gainPerRequest;
+  private final long capacity;
   private final AtomicLong available;
 
   /**
-   * Makes a budget with a full reserve.
+   * Creates a full budget.
    *
-   * @param retriesPerRequest the ratio of retries to requests in the long run
-   * @param reserve the largest number of retries that can be saved up
+   * @param retriesPerRequest retries that each request adds, in thousandths, 0 to 1000
+   * @param capacityInRetries the most retries that can be saved up, at least 1
    */
-  public RetryBudget(double retriesPerRequest, int reserve) {
-    if (!(retriesPerRequest >= 0 && retriesPerRequest <= 1) || reserve < 0) {
-      throw new IllegalArgumentException("bad retry budget");
+  public RetryBudget(int retriesPerRequest, int capacityInRetries) {
+    if (retriesPerRequest < 0 || retriesPerRequest > RETRY || capacityInRetries < 1) {
+      throw new IllegalArgumentException(
+          "bad retry budget: " + retriesPerRequest + ", " + capacityInRetries);
     }
-    this.earnedPerRequest = Math.round(retriesPerRequest * UNITS_PER_RETRY);
-    this.maximum = reserve * UNITS_PER_RETRY;
-    this.available = new AtomicLong(maximum);
+    this.gainPerRequest = retriesPerRequest;
+    this.capacity = capacityInRetries * RETRY;
+    this.available = new AtomicLong(capacity);
   }
 
-  /** Counts a first attempt. */
+  /** Notes a request, which earns a part of a retry. */
   public void onRequest() {
-    available.updateAndGet(value -> Math.min(maximum, value + earnedPerRequest));
+    available.getAndUpdate(now -> Math.min(capacity, now + gainPerRequest));
   }
 
-  /** Takes one retry from the budget, and returns whether there was one. */
-  public boolean tryRetry() {
-    long before =
-        available.getAndUpdate(value -> value >= UNITS_PER_RETRY ? value - UNITS_PER_RETRY : value);
-    return before >= UNITS_PER_RETRY;
+  /** Takes one retry from the budget; returns false if there is none. */
+  public boolean tryTake() {
+    long before = available.getAndUpdate(now -> now >= RETRY ? now - RETRY : now);
+    return before >= RETRY;
   }
 }
--- a/coordination/src/main/java/dev/apricotmill/coordination/retry/package-info.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/retry/package-info.java
@@ -1,4 +1,4 @@
-/** How often and when to try again: a back-off with jitter and a budget of retries. */
+/** When and how often to try again. */
 @NullMarked
 package dev.apricotmill.coordination.retry;
 
--- a/coordination/src/test/java/dev/apricotmill/coordination/retry/RetryBudgetTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/retry/RetryBudgetTest.java
@@ -4,25 +4,35 @@
 
 import org.junit.jupiter.api.Test;
 
-final class RetryBudgetTest {
+class RetryBudgetTest {
 
   @Test
-  void retriesStayWithinTheirRatioToRequests() {
-    RetryBudget budget = new RetryBudget(0.1, 10);
-    int retries = 0;
-    for (int request = 0; request < 1000; request++) {
+  void aFullBudgetGivesItsCapacityAndNoMore() {
+    RetryBudget budget = new RetryBudget(100, 2);
+    assertThat(budget.tryTake()).isTrue();
+    assertThat(budget.tryTake()).isTrue();
+    assertThat(budget.tryTake()).isFalse();
+  }
+
+  @Test
+  void tenRequestsEarnOneRetryAtATenth() {
+    RetryBudget budget = new RetryBudget(100, 1);
+    assertThat(budget.tryTake()).isTrue();
+    for (int request = 0; request < 9; request++) {
       budget.onRequest();
-      retries += budget.tryRetry() ? 1 : 0;
     }
-    assertThat(retries).isAtMost(110);
-    assertThat(retries).isAtLeast(100);
+    assertThat(budget.tryTake()).isFalse();
+    budget.onRequest();
+    assertThat(budget.tryTake()).isTrue();
   }
 
   @Test
-  void aQuietServiceMayRetryFromItsReserve() {
-    RetryBudget budget = new RetryBudget(0.1, 2);
-    assertThat(budget.tryRetry()).isTrue();
-    assertThat(budget.tryRetry()).isTrue();
-    assertThat(budget.tryRetry()).isFalse();
+  void savedRetriesNeverExceedTheCapacity() {
+    RetryBudget budget = new RetryBudget(1_000, 1);
+    for (int request = 0; request < 50; request++) {
+      budget.onRequest();
+    }
+    assertThat(budget.tryTake()).isTrue();
+    assertThat(budget.tryTake()).isFalse();
   }
 }
