Inner protocol: messages, bounded frames, streams with credits over Netty

Every exchange between daemons is a stream on one connection per direction. Messages are cut into parts of at most a frame and the streams take turns, so a prompt of megabytes does not hold up a probe. A request whose last part was never handed to the socket ends as not sent; all other losses as lost.

--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPeerProbes.java
@@ -0,0 +1,127 @@
+package dev.apricotmill.daemon.inner;
+
+import dev.apricotmill.coordination.membership.FetchResult;
+import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.membership.PeerProbes;
+import dev.apricotmill.coordination.membership.ProbeMessage;
+import dev.apricotmill.coordination.membership.ProbeResult;
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.protocol.ClientStream;
+import dev.apricotmill.protocol.InnerClient;
+import dev.apricotmill.protocol.ResponseListener;
+import dev.apricotmill.protocol.StreamLoss;
+import dev.apricotmill.protocol.generated.Fetch;
+import dev.apricotmill.protocol.generated.ProbeThrough;
+import dev.apricotmill.protocol.generated.Request;
+import dev.apricotmill.protocol.generated.Response;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Future;
+import java.util.function.Function;
+
+/** Probes peers and fetches parts from them over the inner protocol. */
+public final class InnerPeerProbes implements PeerProbes {
+
+  private final InnerClient client;
+  private final Timing timing;
+
+  /** Creates the port on a client. */
+  public InnerPeerProbes(InnerClient client, Timing timing) {
+    this.client = client;
+    this.timing = timing;
+  }
+
+  @Override
+  public CompletionStage<ProbeResult> probe(
+      PeerAddress peer, ProbeMessage message, Duration timeout) {
+    Request request = Request.newBuilder().setProbe(MemberMessages.toMessage(message)).build();
+    return ask(peer, request, timeout, InnerPeerProbes::probeResult, new ProbeResult.Silent());
+  }
+
+  @Override
+  public CompletionStage<ProbeResult> probeThrough(
+      PeerAddress peer, Member target, ProbeMessage message, Duration timeout) {
+    Request request =
+        Request.newBuilder()
+            .setProbeThrough(
+                ProbeThrough.newBuilder()
+                    .setTarget(MemberMessages.toMessage(target))
+                    .setProbe(MemberMessages.toMessage(message)))
+            .build();
+    return ask(peer, request, timeout, InnerPeerProbes::probeResult, new ProbeResult.Silent());
+  }
+
+  @Override
+  public CompletionStage<FetchResult> fetch(PeerAddress peer, String partName, Duration timeout) {
+    Request request =
+        Request.newBuilder().setFetch(Fetch.newBuilder().setPartName(partName)).build();
+    return ask(peer, request, timeout, InnerPeerProbes::fetchResult, new FetchResult.Silent());
+  }
+
+  private <T> CompletionStage<T> ask(
+      PeerAddress peer,
+      Request request,
+      Duration timeout,
+      Function<Response, T> reader,
+      T silent) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    ClientStream stream =
+        client.open(
+            PeerAddresses.toSocketAddress(peer),
+            request,
+            new SingleResponse<>(result, reader, silent));
+    Future<?> timer =
+        timing.schedule(
+            timeout,
+            () -> {
+              if (result.complete(silent)) {
+                stream.cancel();
+              }
+            });
+    result.whenComplete((value, failure) -> timer.cancel(false));
+    return result;
+  }
+
+  private static ProbeResult probeResult(Response response) {
+    if (!response.hasProbeAnswer() || !response.getProbeAnswer().hasReply()) {
+      return new ProbeResult.Silent();
+    }
+    try {
+      return new ProbeResult.Answered(
+          MemberMessages.fromMessage(response.getProbeAnswer().getReply()));
+    } catch (MalformedMessageException e) {
+      return new ProbeResult.Silent();
+    }
+  }
+
+  private static FetchResult fetchResult(Response response) {
+    if (!response.hasFetched()) {
+      return new FetchResult.Silent();
+    }
+    return response.getFetched().hasValue()
+        ? new FetchResult.Fetched(response.getFetched().getValue().toByteArray())
+        : new FetchResult.NotHeld();
+  }
+
+  private record SingleResponse<T>(
+      CompletableFuture<T> result, Function<Response, T> reader, T silent)
+      implements ResponseListener {
+
+    @Override
+    public void onResponse(Response response) {
+      result.complete(silent);
+    }
+
+    @Override
+    public void onEnd(Response response) {
+      result.complete(reader.apply(response));
+    }
+
+    @Override
+    public void onLoss(StreamLoss loss) {
+      result.complete(silent);
+    }
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/dev/apricotmill/protocol/ClientConnection.java
@@ -0,0 +1,184 @@
+package dev.apricotmill.protocol;
+
+import com.google.protobuf.ByteString;
+import dev.apricotmill.protocol.generated.Cancel;
+import dev.apricotmill.protocol.generated.Credit;
+import dev.apricotmill.protocol.generated.Frame;
+import dev.apricotmill.protocol.generated.Part;
+import dev.apricotmill.protocol.generated.Request;
+import dev.apricotmill.protocol.generated.Response;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** The asking side of a connection. Its state belongs to the channel's event loop. */
+final class ClientConnection extends Connection {
+
+  private final EventLoop loop;
+  private final Runnable onClosed;
+  private final Map<Long, OpenStream> streams = new LinkedHashMap<>();
+  private long lastStream;
+  private boolean closed;
+
+  ClientConnection(String daemon, TransportLimits limits, EventLoop loop, Runnable onClosed) {
+    super(daemon, limits);
+    this.loop = loop;
+    this.onClosed = onClosed;
+  }
+
+  /** Opens a stream; the request leaves once the peer has greeted. */
+  ClientStream open(Request request, ResponseListener listener) {
+    OpenStream stream = new OpenStream(request, listener);
+    loop.execute(stream::start);
+    return stream;
+  }
+
+  /** Ends every stream after the connection could not be made. */
+  void connectFailed() {
+    loop.execute(this::onClosed);
+  }
+
+  @Override
+  void onGreeted() {
+    new ArrayList<>(streams.values()).forEach(OpenStream::sendRequest);
+  }
+
+  @Override
+  void onFrame(Frame frame) throws IOException {
+    OpenStream stream = streams.get(frame.getStream());
+    if (stream == null) {
+      assembly().discard(frame.getStream());
+      return;
+    }
+    switch (frame.getBodyCase()) {
+      case PART -> stream.onPart(frame.getPart());
+      case RESET -> stream.lose(StreamLoss.NOT_SENT);
+      default ->
+          throw new ProtocolViolationException("unexpected frame " + frame.getBodyCase().name());
+    }
+  }
+
+  @Override
+  void onClosed() {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    onClosed.run();
+    new ArrayList<>(streams.values()).forEach(OpenStream::loseWithConnection);
+  }
+
+  private final class OpenStream implements ClientStream {
+    private final Request request;
+    private final ResponseListener listener;
+    private long id;
+    private boolean mayHaveArrived;
+    private long allowedBeforeSending;
+    private long allowed;
+
+    OpenStream(Request request, ResponseListener listener) {
+      this.request = request;
+      this.listener = listener;
+    }
+
+    @Override
+    public void allow(long responses) {
+      loop.execute(() -> addCredit(responses));
+    }
+
+    @Override
+    public void cancel() {
+      loop.execute(this::withdraw);
+    }
+
+    private void start() {
+      if (closed
+          || streams.size() >= limits().maximumStreams()
+          || request.getSerializedSize() > limits().maximumMessageBytes()) {
+        listener.onLoss(StreamLoss.NOT_SENT);
+        return;
+      }
+      id = ++lastStream;
+      streams.put(id, this);
+      if (greeted()) {
+        sendRequest();
+      }
+    }
+
+    private void sendRequest() {
+      outgoing().send(id, request, false, this::onHandedOver);
+    }
+
+    private void onHandedOver() {
+      mayHaveArrived = true;
+      if (allowedBeforeSending > 0) {
+        sendCredit(allowedBeforeSending);
+      }
+    }
+
+    private void addCredit(long responses) {
+      if (streams.get(id) != this) {
+        return;
+      }
+      allowed = saturatedAdd(allowed, responses);
+      if (mayHaveArrived) {
+        sendCredit(responses);
+      } else {
+        allowedBeforeSending = saturatedAdd(allowedBeforeSending, responses);
+      }
+    }
+
+    private void sendCredit(long responses) {
+      write(
+          Frame.newBuilder()
+              .setStream(id)
+              .setCredit(Credit.newBuilder().setResponses(responses).build()));
+    }
+
+    private void withdraw() {
+      if (!streams.remove(id, this)) {
+        return;
+      }
+      assembly().discard(id);
+      if (greeted()) {
+        outgoing().discard(id);
+        write(Frame.newBuilder().setStream(id).setCancel(Cancel.getDefaultInstance()));
+      }
+    }
+
+    private void onPart(Part part) throws IOException {
+      Optional<ByteString> message = assembly().add(id, part);
+      if (message.isEmpty()) {
+        return;
+      }
+      Response response = Response.parseFrom(message.get());
+      if (part.getEndStream()) {
+        streams.remove(id);
+        listener.onEnd(response);
+        return;
+      }
+      if (allowed <= 0) {
+        throw new ProtocolViolationException("response without credit on stream " + id);
+      }
+      allowed--;
+      listener.onResponse(response);
+    }
+
+    private void loseWithConnection() {
+      lose(mayHaveArrived ? StreamLoss.LOST : StreamLoss.NOT_SENT);
+    }
+
+    private void lose(StreamLoss loss) {
+      streams.remove(id);
+      assembly().discard(id);
+      listener.onLoss(loss);
+    }
+
+    private static long saturatedAdd(long first, long second) {
+      return first > Long.MAX_VALUE - second ? Long.MAX_VALUE : first + second;
+    }
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/dev/apricotmill/protocol/Connection.java
@@ -0,0 +1,153 @@
+package dev.apricotmill.protocol;
+
+import dev.apricotmill.protocol.generated.Frame;
+import dev.apricotmill.protocol.generated.Hello;
+import dev.apricotmill.protocol.generated.KeepAlive;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/** What both sides of a connection do: the hello, keep-alives, and closing on any fault. */
+abstract class Connection extends SimpleChannelInboundHandler<Frame> {
+
+  private static final Logger LOGGER = System.getLogger(Connection.class.getName());
+  private static final Frame KEEP_ALIVE =
+      Frame.newBuilder().setKeepAlive(KeepAlive.getDefaultInstance()).build();
+
+  private final String daemon;
+  private final TransportLimits limits;
+  private final MessageAssembly assembly;
+  private @Nullable ChannelHandlerContext context;
+  private @Nullable FragmentQueue outgoing;
+  private boolean greeted;
+
+  Connection(String daemon, TransportLimits limits) {
+    this.daemon = daemon;
+    this.limits = limits;
+    assembly = new MessageAssembly(limits);
+  }
+
+  /** Learns that the peer's hello was accepted. */
+  abstract void onGreeted();
+
+  /** Takes a frame of a stream. */
+  abstract void onFrame(Frame frame) throws IOException;
+
+  /** Learns that the connection is gone. */
+  abstract void onClosed();
+
+  final TransportLimits limits() {
+    return limits;
+  }
+
+  final MessageAssembly assembly() {
+    return assembly;
+  }
+
+  final boolean greeted() {
+    return greeted;
+  }
+
+  final FragmentQueue outgoing() {
+    if (outgoing == null) {
+      throw new IllegalStateException("connection is not active");
+    }
+    return outgoing;
+  }
+
+  final void write(Frame.Builder frame) {
+    if (context != null) {
+      context.writeAndFlush(frame.build(), context.voidPromise());
+    }
+  }
+
+  final void close() {
+    if (context != null) {
+      context.close();
+    }
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext active) {
+    context = active;
+    outgoing = new FragmentQueue(active.channel(), limits);
+    write(
+        Frame.newBuilder()
+            .setHello(
+                Hello.newBuilder().setVersion(ProtocolVersion.CURRENT).setDaemon(daemon).build()));
+    active
+        .executor()
+        .schedule(
+            this::closeIfNotGreeted, limits.connectTimeout().toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext active, Frame frame) throws IOException {
+    if (!greeted) {
+      greet(frame);
+    } else if (!frame.hasKeepAlive()) {
+      onFrame(frame);
+    }
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext active) {
+    outgoing().pump();
+    active.fireChannelWritabilityChanged();
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext active, Object event) {
+    if (event instanceof IdleStateEvent idle) {
+      if (idle.state() == IdleState.READER_IDLE) {
+        LOGGER.log(Level.WARNING, "inner: peer {0} fell silent", active.channel().remoteAddress());
+        active.close();
+      } else if (active.channel().isWritable()) {
+        active.writeAndFlush(KEEP_ALIVE, active.voidPromise());
+      }
+      return;
+    }
+    active.fireUserEventTriggered(event);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext active) {
+    onClosed();
+    active.fireChannelInactive();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext active, Throwable cause) {
+    LOGGER.log(
+        Level.WARNING,
+        "inner: closed connection with {0}: {1}",
+        active.channel().remoteAddress(),
+        cause.toString());
+    active.close();
+  }
+
+  private void greet(Frame frame) throws ProtocolViolationException {
+    if (!frame.hasHello()) {
+      throw new ProtocolViolationException("first frame is not a hello");
+    }
+    Hello hello = frame.getHello();
+    if (hello.getVersion() != ProtocolVersion.CURRENT) {
+      throw new ProtocolViolationException(
+          "peer speaks version " + Integer.toUnsignedString(hello.getVersion()));
+    }
+    greeted = true;
+    onGreeted();
+  }
+
+  private void closeIfNotGreeted() {
+    if (!greeted) {
+      close();
+    }
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/dev/apricotmill/protocol/InnerClient.java
@@ -0,0 +1,82 @@
+package dev.apricotmill.protocol;
+
+import dev.apricotmill.protocol.generated.Request;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Opens streams to peers over one connection each, made on demand and made anew after a loss. Safe
+ * for use by several threads; the event loops belong to the caller.
+ */
+public final class InnerClient implements AutoCloseable {
+
+  private final String daemon;
+  private final TransportLimits limits;
+  private final TransportSecurity security;
+  private final EventLoopGroup group;
+  private final ConcurrentHashMap<InetSocketAddress, ClientConnection> connections =
+      new ConcurrentHashMap<>();
+
+  /** Creates a client that greets peers under the name {@code daemon}. */
+  public InnerClient(
+      String daemon, TransportLimits limits, TransportSecurity security, EventLoopGroup group) {
+    this.daemon = daemon;
+    this.limits = limits;
+    this.security = security;
+    this.group = group;
+  }
+
+  /** Sends a request to {@code peer} on a new stream. */
+  public ClientStream open(InetSocketAddress peer, Request request, ResponseListener listener) {
+    return connections.computeIfAbsent(peer, this::connect).open(request, listener);
+  }
+
+  @Override
+  public void close() {
+    connections.values().forEach(ClientConnection::close);
+    connections.clear();
+  }
+
+  private ClientConnection connect(InetSocketAddress peer) {
+    EventLoop loop = group.next();
+    ClientConnection[] self = new ClientConnection[1];
+    ClientConnection connection =
+        new ClientConnection(daemon, limits, loop, () -> connections.remove(peer, self[0]));
+    self[0] = connection;
+    loop.execute(() -> startConnecting(peer, loop, connection));
+    return connection;
+  }
+
+  private void startConnecting(
+      InetSocketAddress peer, EventLoop loop, ClientConnection connection) {
+    new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) limits.connectTimeout().toMillis())
+        .handler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                security.protectClient(channel, peer);
+                ConnectionPipeline.build(channel.pipeline(), limits, connection);
+              }
+            })
+        .connect(peer)
+        .addListener(
+            (ChannelFutureListener)
+                connected -> {
+                  if (!connected.isSuccess()) {
+                    connection.connectFailed();
+                  }
+                });
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/dev/apricotmill/protocol/InnerServer.java
@@ -0,0 +1,109 @@
+package dev.apricotmill.protocol;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicReference;
+
+/** Listens for connections of peers and hands their requests to a {@link StreamAcceptor}. */
+public final class InnerServer implements AutoCloseable {
+
+  private static final Logger LOGGER = System.getLogger(InnerServer.class.getName());
+
+  private final String daemon;
+  private final TransportLimits limits;
+  private final TransportSecurity security;
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final AtomicReference<StreamAcceptor> acceptor;
+  private final Channel listener;
+
+  /**
+   * Listens at {@code address}. Requests go to {@code firstAcceptor} until {@link #serve} names
+   * another; the event loops belong to the caller.
+   *
+   * @throws IOException if the address cannot be bound
+   */
+  public InnerServer(
+      String daemon,
+      InetSocketAddress address,
+      TransportLimits limits,
+      TransportSecurity security,
+      EventLoopGroup group,
+      StreamAcceptor firstAcceptor)
+      throws IOException {
+    this.daemon = daemon;
+    this.limits = limits;
+    this.security = security;
+    acceptor = new AtomicReference<>(firstAcceptor);
+    listener = bind(address, group);
+  }
+
+  /** Hands further requests to {@code next}. */
+  public void serve(StreamAcceptor next) {
+    acceptor.set(next);
+  }
+
+  /** Returns where the server listens. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  /** Returns how many connections are open. */
+  public int connectionCount() {
+    return connections.size();
+  }
+
+  @Override
+  public void close() {
+    listener.close().awaitUninterruptibly();
+    connections.close().awaitUninterruptibly();
+  }
+
+  private Channel bind(InetSocketAddress address, EventLoopGroup group) throws IOException {
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    accept(channel);
+                  }
+                })
+            .bind(address)
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IOException("cannot listen at " + address, bound.cause());
+    }
+    return bound.channel();
+  }
+
+  private void accept(Channel channel) {
+    if (connections.size() >= limits.maximumConnections()) {
+      LOGGER.log(
+          Level.WARNING, "inner: refused {0}: too many connections", channel.remoteAddress());
+      channel.close();
+      return;
+    }
+    connections.add(channel);
+    security.protectServer(channel);
+    ConnectionPipeline.build(
+        channel.pipeline(),
+        limits,
+        new ServerConnection(daemon, limits, channel.eventLoop(), acceptor::get));
+  }
+}
--- a/protocol/src/main/java/dev/apricotmill/protocol/package-info.java
+++ b/protocol/src/main/java/dev/apricotmill/protocol/package-info.java
@@ -1,4 +1,7 @@
-/** The protocol between daemons: messages and their transport. */
+/**
+ * The inner protocol: bounded protobuf frames over TCP, and the streams between daemons that a
+ * connection carries. It knows messages and transport only.
+ */
 @NullMarked
 package dev.apricotmill.protocol;
 
