--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/callers/CompletionJson.java
@@ -0,0 +1,71 @@
+package dev.apricotmill.daemon.callers;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Ascii;
+import dev.apricotmill.core.peer.ForwardEnd;
+import dev.apricotmill.core.request.RequestId;
+import dev.apricotmill.core.request.ServiceName;
+import java.util.Optional;
+
+/**
+ * Writes the answers of the completions API.
+ *
+ * @param form the form
+ * @param request the request
+ * @param service the model pool
+ * @param createdSeconds when the answer began, in seconds since the epoch
+ */
+record CompletionJson(
+    CompletionForm form, RequestId request, ServiceName service, long createdSeconds) {
+
+  /** Returns a whole answer. */
+  ObjectNode whole(String text, ForwardEnd.Usage usage) {
+    ObjectNode answer = envelope(form.objectName());
+    ObjectNode choice = choice(answer, Optional.of(finishReason(usage)));
+    form.putText(choice, text);
+    answer.set("usage", usageNode(usage));
+    return answer;
+  }
+
+  /** Returns a piece of a streamed answer. */
+  ObjectNode piece(String text, boolean first) {
+    ObjectNode piece = envelope(form.chunkObjectName());
+    form.putDelta(choice(piece, Optional.empty()), text, first);
+    return piece;
+  }
+
+  /** Returns the last piece of a streamed answer, with the counts. */
+  ObjectNode lastPiece(ForwardEnd.Usage usage, boolean first) {
+    ObjectNode piece = envelope(form.chunkObjectName());
+    form.putDelta(choice(piece, Optional.of(finishReason(usage))), "", first);
+    piece.set("usage", usageNode(usage));
+    return piece;
+  }
+
+  private ObjectNode envelope(String objectName) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("id", form.idPrefix() + request.value())
+        .put("object", objectName)
+        .put("created", createdSeconds)
+        .put("model", service.value());
+  }
+
+  private static ObjectNode choice(ObjectNode envelope, Optional<String> finishReason) {
+    ObjectNode choice = envelope.putArray("choices").addObject().put("index", 0);
+    return choice.put("finish_reason", finishReason.orElse(null));
+  }
+
+  private static ObjectNode usageNode(ForwardEnd.Usage usage) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("prompt_tokens", usage.promptTokens())
+        .put("completion_tokens", usage.outputTokens())
+        .put("total_tokens", usage.promptTokens() + usage.outputTokens());
+  }
+
+  private static String finishReason(ForwardEnd.Usage usage) {
+    return Ascii.toLowerCase(usage.finishReason().name());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/callers/Problems.java
@@ -0,0 +1,140 @@
+package dev.apricotmill.daemon.callers;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Ascii;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.outcome.RefusalReason;
+import dev.apricotmill.core.request.RequestId;
+import dev.apricotmill.daemon.http.Answer;
+import dev.apricotmill.daemon.http.EdgeFault;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+
+/** Makes problem details (RFC 9457) for every outcome but an answer. */
+final class Problems {
+
+  private static final String MEDIA_TYPE = "application/problem+json";
+  private static final String TYPE_PREFIX = "urn:apricotmill:problem:";
+  private static final Duration EDGE_RETRY = Duration.ofSeconds(1);
+
+  private Problems() {}
+
+  /** Returns the answer to a request with an outcome that is not an answer. */
+  static Answer of(RequestId request, Outcome outcome, ImmutableList<String> hops) {
+    Answer answer =
+        answer(request, statusOf(outcome), reasonOf(outcome), outcome, titleOf(outcome));
+    return hops.isEmpty() ? answer : answer.withHeader(CallerHeaders.HOPS, String.join(",", hops));
+  }
+
+  /** Returns the answer to a request that the callers' port refuses. */
+  static Answer of(RequestId request, CallerFaultException refusal) {
+    CallerFault fault = refusal.fault();
+    String detail =
+        refusal.place().isEmpty() ? fault.detail() : fault.detail() + ": " + refusal.place();
+    return answer(
+        request,
+        fault.status(),
+        nameOf(fault),
+        new Outcome.Refused(fault.reason(), Duration.ZERO),
+        detail);
+  }
+
+  /** Returns the answer to a request that broke a limit of the server. */
+  static Answer of(RequestId request, EdgeFault fault) {
+    RefusalReason reason = fault.retryable() ? RefusalReason.OVERLOADED : RefusalReason.MALFORMED;
+    Duration retryAfter = fault.retryable() ? EDGE_RETRY : Duration.ZERO;
+    return answer(
+        request,
+        fault.status(),
+        nameOf(fault),
+        new Outcome.Refused(reason, retryAfter),
+        fault.detail());
+  }
+
+  /** Returns the problem as JSON, for a stream that has already begun. */
+  static ObjectNode body(RequestId request, Outcome outcome) {
+    return body(request, statusOf(outcome), reasonOf(outcome), outcome, titleOf(outcome));
+  }
+
+  private static Answer answer(
+      RequestId request, int status, String reason, Outcome outcome, String detail) {
+    ImmutableMap.Builder<String, String> headers =
+        ImmutableMap.<String, String>builder()
+            .put(Answer.CONTENT_TYPE, MEDIA_TYPE)
+            .put(CallerHeaders.REQUEST_ID, request.value())
+            .put(CallerHeaders.OUTCOME, outcome.headerValue());
+    if (outcome instanceof Outcome.Refused refused && !refused.retryAfter().isZero()) {
+      headers.put(CallerHeaders.RETRY_AFTER, Long.toString(secondsUp(refused.retryAfter())));
+    }
+    if (status == 401) {
+      headers.put("WWW-Authenticate", "Bearer");
+    }
+    byte[] json =
+        body(request, status, reason, outcome, detail).toString().getBytes(StandardCharsets.UTF_8);
+    return new Answer(status, headers.buildOrThrow(), json);
+  }
+
+  private static ObjectNode body(
+      RequestId request, int status, String reason, Outcome outcome, String detail) {
+    ObjectNode body =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("type", TYPE_PREFIX + reason)
+            .put("title", titleOf(outcome))
+            .put("status", status)
+            .put("detail", detail)
+            .put("outcome", outcome.headerValue())
+            .put("reason", reason)
+            .put("request_id", request.value());
+    if (outcome instanceof Outcome.Refused refused) {
+      body.put("retryable", refused.reason().retryable());
+      if (!refused.retryAfter().isZero()) {
+        body.put("retry_after_seconds", secondsUp(refused.retryAfter()));
+      }
+    }
+    return body;
+  }
+
+  private static int statusOf(Outcome outcome) {
+    if (outcome instanceof Outcome.Refused refused) {
+      return refused.reason().status();
+    }
+    if (outcome instanceof Outcome.Failed failed) {
+      return failed.reason().status();
+    }
+    if (outcome instanceof Outcome.Unknown unknown) {
+      return unknown.reason().status();
+    }
+    return ((Outcome.Answered) outcome).status();
+  }
+
+  private static String reasonOf(Outcome outcome) {
+    if (outcome instanceof Outcome.Refused refused) {
+      return nameOf(refused.reason());
+    }
+    if (outcome instanceof Outcome.Failed failed) {
+      return nameOf(failed.reason());
+    }
+    return outcome instanceof Outcome.Unknown unknown ? nameOf(unknown.reason()) : "answered";
+  }
+
+  private static String titleOf(Outcome outcome) {
+    if (outcome instanceof Outcome.Refused) {
+      return "The request was refused and did not run.";
+    }
+    return outcome instanceof Outcome.Failed
+        ? "The request failed after it may have started."
+        : "It is not known whether the request ran.";
+  }
+
+  private static String nameOf(Enum<?> constant) {
+    return Ascii.toLowerCase(constant.name()).replace('_', '-');
+  }
+
+  private static long secondsUp(Duration duration) {
+    return duration.plusNanos(999_999_999).toSeconds();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/callers/ServicePath.java
@@ -0,0 +1,46 @@
+package dev.apricotmill.daemon.callers;
+
+import dev.apricotmill.core.request.ServiceName;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/**
+ * The path of a plain service's call in normal form. Rules are matched by prefix, so a path that
+ * could name the same resource in another way is refused.
+ *
+ * @param service the plain service
+ * @param path the path and query below the service
+ */
+record ServicePath(ServiceName service, String path) {
+
+  private static final String PREFIX = "/services/";
+  private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,63}");
+  private static final Pattern NORMAL_PATH =
+      Pattern.compile("(/([A-Za-z0-9._~!$&'()*+,;=:@-]|%[0-9A-F]{2})*)*");
+  private static final Pattern ODD_SEGMENT = Pattern.compile("(^|/)\\.{1,2}(/|$)|//");
+  private static final Pattern NEEDLESS_ESCAPE =
+      Pattern.compile("%(2D|2E|2F|3[0-9]|4[1-9A-F]|5[0-9A]|5C|5F|6[1-9A-F]|7[0-9A]|7E|00)");
+
+  /** Parses a request's path; returns nothing if it is not in normal form. */
+  static Optional<ServicePath> parse(String target) {
+    if (!target.startsWith(PREFIX)) {
+      return Optional.empty();
+    }
+    int nameEnd = target.indexOf('/', PREFIX.length());
+    String name = target.substring(PREFIX.length(), nameEnd < 0 ? target.length() : nameEnd);
+    String rest = nameEnd < 0 ? "/" : target.substring(nameEnd);
+    int query = rest.indexOf('?');
+    String path = query < 0 ? rest : rest.substring(0, query);
+    boolean normal =
+        NAME.matcher(name).matches()
+            && NORMAL_PATH.matcher(path).matches()
+            && !ODD_SEGMENT.matcher(path).find()
+            && !NEEDLESS_ESCAPE.matcher(path).find();
+    return normal ? Optional.of(new ServicePath(new ServiceName(name), rest)) : Optional.empty();
+  }
+
+  /** Returns whether a target belongs to the plain services at all. */
+  static boolean matches(String target) {
+    return target.startsWith(PREFIX);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/callers/package-info.java
@@ -0,0 +1,5 @@
+/** The callers' port: completions, chat completions and the relay to plain services. */
+@NullMarked
+package dev.apricotmill.daemon.callers;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/Answer.java
@@ -0,0 +1,46 @@
+package dev.apricotmill.daemon.http;
+
+import com.google.common.collect.ImmutableMap;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/**
+ * A whole answer.
+ *
+ * @param status the HTTP status
+ * @param headers the headers, without those that frame the message
+ * @param body the body; not to be modified
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record Answer(int status, ImmutableMap<String, String> headers, byte[] body) {
+
+  /** The header that names the type of the body. */
+  public static final String CONTENT_TYPE = "content-type";
+
+  /** Returns an answer with a text. */
+  public static Answer text(int status, String contentType, String body) {
+    return new Answer(
+        status, ImmutableMap.of(CONTENT_TYPE, contentType), body.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Returns the answer with one header more. */
+  public Answer withHeader(String name, String value) {
+    return new Answer(
+        status,
+        ImmutableMap.<String, String>builder().putAll(headers).put(name, value).buildKeepingLast(),
+        body);
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Answer that
+        && status == that.status
+        && headers.equals(that.headers)
+        && Arrays.equals(body, that.body);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * status + Arrays.hashCode(body);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
@@ -0,0 +1,156 @@
+package dev.apricotmill.daemon.http;
+
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import dev.apricotmill.coordination.time.Timing;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.config.CharCodingConfig;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandlerFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.NHttpMessageParserFactory;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.protocol.ResponseConnControl;
+import org.apache.hc.core5.http.protocol.ResponseContent;
+import org.apache.hc.core5.http.protocol.ResponseDate;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.util.Timeout;
+
+/** An HTTP/1.1 server on one address. */
+public final class HttpListener implements AutoCloseable {
+
+  private static final Logger LOGGER = System.getLogger(HttpListener.class.getName());
+  private static final int MAXIMUM_HEADERS = 100;
+  private static final int INITIAL_WINDOW_BYTES = 64 << 10;
+
+  private final ServerLimits limits;
+  private final RequestHandler handler;
+  private final Timing timing;
+  private final BodyBudget budget;
+  private final ExecutorService workers;
+  private final HttpAsyncServer server;
+  private final InetSocketAddress address;
+
+  /**
+   * Starts a server.
+   *
+   * @param name names the server's threads
+   * @throws IOException if the address cannot be bound
+   */
+  public HttpListener(
+      String name,
+      InetSocketAddress address,
+      ServerLimits limits,
+      RequestHandler handler,
+      Timing timing,
+      int threads)
+      throws IOException {
+    this.limits = limits;
+    this.handler = handler;
+    this.timing = timing;
+    budget = new BodyBudget(limits.maximumBufferedBytes());
+    workers =
+        Executors.newFixedThreadPool(
+            threads,
+            new ThreadFactoryBuilder().setNameFormat(name + "-%d").setDaemon(true).build());
+    server = newServer(name, threads);
+    this.address = listen(address);
+  }
+
+  /** Returns where the server listens. */
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  /** Returns the bytes of bodies that open requests hold. */
+  public long bufferedBytes() {
+    return budget.heldBytes();
+  }
+
+  @Override
+  public void close() {
+    server.close(CloseMode.IMMEDIATE);
+    workers.shutdownNow();
+  }
+
+  private InetSocketAddress listen(InetSocketAddress wanted) throws IOException {
+    server.start();
+    try {
+      ListenerEndpoint endpoint = server.listen(wanted, URIScheme.HTTP).get();
+      return (InetSocketAddress) endpoint.getAddress();
+    } catch (ExecutionException e) {
+      close();
+      throw new IOException("cannot listen at " + wanted, e.getCause());
+    } catch (InterruptedException e) {
+      close();
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted while binding " + wanted, e);
+    }
+  }
+
+  private HttpAsyncServer newServer(String name, int threads) {
+    IOReactorConfig reactor =
+        IOReactorConfig.custom()
+            .setIoThreadCount(threads)
+            .setSoReuseAddress(true)
+            .setTcpNoDelay(true)
+            .setSelectInterval(Timeout.ofMilliseconds(100))
+            .build();
+    return new HttpAsyncServer(
+        new ServerHttp1IOEventHandlerFactory(duplexers(), null, Timeout.ofSeconds(10)),
+        reactor,
+        null,
+        failure -> LOGGER.log(Level.WARNING, "http: {0}: {1}", name, failure.toString()),
+        null,
+        null,
+        null,
+        null);
+  }
+
+  private ServerHttp1StreamDuplexerFactory duplexers() {
+    Http1Config config =
+        Http1Config.custom()
+            .setMaxLineLength(limits.maximumHeaderBytes())
+            .setMaxHeaderCount(MAXIMUM_HEADERS)
+            .setInitialWindowSize(INITIAL_WINDOW_BYTES)
+            .build();
+    NHttpMessageParserFactory<HttpRequest> parsers = new DefaultHttpRequestParserFactory(config);
+    HttpProcessor processor =
+        HttpProcessorBuilder.create()
+            .addAll(new ResponseDate(), new ResponseContent(), new ResponseConnControl())
+            .build();
+    return new ServerHttp1StreamDuplexerFactory(
+        processor,
+        this::newExchange,
+        config,
+        CharCodingConfig.DEFAULT,
+        DefaultConnectionReuseStrategy.INSTANCE,
+        () -> new TolerantRequestParser(parsers.create()),
+        DefaultHttpResponseWriterFactory.INSTANCE,
+        null,
+        failure -> LOGGER.log(Level.DEBUG, "http: {0}", failure.toString()));
+  }
+
+  private AsyncServerExchangeHandler newExchange(HttpRequest request, HttpContext context) {
+    ServerExchange exchange = new ServerExchange(limits, handler, workers, budget);
+    exchange.stopWhenRead(
+        timing.schedule(limits.readTimeout(), () -> exchange.refuse(EdgeFault.TOO_SLOW)));
+    return exchange;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ReplyStream.java
@@ -0,0 +1,11 @@
+package dev.apricotmill.daemon.http;
+
+/** A streamed answer. Safe for use by several threads. */
+public interface ReplyStream {
+
+  /** Queues a piece; {@link ReplyListener#onWritten} tells when the socket took it. */
+  void write(byte[] piece);
+
+  /** Ends the answer after the queued pieces. */
+  void end();
+}
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerEndpoint.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerEndpoint.java
@@ -106,9 +106,7 @@
                 finish(stream, answered.reply());
               } else {
                 stream.finish(
-                    Response.newBuilder()
-                        .setProbeAnswer(ProbeAnswer.getDefaultInstance())
-                        .build());
+                    Response.newBuilder().setProbeAnswer(ProbeAnswer.getDefaultInstance()).build());
               }
             });
   }
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPeerProbes.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPeerProbes.java
@@ -61,11 +61,7 @@
   }
 
   private <T> CompletionStage<T> ask(
-      PeerAddress peer,
-      Request request,
-      Duration timeout,
-      Function<Response, T> reader,
-      T silent) {
+      PeerAddress peer, Request request, Duration timeout, Function<Response, T> reader, T silent) {
     CompletableFuture<T> result = new CompletableFuture<>();
     ClientStream stream =
         client.open(
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerStewardPeers.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerStewardPeers.java
@@ -34,8 +34,7 @@
             .setForward(ForwardMessages.toMessage(request, timing.nanoTime()))
             .build();
     Answer answer = new Answer(listener);
-    ClientStream stream =
-        client.open(PeerAddresses.toSocketAddress(steward), message, answer);
+    ClientStream stream = client.open(PeerAddresses.toSocketAddress(steward), message, answer);
     return new Flow.Subscription() {
       @Override
       public void request(long chunks) {
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/MemberMessages.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/MemberMessages.java
@@ -45,9 +45,7 @@
         .setPort(member.address().port())
         .setState(
             EnumMessages.prefixed(
-                dev.apricotmill.protocol.generated.MemberState.class,
-                STATE_PREFIX,
-                member.state()))
+                dev.apricotmill.protocol.generated.MemberState.class, STATE_PREFIX, member.state()))
         .build();
   }
 
--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/EnvironmentDefaults.java
@@ -0,0 +1,22 @@
+package dev.apricotmill.daemon.settings;
+
+import com.beust.jcommander.IDefaultProvider;
+import com.google.common.collect.ImmutableMap;
+import java.util.Locale;
+import org.jspecify.annotations.Nullable;
+
+/** Gives a flag that is absent from the command line the value of its environment variable. */
+record EnvironmentDefaults(ImmutableMap<String, String> environment) implements IDefaultProvider {
+
+  private static final String PREFIX = "APRICOTMILL_";
+
+  /** Returns the variable of a flag: {@code --public-port} has {@code APRICOTMILL_PUBLIC_PORT}. */
+  static String variableOf(String flag) {
+    return PREFIX + flag.replaceFirst("^--", "").replace('-', '_').toUpperCase(Locale.ROOT);
+  }
+
+  @Override
+  public @Nullable String getDefaultValueFor(String optionName) {
+    return environment.get(variableOf(optionName));
+  }
+}
