--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/ForwardMessages.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/ForwardMessages.java
@@ -132,7 +132,11 @@
         .setReservedTokens(load.reservedTokens())
         .setQueuedRequests(load.queuedRequests())
         .setQueuedPromptTokens(load.queuedPromptTokens())
+        .setShortPromptTokens(load.shortPromptTokens())
+        .setMediumPromptTokens(load.mediumPromptTokens())
+        .setLongPromptTokens(load.longPromptTokens())
         .setLongPrompts(load.longPrompts())
+        .setPrefillTokensPerSecond(load.prefillTokensPerSecond())
         .setTimeToFirstTokenNanos(load.timeToFirstToken().toNanos())
         .build();
   }
@@ -143,7 +147,11 @@
         message.getReservedTokens(),
         message.getQueuedRequests(),
         message.getQueuedPromptTokens(),
+        message.getShortPromptTokens(),
+        message.getMediumPromptTokens(),
+        message.getLongPromptTokens(),
         message.getLongPrompts(),
+        message.getPrefillTokensPerSecond(),
         Duration.ofNanos(message.getTimeToFirstTokenNanos()));
   }
 
--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/operators/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' port: liveness, readiness, metrics, status and drain. */
+@NullMarked
+package dev.apricotmill.daemon.operators;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
@@ -0,0 +1,232 @@
+package dev.apricotmill.daemon.process;
+
+import com.google.common.io.Closer;
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.daemon.callers.CallerHandler;
+import dev.apricotmill.daemon.callers.RequestIds;
+import dev.apricotmill.daemon.http.HttpListener;
+import dev.apricotmill.daemon.http.ServerLimits;
+import dev.apricotmill.daemon.inner.InnerEndpoint;
+import dev.apricotmill.daemon.inner.InnerPeerProbes;
+import dev.apricotmill.daemon.inner.InnerStewardPeers;
+import dev.apricotmill.daemon.operators.OperatorsHandler;
+import dev.apricotmill.daemon.settings.CallerLimits;
+import dev.apricotmill.daemon.settings.DaemonSettings;
+import dev.apricotmill.node.Node;
+import dev.apricotmill.node.NodePorts;
+import dev.apricotmill.node.NodeSettings;
+import dev.apricotmill.node.api.NodeStatus;
+import dev.apricotmill.protocol.InnerClient;
+import dev.apricotmill.protocol.InnerServer;
+import dev.apricotmill.protocol.TransportLimits;
+import dev.apricotmill.protocol.TransportSecurity;
+import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** All parts of one daemon: three listeners, the inner client and the node behind them. */
+public final class DaemonProcess implements AutoCloseable {
+
+  private static final Logger LOGGER = System.getLogger(DaemonProcess.class.getName());
+  private static final int IO_THREADS = 2;
+  private static final long GROUP_SHUTDOWN_MILLIS = 500;
+  private static final ServerLimits OPERATORS_LIMITS =
+      new ServerLimits(16 << 10, 64 << 10, 1 << 20, 64, Duration.ofSeconds(10));
+
+  private final Closer closer = Closer.create();
+  private final DaemonSettings settings;
+  private final Timing timing;
+  private final Node node;
+  private final HttpListener publicListener;
+  private final HttpListener operatorsListener;
+  private final InnerServer innerServer;
+
+  private DaemonProcess(
+      DaemonSettings settings, Timing timing, OuterPorts outer, NodeFactory factory)
+      throws IOException {
+    this.settings = settings;
+    this.timing = timing;
+    EventLoopGroup group = eventLoops();
+    closer.register(() -> stop(group));
+    String name = settings.daemon().name();
+    TransportLimits limits = TransportLimits.DEFAULT;
+    innerServer =
+        new InnerServer(
+            name,
+            settings.innerAddress(),
+            limits,
+            TransportSecurity.PLAIN,
+            group,
+            InnerEndpoint.notReady());
+    closer.register(innerServer::close);
+    InnerClient client = new InnerClient(name, limits, TransportSecurity.PLAIN, group);
+    closer.register(client::close);
+    Tracing tracing = Tracing.start(name, settings.otlpEndpoint());
+    closer.register(tracing::close);
+    PrometheusMeterRegistry meters = meters();
+    node =
+        factory.create(
+            nodeSettings(),
+            new NodePorts(
+                timing,
+                outer.platform(),
+                new InnerPeerProbes(client, timing),
+                new InnerStewardPeers(client, timing),
+                outer.engines(),
+                outer.services(),
+                new SecureRandom(),
+                meters,
+                tracing.tracer()));
+    closer.register(node::close);
+    publicListener = publicListener();
+    operatorsListener = operatorsListener(meters);
+  }
+
+  /**
+   * Starts a daemon.
+   *
+   * @throws IOException if a port cannot be used
+   */
+  public static DaemonProcess start(
+      DaemonSettings settings, Timing timing, OuterPorts outer, NodeFactory factory)
+      throws IOException {
+    DaemonProcess process = new DaemonProcess(settings, timing, outer, factory);
+    process.node.start();
+    process.innerServer.serve(new InnerEndpoint(process.node, process.node, timing));
+    LOGGER.log(
+        Level.INFO,
+        "daemon: {0} in zone {1} listens: public {2}, inner {3}, operators {4}",
+        settings.daemon(),
+        settings.zone(),
+        process.publicAddress(),
+        process.innerAddress(),
+        process.operatorsAddress());
+    return process;
+  }
+
+  /** Returns where callers connect. */
+  public InetSocketAddress publicAddress() {
+    return publicListener.address();
+  }
+
+  /** Returns where peers connect. */
+  public InetSocketAddress innerAddress() {
+    return innerServer.address();
+  }
+
+  /** Returns where operators connect. */
+  public InetSocketAddress operatorsAddress() {
+    return operatorsListener.address();
+  }
+
+  /** Lets open requests end, for at most the drain time; returns whether all ended. */
+  public boolean drain() {
+    LOGGER.log(Level.INFO, "daemon: draining for at most {0}", settings.drainTime());
+    try {
+      NodeStatus status =
+          node.drain()
+              .toCompletableFuture()
+              .get(settings.drainTime().toMillis(), TimeUnit.MILLISECONDS);
+      LOGGER.log(Level.INFO, "daemon: drained, {0} requests open", status.openRequests());
+      return true;
+    } catch (TimeoutException | ExecutionException e) {
+      LOGGER.log(Level.WARNING, "daemon: drain did not end: {0}", e.toString());
+      return false;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    closer.close();
+  }
+
+  private HttpListener publicListener() throws IOException {
+    CallerLimits limits = settings.limits();
+    CallerHandler handler =
+        new CallerHandler(
+            node,
+            timing.clock(),
+            new RequestIds(timing.clock(), new SecureRandom()),
+            settings.maximumTimeLimit());
+    HttpListener listener =
+        new HttpListener(
+            "public",
+            settings.publicAddress(),
+            new ServerLimits(
+                limits.maximumHeaderBytes(),
+                limits.maximumBodyBytes(),
+                limits.maximumBufferedBytes(),
+                limits.maximumConnections(),
+                limits.readTimeout()),
+            handler,
+            timing,
+            IO_THREADS);
+    closer.register(listener::close);
+    return listener;
+  }
+
+  private HttpListener operatorsListener(PrometheusMeterRegistry meters) throws IOException {
+    HttpListener listener =
+        new HttpListener(
+            "operators",
+            settings.operatorsAddress(),
+            OPERATORS_LIMITS,
+            new OperatorsHandler(node, meters),
+            timing,
+            1);
+    closer.register(listener::close);
+    return listener;
+  }
+
+  private NodeSettings nodeSettings() {
+    InetSocketAddress inner = innerServer.address();
+    return new NodeSettings(
+        settings.daemon(),
+        settings.zone(),
+        new PeerAddress(inner.getAddress().getHostAddress(), inner.getPort()),
+        settings.limits().maximumOpenRequests(),
+        settings.defaultTimeLimit(),
+        settings.maximumTimeLimit());
+  }
+
+  private PrometheusMeterRegistry meters() {
+    PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    closer.register(meters::close);
+    JvmGcMetrics collections = new JvmGcMetrics();
+    closer.register(collections::close);
+    collections.bindTo(meters);
+    new JvmMemoryMetrics().bindTo(meters);
+    new ProcessorMetrics().bindTo(meters);
+    return meters;
+  }
+
+  private static EventLoopGroup eventLoops() {
+    return new MultiThreadIoEventLoopGroup(
+        IO_THREADS,
+        new ThreadFactoryBuilder().setNameFormat("inner-%d").setDaemon(true).build(),
+        NioIoHandler.newFactory());
+  }
+
+  private static void stop(EventLoopGroup group) {
+    group.shutdownGracefully(0, GROUP_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/Logs.java
@@ -0,0 +1,45 @@
+package dev.apricotmill.daemon.process;
+
+import java.lang.System.Logger.Level;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Handler;
+import java.util.logging.Logger;
+
+/** Sends all logs to standard error, one line for each record. */
+public final class Logs {
+
+  private static final String MANAGER_PROPERTY = "java.util.logging.manager";
+
+  /** Held so that the level is not lost with an unused logger. */
+  private static final Logger APRICOTMILL = Logger.getLogger("dev.apricotmill");
+
+  private Logs() {}
+
+  /** Chooses the log manager; must run before any logger is made. */
+  public static void install() {
+    System.setProperty(MANAGER_PROPERTY, LingeringLogManager.class.getName());
+  }
+
+  /** Sets the lowest level that is logged; libraries log warnings only. */
+  public static void configure(Level level) {
+    Logger root = Logger.getLogger("");
+    for (Handler handler : root.getHandlers()) {
+      root.removeHandler(handler);
+    }
+    Handler handler = new ConsoleHandler();
+    handler.setFormatter(new LineFormatter());
+    handler.setLevel(java.util.logging.Level.ALL);
+    root.addHandler(handler);
+    root.setLevel(java.util.logging.Level.WARNING);
+    APRICOTMILL.setLevel(julLevel(level));
+  }
+
+  private static java.util.logging.Level julLevel(Level level) {
+    return switch (level) {
+      case ERROR -> java.util.logging.Level.SEVERE;
+      case WARNING -> java.util.logging.Level.WARNING;
+      case DEBUG -> java.util.logging.Level.FINE;
+      default -> java.util.logging.Level.INFO;
+    };
+  }
+}
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingFlags.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingFlags.java
@@ -51,6 +51,11 @@
       description = "largest body of a caller's request in bytes")
   String maximumBodyBytes = "8388608";
 
+  @Parameter(
+      names = "--maximum-buffered-bytes",
+      description = "bytes of bodies that all open requests may hold together")
+  String maximumBufferedBytes = "134217728";
+
   @Parameter(names = "--maximum-connections", description = "connections that callers may open")
   String maximumConnections = "1024";
 
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsCheck.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsCheck.java
@@ -26,6 +26,7 @@
   private static final int MAXIMUM_HEADER_BYTES = 1 << 20;
   private static final int MINIMUM_BODY_BYTES = 1 << 10;
   private static final int MAXIMUM_BODY_BYTES = 20 << 20;
+  private static final int MAXIMUM_BUFFERED_BYTES = 1 << 30;
   private static final int MAXIMUM_COUNT = 1_000_000;
   private static final Duration ONE_DAY = Duration.ofDays(1);
 
@@ -87,6 +88,11 @@
             MAXIMUM_HEADER_BYTES),
         number(
             "--maximum-body-bytes", flags.maximumBodyBytes, MINIMUM_BODY_BYTES, MAXIMUM_BODY_BYTES),
+        number(
+            "--maximum-buffered-bytes",
+            flags.maximumBufferedBytes,
+            MINIMUM_BODY_BYTES,
+            MAXIMUM_BUFFERED_BYTES),
         number("--maximum-connections", flags.maximumConnections, 1, MAXIMUM_COUNT),
         number("--maximum-open-requests", flags.maximumOpenRequests, 1, MAXIMUM_COUNT),
         seconds("--read-timeout", flags.readTimeout, ONE_DAY));
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsReader.java
@@ -60,7 +60,6 @@
   private static String usage(JCommander commander) {
     StringBuilder text = new StringBuilder();
     commander.getUsageFormatter().usage(text);
-    return text.append(EXPLANATION)
-        .toString();
+    return text.append(EXPLANATION).toString();
   }
 }
