--- /dev/null
+++ b/daemon/src/test/java/dev/apricotmill/daemon/testing/CallersFixture.java
@@ -0,0 +1,92 @@
+package dev.apricotmill.daemon.testing;
+
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.daemon.callers.CallerHandler;
+import dev.apricotmill.daemon.callers.RequestIds;
+import dev.apricotmill.daemon.http.HttpListener;
+import dev.apricotmill.daemon.http.ServerLimits;
+import dev.apricotmill.daemon.process.SystemTiming;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+/** A callers' port on loopback in front of a {@link FakeNode}. */
+public final class CallersFixture implements AutoCloseable {
+
+  /** Small limits, so that tests break them with little data. */
+  public static final ServerLimits LIMITS =
+      new ServerLimits(4 << 10, 64 << 10, 128 << 10, 8, Duration.ofSeconds(20));
+
+  private static final long SEED = 42;
+
+  /** The node behind the port. */
+  public final FakeNode node = new FakeNode();
+
+  /** The port. */
+  public final HttpListener listener;
+
+  private final HttpClient client = HttpClient.newHttpClient();
+
+  private CallersFixture(ServerLimits limits, Timing timing) throws IOException {
+    CallerHandler handler =
+        new CallerHandler(
+            node,
+            timing.clock(),
+            new RequestIds(timing.clock(), new Random(SEED)),
+            Duration.ofHours(1));
+    listener =
+        new HttpListener(
+            "test",
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+            limits,
+            handler,
+            timing,
+            2);
+  }
+
+  /** Starts a port with small limits. */
+  public static CallersFixture start() throws IOException {
+    return start(LIMITS, SystemTiming.start());
+  }
+
+  /** Starts a port with the given limits and time. */
+  public static CallersFixture start(ServerLimits limits, Timing timing) throws IOException {
+    return new CallersFixture(limits, timing);
+  }
+
+  /** Opens a raw connection to the port. */
+  public RawConnection connect() throws IOException {
+    return RawConnection.to(listener.address());
+  }
+
+  /** Begins a request to a path. */
+  public HttpRequest.Builder request(String path) {
+    return HttpRequest.newBuilder(
+        URI.create("http://127.0.0.1:" + listener.address().getPort() + path));
+  }
+
+  /** Sends a request. */
+  public CompletableFuture<HttpResponse<String>> send(HttpRequest.Builder request) {
+    return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  /** Posts JSON to a path with a customer's key. */
+  public CompletableFuture<HttpResponse<String>> post(String path, String json) {
+    return send(
+        request(path)
+            .header("Authorization", "Bearer secret")
+            .POST(HttpRequest.BodyPublishers.ofString(json)));
+  }
+
+  @Override
+  public void close() {
+    listener.close();
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/dev/apricotmill/daemon/testing/FakeNode.java
@@ -0,0 +1,129 @@
+package dev.apricotmill.daemon.testing;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.identity.DaemonId;
+import dev.apricotmill.coordination.identity.Incarnation;
+import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.membership.FetchResult;
+import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.coordination.membership.MemberState;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.membership.ProbeMessage;
+import dev.apricotmill.coordination.membership.ProbeResult;
+import dev.apricotmill.core.peer.ForwardListener;
+import dev.apricotmill.core.peer.ForwardedRequest;
+import dev.apricotmill.node.Node;
+import dev.apricotmill.node.api.AnswerListener;
+import dev.apricotmill.node.api.CallAnswer;
+import dev.apricotmill.node.api.CallSubmission;
+import dev.apricotmill.node.api.GenerationSubmission;
+import dev.apricotmill.node.api.NodeStatus;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Flow;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/** A node that records what it is asked and answers when the test says so. */
+public final class FakeNode implements Node {
+
+  /** The life that the node claims. */
+  public static final Incarnation SELF = new Incarnation(new DaemonId("fake"), 7);
+
+  /** Generations in the order of their arrival. */
+  public final BlockingQueue<Generation> generations = new LinkedBlockingQueue<>();
+
+  /** Calls of plain services in the order of their arrival. */
+  public final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+
+  /** Forwards of peers in the order of their arrival. */
+  public final BlockingQueue<Forwarded> forwards = new LinkedBlockingQueue<>();
+
+  private volatile NodeStatus.Phase phase = NodeStatus.Phase.STARTING;
+
+  /** A generation that was submitted. */
+  public record Generation(
+      GenerationSubmission submission, AnswerListener listener, RecordedDemand demand) {}
+
+  /** A call that was submitted. */
+  public record Call(CallSubmission submission, CompletableFuture<CallAnswer> answer) {}
+
+  /** A request that a peer forwarded. */
+  public record Forwarded(
+      ForwardedRequest request, ForwardListener listener, RecordedDemand demand) {}
+
+  @Override
+  public void start() {
+    phase = NodeStatus.Phase.READY;
+  }
+
+  @Override
+  public Incarnation self() {
+    return SELF;
+  }
+
+  @Override
+  public NodeStatus status() {
+    return new NodeStatus(
+        SELF,
+        new Zone("test-1"),
+        phase,
+        3,
+        true,
+        generations.size(),
+        ImmutableList.of(member()),
+        ImmutableList.of());
+  }
+
+  @Override
+  public CompletionStage<NodeStatus> drain() {
+    phase = NodeStatus.Phase.DRAINED;
+    return CompletableFuture.completedFuture(status());
+  }
+
+  @Override
+  public void close() {}
+
+  @Override
+  public Flow.Subscription generate(GenerationSubmission submission, AnswerListener listener) {
+    RecordedDemand demand = new RecordedDemand();
+    generations.add(new Generation(submission, listener, demand));
+    return demand;
+  }
+
+  @Override
+  public CompletionStage<CallAnswer> call(CallSubmission submission) {
+    CompletableFuture<CallAnswer> answer = new CompletableFuture<>();
+    calls.add(new Call(submission, answer));
+    return answer;
+  }
+
+  @Override
+  public Flow.Subscription accept(ForwardedRequest request, ForwardListener listener) {
+    RecordedDemand demand = new RecordedDemand();
+    forwards.add(new Forwarded(request, listener, demand));
+    return demand;
+  }
+
+  @Override
+  public ProbeMessage onProbe(ProbeMessage message) {
+    return new ProbeMessage(member(), message.news(), 3, message.payloads());
+  }
+
+  @Override
+  public CompletionStage<ProbeResult> onProbeThrough(Member target, ProbeMessage message) {
+    return CompletableFuture.completedFuture(new ProbeResult.Silent());
+  }
+
+  @Override
+  public FetchResult onFetch(String partName) {
+    return partName.equals("held")
+        ? new FetchResult.Fetched(new byte[] {1, 2, 3})
+        : new FetchResult.NotHeld();
+  }
+
+  /** Returns the node as a member of its zone. */
+  public static Member member() {
+    return new Member(SELF, new Zone("test-1"), new PeerAddress("127.0.0.1", 1), MemberState.ALIVE);
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/dev/apricotmill/daemon/testing/RawConnection.java
@@ -0,0 +1,76 @@
+package dev.apricotmill.daemon.testing;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A socket on which a test writes any bytes and reads HTTP answers. */
+public final class RawConnection implements AutoCloseable {
+
+  private static final int PATIENCE_MILLIS = 20_000;
+
+  private final Socket socket;
+
+  private RawConnection(Socket socket) {
+    this.socket = socket;
+  }
+
+  /** Connects. */
+  public static RawConnection to(InetSocketAddress address) throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(8 << 10);
+    socket.connect(address, PATIENCE_MILLIS);
+    socket.setSoTimeout(PATIENCE_MILLIS);
+    return new RawConnection(socket);
+  }
+
+  /** Sends text. */
+  public RawConnection send(String text) throws IOException {
+    return send(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Sends bytes. */
+  public RawConnection send(byte[] bytes) throws IOException {
+    socket.getOutputStream().write(bytes);
+    socket.getOutputStream().flush();
+    return this;
+  }
+
+  /** Ends the sending side. */
+  public RawConnection endSending() throws IOException {
+    socket.shutdownOutput();
+    return this;
+  }
+
+  /** Reads until the text has come and returns all that was read. */
+  public String readUntil(String text) throws IOException {
+    ByteArrayOutputStream read = new ByteArrayOutputStream();
+    InputStream input = socket.getInputStream();
+    while (!read.toString(StandardCharsets.UTF_8).contains(text)) {
+      int next = input.read();
+      if (next < 0) {
+        throw new IOException("ended before \"" + text + "\": " + read);
+      }
+      read.write(next);
+    }
+    return read.toString(StandardCharsets.UTF_8);
+  }
+
+  /** Reads until the peer closes. */
+  public String readToEnd() throws IOException {
+    return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+  }
+
+  /** Returns whether the peer closed the connection without sending more. */
+  public boolean isClosedByPeer() throws IOException {
+    return socket.getInputStream().read() < 0;
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/dev/apricotmill/daemon/testing/RecordedDemand.java
@@ -0,0 +1,45 @@
+package dev.apricotmill.daemon.testing;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Flow;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+
+/** A subscription that records what was requested and whether it was cancelled. */
+public final class RecordedDemand implements Flow.Subscription {
+
+  private static final long PATIENCE_SECONDS = 20;
+
+  private final Semaphore requested = new Semaphore(0);
+  private final CountDownLatch cancelled = new CountDownLatch(1);
+
+  @Override
+  public void request(long count) {
+    requested.release((int) Math.min(count, 1 << 20));
+  }
+
+  @Override
+  public void cancel() {
+    cancelled.countDown();
+  }
+
+  /** Waits until one more chunk may be sent; returns false if none was asked for in time. */
+  public boolean awaitOne() throws InterruptedException {
+    return requested.tryAcquire(PATIENCE_SECONDS, TimeUnit.SECONDS);
+  }
+
+  /** Takes one chunk's demand if there is any now. */
+  public boolean tryOne() {
+    return requested.tryAcquire();
+  }
+
+  /** Waits until the subscription was cancelled. */
+  public boolean awaitCancel() throws InterruptedException {
+    return cancelled.await(PATIENCE_SECONDS, TimeUnit.SECONDS);
+  }
+
+  /** Returns whether the subscription was cancelled. */
+  public boolean isCancelled() {
+    return cancelled.getCount() == 0;
+  }
+}
