--- a/node/src/main/java/dev/apricotmill/node/call/IdempotentCalls.java
+++ b/node/src/main/java/dev/apricotmill/node/call/IdempotentCalls.java
@@ -69,7 +69,7 @@
     if (candidates.isEmpty() || tried.size() >= MAXIMUM_ATTEMPTS) {
       return false;
     }
-    return tried.isEmpty() || context.retryBudget().tryRetry();
+    return tried.isEmpty() || context.retryBudget().tryTake();
   }
 
   /** Leaves time for another replica, if there is one. */
--- a/node/src/main/java/dev/apricotmill/node/entry/GenerationRelay.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/GenerationRelay.java
@@ -114,7 +114,7 @@
   }
 
   private boolean mayTryAgain() {
-    return attempts == 0 || context.retryBudget().tryRetry();
+    return attempts == 0 || context.retryBudget().tryTake();
   }
 
   private void forward(ReplicaId replica) {
