--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsCheck.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsCheck.java
@@ -40,7 +40,7 @@
 
   /** Returns the settings, or all faults. */
   SettingsResult check() {
-    for (String argument : flags.rest) {
+    for (String argument : flags.rest()) {
       report("command line", Fault.NOT_UNDERSTOOD, argument, "");
     }
     Optional<DaemonSettings> settings = Optional.of(readAll());
@@ -51,18 +51,19 @@
   }
 
   private DaemonSettings readAll() {
-    DaemonId daemon = new DaemonId(name("--daemon-name", flags.daemonName));
-    Zone zone = new Zone(name("--zone", flags.zone));
-    InetSocketAddress publicAddress = listener("--public", flags.publicAddress, flags.publicPort);
-    InetSocketAddress innerAddress = listener("--inner", flags.innerAddress, flags.innerPort);
+    DaemonId daemon = new DaemonId(name("--daemon-name", flags.daemonName()));
+    Zone zone = new Zone(name("--zone", flags.zone()));
+    InetSocketAddress publicAddress =
+        listener("--public", flags.publicAddress(), flags.publicPort());
+    InetSocketAddress innerAddress = listener("--inner", flags.innerAddress(), flags.innerPort());
     InetSocketAddress operatorsAddress =
-        listener("--operators", flags.operatorsAddress, flags.operatorsPort);
+        listener("--operators", flags.operatorsAddress(), flags.operatorsPort());
     PeerAddress platform = platform();
     CallerLimits limits = callerLimits();
-    Duration defaultLimit = seconds("--default-time-limit", flags.defaultTimeLimit, ONE_DAY);
-    Duration maximumLimit = seconds("--maximum-time-limit", flags.maximumTimeLimit, ONE_DAY);
+    Duration defaultLimit = seconds("--default-time-limit", flags.defaultTimeLimit(), ONE_DAY);
+    Duration maximumLimit = seconds("--maximum-time-limit", flags.maximumTimeLimit(), ONE_DAY);
     if (defaultLimit.compareTo(maximumLimit) > 0) {
-      report("--default-time-limit", Fault.ABOVE_MAXIMUM, flags.defaultTimeLimit, "");
+      report("--default-time-limit", Fault.ABOVE_MAXIMUM, flags.defaultTimeLimit(), "");
     }
     return new DaemonSettings(
         daemon,
@@ -74,7 +75,7 @@
         limits,
         defaultLimit,
         maximumLimit,
-        seconds("--drain-time", flags.drainTime, ONE_DAY),
+        seconds("--drain-time", flags.drainTime(), ONE_DAY),
         otlpEndpoint(),
         logLevel());
   }
@@ -83,19 +84,22 @@
     return new CallerLimits(
         number(
             "--maximum-header-bytes",
-            flags.maximumHeaderBytes,
+            flags.maximumHeaderBytes(),
             MINIMUM_HEADER_BYTES,
             MAXIMUM_HEADER_BYTES),
         number(
-            "--maximum-body-bytes", flags.maximumBodyBytes, MINIMUM_BODY_BYTES, MAXIMUM_BODY_BYTES),
+            "--maximum-body-bytes",
+            flags.maximumBodyBytes(),
+            MINIMUM_BODY_BYTES,
+            MAXIMUM_BODY_BYTES),
         number(
             "--maximum-buffered-bytes",
-            flags.maximumBufferedBytes,
+            flags.maximumBufferedBytes(),
             MINIMUM_BODY_BYTES,
             MAXIMUM_BUFFERED_BYTES),
-        number("--maximum-connections", flags.maximumConnections, 1, MAXIMUM_COUNT),
-        number("--maximum-open-requests", flags.maximumOpenRequests, 1, MAXIMUM_COUNT),
-        seconds("--read-timeout", flags.readTimeout, ONE_DAY));
+        number("--maximum-connections", flags.maximumConnections(), 1, MAXIMUM_COUNT),
+        number("--maximum-open-requests", flags.maximumOpenRequests(), 1, MAXIMUM_COUNT),
+        seconds("--read-timeout", flags.readTimeout(), ONE_DAY));
   }
 
   private String name(String flag, @Nullable String value) {
@@ -126,7 +130,7 @@
 
   private PeerAddress platform() {
     PeerAddress none = new PeerAddress("127.0.0.1", 0);
-    String text = flags.platformAddress;
+    String text = flags.platformAddress();
     if (text == null || text.isEmpty()) {
       report("--platform-address", Fault.MISSING, "", "");
       return none;
@@ -163,34 +167,34 @@
   }
 
   private Optional<URI> otlpEndpoint() {
-    if (flags.otlpEndpoint.isEmpty()) {
+    if (flags.otlpEndpoint().isEmpty()) {
       return Optional.empty();
     }
     try {
-      URI uri = URI.create(flags.otlpEndpoint);
+      URI uri = URI.create(flags.otlpEndpoint());
       if (uri.getHost() != null
           && ("http".equals(uri.getScheme()) || "https".equals(uri.getScheme()))) {
         return Optional.of(uri);
       }
     } catch (IllegalArgumentException e) {
-      report("--otlp-endpoint", Fault.NOT_A_URL, flags.otlpEndpoint, "");
+      report("--otlp-endpoint", Fault.NOT_A_URL, flags.otlpEndpoint(), "");
       return Optional.empty();
     }
-    report("--otlp-endpoint", Fault.NOT_A_URL, flags.otlpEndpoint, "");
+    report("--otlp-endpoint", Fault.NOT_A_URL, flags.otlpEndpoint(), "");
     return Optional.empty();
   }
 
   private Level logLevel() {
     try {
-      Level level = Level.valueOf(flags.logLevel.toUpperCase(Locale.ROOT));
+      Level level = Level.valueOf(flags.logLevel().toUpperCase(Locale.ROOT));
       if (level.compareTo(Level.DEBUG) >= 0 && level != Level.OFF) {
         return level;
       }
     } catch (IllegalArgumentException e) {
-      report("--log-level", Fault.NOT_A_CHOICE, flags.logLevel, "ERROR, WARNING, INFO, DEBUG");
+      report("--log-level", Fault.NOT_A_CHOICE, flags.logLevel(), "ERROR, WARNING, INFO, DEBUG");
       return Level.INFO;
     }
-    report("--log-level", Fault.NOT_A_CHOICE, flags.logLevel, "ERROR, WARNING, INFO, DEBUG");
+    report("--log-level", Fault.NOT_A_CHOICE, flags.logLevel(), "ERROR, WARNING, INFO, DEBUG");
     return Level.INFO;
   }
 
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsReader.java
@@ -31,10 +31,10 @@
           ImmutableList.of(
               new SettingFault("command line", Fault.NOT_UNDERSTOOD, e.getMessage(), "")));
     }
-    if (flags.help) {
+    if (flags.help()) {
       return new SettingsResult.HelpWanted(usage(commander));
     }
-    if (flags.version) {
+    if (flags.version()) {
       return new SettingsResult.VersionWanted();
     }
     return new SettingsCheck(flags).check();
--- a/daemon/src/test/java/dev/apricotmill/daemon/callers/CallerHandlerTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/callers/CallerHandlerTest.java
@@ -47,7 +47,7 @@
   @Test
   void aWholeAnswerCarriesTextUsageOutcomeAndHops() throws Exception {
     CompletableFuture<HttpResponse<String>> response = callers.post("/v1/completions", PROMPT);
-    FakeNode.Generation generation = callers.node.generations.take();
+    FakeNode.Generation generation = callers.node().generations().take();
     chunk(generation, 0, "good ");
     chunk(generation, 1, "day");
     end(generation, new Outcome.Answered(200));
@@ -77,7 +77,7 @@
                     HttpRequest.BodyPublishers.ofString(
                         "{\"model\":\"pool\",\"max_tokens\":9,\"messages\":"
                             + "[{\"role\":\"user\",\"content\":\"which post?\"}]}")));
-    var submission = callers.node.generations.take().submission();
+    var submission = callers.node().generations().take().submission();
     assertThat(submission.customerKey()).isEqualTo("secret");
     assertThat(submission.idempotencyKey()).hasValue("key-1");
     assertThat(submission.timeLimit()).hasValue(Duration.ofMillis(1500));
@@ -89,7 +89,7 @@
   @Test
   void aStreamedAnswerEndsWithTheOutcomeAndDone() throws Exception {
     CompletableFuture<HttpResponse<String>> response = callers.post("/v1/completions", STREAMED);
-    FakeNode.Generation generation = callers.node.generations.take();
+    FakeNode.Generation generation = callers.node().generations().take();
     chunk(generation, 0, "good");
     end(generation, new Outcome.Answered(200));
 
@@ -103,7 +103,7 @@
   @Test
   void aStreamThatBreaksEndsWithAnErrorEventAndNeverWithDone() throws Exception {
     CompletableFuture<HttpResponse<String>> response = callers.post("/v1/completions", STREAMED);
-    FakeNode.Generation generation = callers.node.generations.take();
+    FakeNode.Generation generation = callers.node().generations().take();
     chunk(generation, 0, "good");
     end(generation, new Outcome.Failed(FailureReason.STREAM_BROKEN));
 
@@ -118,7 +118,7 @@
   void aStreamThatIsRefusedBeforeItsFirstChunkGetsAProblem() throws Exception {
     CompletableFuture<HttpResponse<String>> response = callers.post("/v1/completions", STREAMED);
     end(
-        callers.node.generations.take(),
+        callers.node().generations().take(),
         new Outcome.Refused(RefusalReason.OVERLOADED, Duration.ofMillis(1200)));
 
     HttpResponse<String> answer = response.get();
@@ -138,7 +138,7 @@
                 .header("Authorization", "Bearer secret")
                 .header("X-Desk", "north")
                 .PUT(HttpRequest.BodyPublishers.ofString("taken")));
-    FakeNode.Call call = callers.node.calls.take();
+    FakeNode.Call call = callers.node().calls().take();
     assertThat(call.submission().method()).isEqualTo("PUT");
     assertThat(call.submission().path()).isEqualTo("/huts/7?day=1");
     assertThat(call.submission().headers()).containsEntry("x-desk", "north");
--- a/daemon/src/test/java/dev/apricotmill/daemon/inner/InnerPortsTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/inner/InnerPortsTest.java
@@ -93,7 +93,7 @@
         new InnerStewardPeers(client, timing).forward(peer, sent, answer);
     subscription.request(2);
 
-    FakeNode.Forwarded forwarded = node.forwards.take();
+    FakeNode.Forwarded forwarded = node.forwards().take();
     assertThat(forwarded.request().entry()).isEqualTo(sent.entry());
     assertThat(forwarded.request().request().prompt()).isEqualTo(sent.request().prompt());
     assertThat(forwarded.request().request().prefix()).isEqualTo(sent.request().prefix());
@@ -148,7 +148,7 @@
     Answer answer = new Answer();
     var unused =
         new InnerStewardPeers(client, timing).forward(peer, forwarded("hello", PATIENCE), answer);
-    FakeNode.Forwarded forwarded = node.forwards.take();
+    FakeNode.Forwarded forwarded = node.forwards().take();
     server.close();
     assertThat(answer.ends.take()).isInstanceOf(ForwardEnd.Lost.class);
     assertThat(forwarded.demand().awaitCancel()).isTrue();
@@ -159,7 +159,7 @@
     Flow.Subscription subscription =
         new InnerStewardPeers(client, timing)
             .forward(peer, forwarded("hello", PATIENCE), new Answer());
-    FakeNode.Forwarded forwarded = node.forwards.take();
+    FakeNode.Forwarded forwarded = node.forwards().take();
     subscription.cancel();
     assertThat(forwarded.demand().awaitCancel()).isTrue();
   }
--- a/daemon/src/test/java/dev/apricotmill/daemon/testing/CallersFixture.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/testing/CallersFixture.java
@@ -26,11 +26,9 @@
 
   private static final long SEED = 42;
 
-  /** The node behind the port. */
-  public final FakeNode node = new FakeNode();
+  private final FakeNode node = new FakeNode();
 
-  /** The port. */
-  public final HttpListener listener;
+  private final HttpListener listener;
 
   private final HttpClient client = HttpClient.newHttpClient();
 
@@ -61,6 +59,16 @@
     return new CallersFixture(limits, timing);
   }
 
+  /** Returns the node behind the port. */
+  public FakeNode node() {
+    return node;
+  }
+
+  /** Returns the port. */
+  public HttpListener listener() {
+    return listener;
+  }
+
   /** Opens a raw connection to the port. */
   public RawConnection connect() throws IOException {
     return RawConnection.to(listener.address());
--- a/daemon/src/test/java/dev/apricotmill/daemon/testing/FakeNode.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/testing/FakeNode.java
@@ -30,14 +30,11 @@
   /** The life that the node claims. */
   public static final Incarnation SELF = new Incarnation(new DaemonId("fake"), 7);
 
-  /** Generations in the order of their arrival. */
-  public final BlockingQueue<Generation> generations = new LinkedBlockingQueue<>();
+  private final BlockingQueue<Generation> generations = new LinkedBlockingQueue<>();
 
-  /** Calls of plain services in the order of their arrival. */
-  public final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+  private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
 
-  /** Forwards of peers in the order of their arrival. */
-  public final BlockingQueue<Forwarded> forwards = new LinkedBlockingQueue<>();
+  private final BlockingQueue<Forwarded> forwards = new LinkedBlockingQueue<>();
 
   private volatile NodeStatus.Phase phase = NodeStatus.Phase.STARTING;
 
@@ -52,6 +49,21 @@
   public record Forwarded(
       ForwardedRequest request, ForwardListener listener, RecordedDemand demand) {}
 
+  /** Returns the generations in the order of their arrival. */
+  public BlockingQueue<Generation> generations() {
+    return generations;
+  }
+
+  /** Returns the calls of plain services in the order of their arrival. */
+  public BlockingQueue<Call> calls() {
+    return calls;
+  }
+
+  /** Returns the forwards of peers in the order of their arrival. */
+  public BlockingQueue<Forwarded> forwards() {
+    return forwards;
+  }
+
   @Override
   public void start() {
     phase = NodeStatus.Phase.READY;
