--- a/node/src/main/java/dev/apricotmill/node/NodeRoles.java
+++ b/node/src/main/java/dev/apricotmill/node/NodeRoles.java
@@ -19,7 +19,7 @@
 /** Makes the roles that callers' requests pass, from what they share. */
 final class NodeRoles {
 
-  private static final double RETRIES_PER_REQUEST = 0.1;
+  private static final int RETRIES_PER_THOUSAND_REQUESTS = 100;
   private static final int RETRY_RESERVE = 20;
 
   private final NodeSettings settings;
@@ -30,7 +30,8 @@
   private final Supplier<NodeStatus.Phase> phase;
   private final AdmissionPolicy policy;
   private final RequestMeters meters;
-  private final RetryBudget retryBudget = new RetryBudget(RETRIES_PER_REQUEST, RETRY_RESERVE);
+  private final RetryBudget retryBudget =
+      new RetryBudget(RETRIES_PER_THOUSAND_REQUESTS, RETRY_RESERVE);
 
   NodeRoles(
       NodeSettings settings,
