A deployment on virtual time, and the node's first failures

Three zones, six daemons, six engines and the platform on one timeline. First seen failing: with every engine cutting its stream once, a request ended as stream broken after four attempts, though each had delivered tokens. Cause: every attempt counted against the bound. Ruled out: the retry budget, which had 16 retries left.

--- a/node/src/main/java/dev/apricotmill/node/entry/EntryContext.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/EntryContext.java
@@ -49,7 +49,7 @@
     RetryBudget retryBudget,
     RandomGenerator random) {
 
-  /** The most forwards of one request. */
+  /** The most forwards of one request in a row that deliver no token. */
   static final int MAXIMUM_ATTEMPTS = 4;
 
   /** Chooses a replica that was not tried before. */
--- a/node/src/main/java/dev/apricotmill/node/entry/GenerationRelay.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/GenerationRelay.java
@@ -48,6 +48,7 @@
   private long position;
   private long credit;
   private int attempts;
+  private int attemptsWithoutProgress;
   private boolean mayHaveStarted;
   private boolean ended;
   private @Nullable Attempt current;
@@ -98,7 +99,7 @@
     if (ended) {
       return;
     }
-    if (attempts >= EntryContext.MAXIMUM_ATTEMPTS || !mayTryAgain()) {
+    if (attemptsWithoutProgress >= EntryContext.MAXIMUM_ATTEMPTS || !mayTryAgain()) {
       finish(otherwise, Notify.CALLER);
       return;
     }
@@ -119,6 +120,7 @@
 
   private void forward(ReplicaId replica) {
     attempts++;
+    attemptsWithoutProgress++;
     tried.add(replica);
     hops.add(context.stewardName(replica));
     hops.add(replica.value());
@@ -154,12 +156,20 @@
       span.event("first token");
     }
     mayHaveStarted = true;
+    noteProgress(attempt);
     position = chunk.endPosition();
     received.append(chunk.text());
     credit--;
     caller.onChunk(chunk);
   }
 
+  /** An attempt that delivered tokens does not count against the bound on attempts. */
+  private void noteProgress(Attempt attempt) {
+    attemptsWithoutProgress = 0;
+    tried.clear();
+    tried.add(attempt.replica());
+  }
+
   private void onEnd(Attempt attempt, ForwardEnd end) {
     if (ended || attempt != current) {
       return;
--- /dev/null
+++ b/node/src/test/java/dev/apricotmill/node/ServingNodeTest.java
@@ -0,0 +1,104 @@
+package dev.apricotmill.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.node.api.NodeStatus;
+import dev.apricotmill.node.testing.Asked;
+import dev.apricotmill.node.testing.Caller;
+import dev.apricotmill.node.testing.Deployment;
+import dev.apricotmill.node.testing.Ordered;
+import dev.apricotmill.node.testing.SimulatedDaemon;
+import dev.apricotmill.testhelpers.engine.EngineOperation;
+import dev.apricotmill.testhelpers.fault.Fault;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class ServingNodeTest {
+
+  private static final Duration LIMIT = Duration.ofSeconds(20);
+
+  private final Deployment deployment = Deployment.started(1);
+  private final Caller caller = new Caller(deployment);
+
+  @Test
+  void everyDaemonBecomesReadyWithTheAcceptedConfiguration() {
+    for (SimulatedDaemon daemon : deployment.daemons()) {
+      assertThat(daemon.node().status().phase()).isEqualTo(NodeStatus.Phase.READY);
+      assertThat(daemon.node().status().configurationGeneration()).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void aQuestionIsAnsweredWholeAndLeavesNoMemoryBehind() {
+    Asked question = caller.ask(deployment.daemon(0), "how high is the post?", 20, LIMIT);
+    deployment.advance(LIMIT);
+    assertThat(question.outcome()).hasValue(new Outcome.Answered(200));
+    assertThat(question.isWhole()).isTrue();
+    assertThat(heldTokens()).isEqualTo(0);
+  }
+
+  @Test
+  void aStreamThatBreaksIsResumedWithoutALostOrDoubledToken() {
+    deployment
+        .engines()
+        .values()
+        .forEach(engine -> engine.faults().once(EngineOperation.GENERATE, Fault.CUT));
+    Asked question = caller.ask(deployment.daemon(0), "how high is the post?", 40, LIMIT);
+    deployment.advance(LIMIT);
+    assertThat(question.outcome()).hasValue(new Outcome.Answered(200));
+    assertThat(question.isWhole()).isTrue();
+  }
+
+  @Test
+  void aQuestionOutlivesTheDeathOfItsSteward() {
+    Asked question = caller.ask(deployment.daemon(0), "how high is the post?", 100, LIMIT);
+    deployment.advance(Duration.ofMillis(500));
+    assertThat(question.tokens()).isGreaterThan(0);
+    deployment.daemon(1).kill();
+    deployment.advance(LIMIT);
+    assertThat(question.outcome()).hasValue(new Outcome.Answered(200));
+    assertThat(question.isWhole()).isTrue();
+  }
+
+  @Test
+  void theMemoryOfADeadEntryDaemonsRequestIsFreed() {
+    for (int index = 0; index < 4; index++) {
+      caller.ask(deployment.daemon(0), "prompt " + index, 2_000, Duration.ofMinutes(5));
+    }
+    deployment.advance(Duration.ofSeconds(1));
+    assertThat(heldTokens()).isGreaterThan(0);
+    deployment.daemon(0).kill();
+    deployment.advance(Duration.ofSeconds(15));
+    assertThat(heldTokens()).isEqualTo(0);
+  }
+
+  @Test
+  void aStatusReadIsAnswered() {
+    Ordered read = caller.read(deployment.daemon(2), LIMIT);
+    deployment.advance(Duration.ofSeconds(1));
+    assertThat(read.outcome()).hasValue(new Outcome.Answered(200));
+  }
+
+  @Test
+  void aDrainLetsRunningRequestsFinish() {
+    Asked question = caller.ask(deployment.daemon(0), "how high is the post?", 100, LIMIT);
+    deployment.advance(Duration.ofMillis(300));
+    deployment.daemon(0).run(() -> deployment.daemon(0).node().drain());
+    deployment.daemon(1).run(() -> deployment.daemon(1).node().drain());
+    deployment.advance(LIMIT);
+    assertThat(question.outcome()).hasValue(new Outcome.Answered(200));
+    assertThat(question.isWhole()).isTrue();
+    assertThat(deployment.daemon(0).node().status().phase()).isEqualTo(NodeStatus.Phase.DRAINED);
+    assertThat(deployment.daemon(1).node().status().phase()).isEqualTo(NodeStatus.Phase.DRAINED);
+  }
+
+  private long heldTokens() {
+    long tokens = 0;
+    for (ReplicaId replica : deployment.engines().keySet()) {
+      tokens += deployment.engines().get(replica).core().usedTokens();
+    }
+    return tokens;
+  }
+}
