--- a/cli/src/main/java/dev/apricotmill/cli/CommandTree.java
+++ b/cli/src/main/java/dev/apricotmill/cli/CommandTree.java
@@ -6,7 +6,11 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.cli.command.Command;
+import dev.apricotmill.cli.configuration.ConfigApplyCommand;
 import dev.apricotmill.cli.configuration.ConfigCheckCommand;
+import dev.apricotmill.cli.configuration.ConfigDiffCommand;
+import dev.apricotmill.cli.configuration.ConfigHistoryCommand;
+import dev.apricotmill.cli.configuration.ConfigShowCommand;
 import java.util.Map;
 import java.util.Optional;
 
@@ -26,6 +30,10 @@
   CommandTree() {
     groups.forEach(root::addCommand);
     add("config", "check", new ConfigCheckCommand());
+    add("config", "apply", new ConfigApplyCommand());
+    add("config", "show", new ConfigShowCommand());
+    add("config", "history", new ConfigHistoryCommand());
+    add("config", "diff", new ConfigDiffCommand());
   }
 
   private void add(String group, String name, Command command) {
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationDiff.java
@@ -0,0 +1,130 @@
+package dev.apricotmill.core.configuration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Sets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Function;
+
+/** Finds what differs between two configurations, entry by entry and field by field. */
+public final class ConfigurationDiff {
+  private static final String KEY_HASH = "keyHash";
+  private static final String HIDDEN_KEY = "(a key)";
+
+  private final ImmutableList.Builder<Difference> differences = ImmutableList.builder();
+
+  private ConfigurationDiff() {}
+
+  /**
+   * One difference.
+   *
+   * @param place what differs, such as {@code customers/crews/weight}
+   * @param before the value before, unless it was added
+   * @param after the value after, unless it was removed
+   */
+  public record Difference(String place, Optional<String> before, Optional<String> after) {}
+
+  /** Returns all differences; a key shows only as changed. */
+  public static ImmutableList<Difference> between(Configuration before, Configuration after) {
+    ConfigurationDiff diff = new ConfigurationDiff();
+    diff.compare("objective", before.objective().name(), after.objective().name());
+    diff.compareEntries("customers", customers(before), customers(after));
+    diff.compareEntries("services", services(before), services(after));
+    diff.compareEntries(
+        "rules",
+        numbered(before.rules(), ConfigurationWriter::rule),
+        numbered(after.rules(), ConfigurationWriter::rule));
+    diff.compareEntries("plannedStops", stops(before), stops(after));
+    return diff.differences.build();
+  }
+
+  private static ImmutableMap<String, JsonNode> customers(Configuration configuration) {
+    return configuration.customers().values().stream()
+        .collect(
+            ImmutableMap.toImmutableMap(
+                customer -> customer.id().value(), ConfigurationWriter::customer));
+  }
+
+  private static ImmutableMap<String, JsonNode> services(Configuration configuration) {
+    return configuration.services().values().stream()
+        .collect(
+            ImmutableMap.toImmutableMap(
+                service -> service.name().value(), ConfigurationDiff::serviceById));
+  }
+
+  /** Returns a service whose replicas are fields named by identifier. */
+  private static JsonNode serviceById(Service service) {
+    ObjectNode node = ConfigurationWriter.service(service);
+    ObjectNode replicas = node.objectNode();
+    node.get("replicas").forEach(replica -> replicas.set(replica.get("id").asText(), replica));
+    node.set("replicas", replicas);
+    return node;
+  }
+
+  private static ImmutableMap<String, JsonNode> stops(Configuration configuration) {
+    return configuration.plannedStops().stream()
+        .collect(
+            ImmutableMap.toImmutableMap(
+                stop -> stop.machine() + "@" + stop.from(),
+                ConfigurationWriter::plannedStop,
+                (first, last) -> last));
+  }
+
+  private static <T> ImmutableMap<String, JsonNode> numbered(
+      ImmutableList<T> entries, Function<T, ObjectNode> writer) {
+    ImmutableMap.Builder<String, JsonNode> numbered = ImmutableMap.builder();
+    for (int index = 0; index < entries.size(); index++) {
+      numbered.put(String.format("%04d", index), writer.apply(entries.get(index)));
+    }
+    return numbered.buildOrThrow();
+  }
+
+  private void compareEntries(
+      String place, Map<String, JsonNode> before, Map<String, JsonNode> after) {
+    for (String name : new TreeSet<>(Sets.union(before.keySet(), after.keySet()))) {
+      compareNodes(
+          place + "/" + name,
+          Optional.ofNullable(before.get(name)),
+          Optional.ofNullable(after.get(name)));
+    }
+  }
+
+  private void compareNodes(String place, Optional<JsonNode> before, Optional<JsonNode> after) {
+    if (before.equals(after)) {
+      return;
+    }
+    if (before.isPresent() && after.isPresent() && before.get().isObject()) {
+      compareEntries(place, fields(before.get()), fields(after.get()));
+    } else if (place.endsWith("/" + KEY_HASH)) {
+      differences.add(new Difference(place, Optional.of(HIDDEN_KEY), Optional.of("(another key)")));
+    } else {
+      differences.add(
+          new Difference(
+              place, before.map(ConfigurationDiff::shown), after.map(ConfigurationDiff::shown)));
+    }
+  }
+
+  private void compare(String place, String before, String after) {
+    if (!before.equals(after)) {
+      differences.add(new Difference(place, Optional.of(before), Optional.of(after)));
+    }
+  }
+
+  private static Map<String, JsonNode> fields(JsonNode node) {
+    Map<String, JsonNode> fields = new TreeMap<>();
+    node.properties().forEach(entry -> fields.put(entry.getKey(), entry.getValue()));
+    return fields;
+  }
+
+  private static String shown(JsonNode node) {
+    if (node instanceof ObjectNode object && object.has(KEY_HASH)) {
+      return object.deepCopy().put(KEY_HASH, HIDDEN_KEY).toString();
+    }
+    return node.isTextual() ? node.textValue() : node.toString();
+  }
+}
