--- a/cli/src/main/java/dev/apricotmill/cli/CommandTree.java
+++ b/cli/src/main/java/dev/apricotmill/cli/CommandTree.java
@@ -11,6 +11,8 @@
 import dev.apricotmill.cli.configuration.ConfigDiffCommand;
 import dev.apricotmill.cli.configuration.ConfigHistoryCommand;
 import dev.apricotmill.cli.configuration.ConfigShowCommand;
+import dev.apricotmill.cli.fleet.DrainCommand;
+import dev.apricotmill.cli.fleet.StatusCommand;
 import java.util.Map;
 import java.util.Optional;
 
@@ -34,6 +36,8 @@
     add("config", "show", new ConfigShowCommand());
     add("config", "history", new ConfigHistoryCommand());
     add("config", "diff", new ConfigDiffCommand());
+    add("", "status", new StatusCommand());
+    add("", "drain", new DrainCommand());
   }
 
   private void add(String group, String name, Command command) {
--- a/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigHistoryCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigHistoryCommand.java
@@ -11,6 +11,7 @@
 import dev.apricotmill.coordination.configuration.HistoryResult;
 import dev.apricotmill.coordination.platform.Platform;
 import java.io.PrintWriter;
+import java.time.temporal.ChronoUnit;
 
 /** Lists accepted configurations with who and when. */
 @Parameters(commandDescription = "List accepted configurations with who and when")
@@ -62,7 +63,10 @@
       for (HeadSummary head : configurations) {
         out.printf(
             "%10d  %-24s  %-20s  %s%n",
-            head.generation(), head.instant(), head.author(), head.changeId());
+            head.generation(),
+            head.instant().truncatedTo(ChronoUnit.SECONDS),
+            head.author(),
+            head.changeId());
       }
       if (configurations.isEmpty()) {
         out.println("no configuration was ever accepted");
--- a/cli/src/main/java/dev/apricotmill/cli/configuration/HeadSummary.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/HeadSummary.java
@@ -2,6 +2,7 @@
 
 import dev.apricotmill.coordination.configuration.ConfigurationHead;
 import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 
 /**
  * Who accepted which generation and when.
@@ -19,6 +20,11 @@
 
   @Override
   public String toString() {
-    return "generation " + generation + " by " + author + " at " + instant;
+    return "generation "
+        + generation
+        + " by "
+        + author
+        + " at "
+        + instant.truncatedTo(ChronoUnit.SECONDS);
   }
 }
--- a/cli/src/main/java/dev/apricotmill/cli/configuration/ProposalReport.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/ProposalReport.java
@@ -102,7 +102,9 @@
     public void printText(PrintWriter out) {
       out.println(source + ": not applied, another change came first");
       other.ifPresent(head -> out.println("  the other change: " + head));
-      current.ifPresent(head -> out.println("  in force now: " + head));
+      current
+          .filter(head -> !other.equals(current))
+          .ifPresent(head -> out.println("  in force now: " + head));
       out.println("Next: apricotmill config diff " + source + " shows what yours would change now");
     }
   }
--- a/cli/src/test/java/dev/apricotmill/cli/configuration/ConfigApplyCommandTest.java
+++ b/cli/src/test/java/dev/apricotmill/cli/configuration/ConfigApplyCommandTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class ConfigApplyCommandTest {
-  @TempDir Path directory;
+  @TempDir private Path directory;
   private CommandLineHarness harness;
   private String file;
 
