--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/ApricotmillDaemon.java
@@ -0,0 +1,100 @@
+package dev.apricotmill.daemon;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.adapters.HttpClients;
+import dev.apricotmill.adapters.HttpEngineConnector;
+import dev.apricotmill.adapters.HttpPlainService;
+import dev.apricotmill.adapters.HttpPlatform;
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.daemon.process.DaemonProcess;
+import dev.apricotmill.daemon.process.Logs;
+import dev.apricotmill.daemon.process.OuterPorts;
+import dev.apricotmill.daemon.process.SystemTiming;
+import dev.apricotmill.daemon.settings.DaemonSettings;
+import dev.apricotmill.daemon.settings.SettingFault;
+import dev.apricotmill.daemon.settings.SettingsReader;
+import dev.apricotmill.daemon.settings.SettingsResult;
+import dev.apricotmill.node.ServingNode;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.CountDownLatch;
+
+/** The daemon's program: reads the settings, runs the daemon and drains it on SIGTERM. */
+public final class ApricotmillDaemon {
+
+  private static final int EXIT_DRAINED = 0;
+  private static final int EXIT_USAGE = 64;
+  private static final int EXIT_PORT_UNAVAILABLE = 69;
+  private static final int EXIT_DRAIN_CUT_SHORT = 75;
+  private static final String DEVELOPMENT_VERSION = "development";
+
+  private ApricotmillDaemon() {}
+
+  /** Runs the daemon until the process is told to end. */
+  public static void main(String[] arguments) throws InterruptedException {
+    Logs.install();
+    SettingsResult result =
+        SettingsReader.read(ImmutableList.copyOf(arguments), ImmutableMap.copyOf(System.getenv()));
+    if (result instanceof SettingsResult.Valid valid) {
+      run(valid.settings());
+    } else if (result instanceof SettingsResult.HelpWanted help) {
+      System.out.print(help.text());
+    } else if (result instanceof SettingsResult.VersionWanted) {
+      System.out.println("apricotmilld " + version());
+    } else if (result instanceof SettingsResult.Invalid invalid) {
+      report(invalid.faults());
+      System.exit(EXIT_USAGE);
+    }
+  }
+
+  private static void run(DaemonSettings settings) throws InterruptedException {
+    Logs.configure(settings.logLevel());
+    Timing timing = SystemTiming.start();
+    HttpClients clients = HttpClients.start(timing);
+    OuterPorts outer =
+        new OuterPorts(
+            new HttpPlatform(clients, settings.platform()),
+            new HttpEngineConnector(clients),
+            new HttpPlainService(clients));
+    DaemonProcess process;
+    try {
+      process = DaemonProcess.start(settings, timing, outer, ServingNode::new);
+    } catch (IOException e) {
+      logger().log(Level.ERROR, "daemon: {0}: {1}", e.getMessage(), String.valueOf(e.getCause()));
+      Runtime.getRuntime().halt(EXIT_PORT_UNAVAILABLE);
+      return;
+    }
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> end(process, clients), "shutdown"));
+    new CountDownLatch(1).await();
+  }
+
+  private static void end(DaemonProcess process, HttpClients clients) {
+    boolean drained = process.drain();
+    try {
+      process.close();
+      clients.close();
+    } catch (IOException | RuntimeException e) {
+      logger().log(Level.WARNING, "daemon: closing failed: {0}", e.toString());
+    }
+    // Without this the process would end with the signal's own exit code.
+    Runtime.getRuntime().halt(drained ? EXIT_DRAINED : EXIT_DRAIN_CUT_SHORT);
+  }
+
+  private static void report(ImmutableList<SettingFault> faults) {
+    System.err.println("apricotmilld: " + faults.size() + " wrong settings:");
+    faults.forEach(fault -> System.err.println("  " + fault.message()));
+    System.err.println("apricotmilld: --help lists all settings");
+  }
+
+  private static String version() {
+    String version = ApricotmillDaemon.class.getPackage().getImplementationVersion();
+    return version == null ? DEVELOPMENT_VERSION : version;
+  }
+
+  /** Returns the logger; it must not be made before the log manager is chosen. */
+  private static Logger logger() {
+    return System.getLogger(ApricotmillDaemon.class.getName());
+  }
+}
