--- a/node/src/main/java/dev/apricotmill/node/entry/EntryContext.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/EntryContext.java
@@ -38,7 +38,7 @@
  * @param retryBudget bounds retries by a share of the requests
  * @param random the source of random choices
  */
-record EntryContext(
+public record EntryContext(
     Timing timing,
     Supplier<Incarnation> self,
     Supplier<FleetView> fleet,
@@ -49,7 +49,7 @@
     RetryBudget retryBudget,
     RandomGenerator random) {
 
-  /** The most forwards of one request. */
+  /** The most forwards of one request in a row that deliver no token. */
   static final int MAXIMUM_ATTEMPTS = 4;
 
   /** Chooses a replica that was not tried before. */
