Callers' port: limits of connections, time and memory, each with a typed answer

Every connection brings a request within the read timeout or is closed, each answer must be taken within it too, and bodies of all open requests share one budget. Heads that the library's parser refuses still get a problem document.

--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ConnectionTable.java
@@ -0,0 +1,123 @@
+package dev.apricotmill.daemon.http;
+
+import dev.apricotmill.coordination.time.Timing;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.SocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.IOSessionListener;
+
+/**
+ * The open connections of a server. Those beyond the limit get no request through, those far beyond
+ * it are closed at once, and those that bring no request in time are closed too.
+ */
+final class ConnectionTable implements IOSessionListener {
+
+  private static final Logger LOGGER = System.getLogger(ConnectionTable.class.getName());
+  private static final int HARD_LIMIT_FACTOR = 2;
+
+  private final ServerLimits limits;
+  private final Timing timing;
+  private final Map<SocketAddress, Entry> entries = new ConcurrentHashMap<>();
+
+  ConnectionTable(ServerLimits limits, Timing timing) {
+    this.limits = limits;
+    this.timing = timing;
+  }
+
+  /** Returns how many connections are open. */
+  int size() {
+    return entries.size();
+  }
+
+  /** Notes that a connection has brought a request; returns whether it may be served. */
+  boolean beginRequest(SocketAddress remote) {
+    Entry entry = entries.get(remote);
+    if (entry == null) {
+      return true;
+    }
+    entry.busy = true;
+    return !entry.excess;
+  }
+
+  /** Notes that the answer to a connection's request has ended. */
+  void endRequest(SocketAddress remote) {
+    Entry entry = entries.get(remote);
+    if (entry != null) {
+      entry.idleSinceNanos = timing.nanoTime();
+      entry.busy = false;
+    }
+  }
+
+  /** Closes a connection whose caller neither ends its request nor takes its answer. */
+  void abort(SocketAddress remote) {
+    Entry entry = entries.get(remote);
+    if (entry != null) {
+      LOGGER.log(Level.INFO, "http: closed {0}: its exchange did not end in time", remote);
+      entry.session.close(CloseMode.IMMEDIATE);
+    }
+  }
+
+  /** Closes connections that have brought no request for the time limit of reading one. */
+  void closeIdle() {
+    long now = timing.nanoTime();
+    long limitNanos = limits.readTimeout().toNanos();
+    for (Entry entry : entries.values()) {
+      if (!entry.busy && now - entry.idleSinceNanos > limitNanos) {
+        entry.session.close(CloseMode.IMMEDIATE);
+      }
+    }
+  }
+
+  @Override
+  public void connected(IOSession session) {
+    int open = entries.size();
+    if (open >= limits.maximumConnections() * HARD_LIMIT_FACTOR) {
+      LOGGER.log(Level.WARNING, "http: closed {0}: too many connections", remoteOf(session));
+      session.close(CloseMode.IMMEDIATE);
+      return;
+    }
+    boolean excess = open >= limits.maximumConnections();
+    entries.put(remoteOf(session), new Entry(session, excess, timing.nanoTime()));
+  }
+
+  @Override
+  public void disconnected(IOSession session) {
+    entries.values().removeIf(entry -> entry.session.getId().equals(session.getId()));
+  }
+
+  @Override
+  public void startTls(IOSession session) {}
+
+  @Override
+  public void inputReady(IOSession session) {}
+
+  @Override
+  public void outputReady(IOSession session) {}
+
+  @Override
+  public void timeout(IOSession session) {}
+
+  @Override
+  public void exception(IOSession session, Exception cause) {}
+
+  private static SocketAddress remoteOf(IOSession session) {
+    return session.getRemoteAddress();
+  }
+
+  private static final class Entry {
+    private final IOSession session;
+    private final boolean excess;
+    private volatile boolean busy;
+    private volatile long idleSinceNanos;
+
+    Entry(IOSession session, boolean excess, long nowNanos) {
+      this.session = session;
+      this.excess = excess;
+      idleSinceNanos = nowNanos;
+    }
+  }
+}
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
@@ -6,9 +6,11 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.CharCodingConfig;
@@ -22,6 +24,7 @@
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.NHttpMessageParserFactory;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.http.protocol.ResponseConnControl;
@@ -36,14 +39,16 @@
 public final class HttpListener implements AutoCloseable {
 
   private static final Logger LOGGER = System.getLogger(HttpListener.class.getName());
+  private static final int SWEEPS_PER_TIMEOUT = 2;
   private static final int MAXIMUM_HEADERS = 100;
   private static final int INITIAL_WINDOW_BYTES = 64 << 10;
 
   private final ServerLimits limits;
-  private final RequestHandler handler;
-  private final Timing timing;
   private final BodyBudget budget;
+  private final ConnectionTable connections;
+  private final Future<?> sweep;
   private final ExecutorService workers;
+  private final ExchangeEnvironment environment;
   private final HttpAsyncServer server;
   private final InetSocketAddress address;
 
@@ -62,15 +67,18 @@
       int threads)
       throws IOException {
     this.limits = limits;
-    this.handler = handler;
-    this.timing = timing;
     budget = new BodyBudget(limits.maximumBufferedBytes());
+    connections = new ConnectionTable(limits, timing);
     workers =
         Executors.newFixedThreadPool(
             threads,
             new ThreadFactoryBuilder().setNameFormat(name + "-%d").setDaemon(true).build());
+    environment = new ExchangeEnvironment(limits, handler, workers, budget, connections, timing);
     server = newServer(name, threads);
     this.address = listen(address);
+    sweep =
+        timing.scheduleRepeatedly(
+            limits.readTimeout().dividedBy(SWEEPS_PER_TIMEOUT), connections::closeIdle);
   }
 
   /** Returns where the server listens. */
@@ -83,8 +91,18 @@
     return budget.heldBytes();
   }
 
+  /** Returns how many connections are open. */
+  public int connectionCount() {
+    return connections.size();
+  }
+
   @Override
   public void close() {
+    sweep.cancel(false);
+    stopThreads();
+  }
+
+  private void stopThreads() {
     server.close(CloseMode.IMMEDIATE);
     workers.shutdownNow();
   }
@@ -95,10 +113,10 @@
       ListenerEndpoint endpoint = server.listen(wanted, URIScheme.HTTP).get();
       return (InetSocketAddress) endpoint.getAddress();
     } catch (ExecutionException e) {
-      close();
+      stopThreads();
       throw new IOException("cannot listen at " + wanted, e.getCause());
     } catch (InterruptedException e) {
-      close();
+      stopThreads();
       Thread.currentThread().interrupt();
       throw new IOException("interrupted while binding " + wanted, e);
     }
@@ -116,8 +134,8 @@
         new ServerHttp1IOEventHandlerFactory(duplexers(), null, Timeout.ofSeconds(10)),
         reactor,
         null,
-        failure -> LOGGER.log(Level.WARNING, "http: {0}: {1}", name, failure.toString()),
-        null,
+        failure -> LOGGER.log(Level.DEBUG, "http: {0}: {1}", name, failure.toString()),
+        connections,
         null,
         null,
         null);
@@ -148,9 +166,7 @@
   }
 
   private AsyncServerExchangeHandler newExchange(HttpRequest request, HttpContext context) {
-    ServerExchange exchange = new ServerExchange(limits, handler, workers, budget);
-    exchange.stopWhenRead(
-        timing.schedule(limits.readTimeout(), () -> exchange.refuse(EdgeFault.TOO_SLOW)));
-    return exchange;
+    SocketAddress remote = HttpCoreContext.cast(context).getEndpointDetails().getRemoteAddress();
+    return new ServerExchange(environment, remote);
   }
 }
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
@@ -5,20 +5,22 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.Executor;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
@@ -35,9 +37,8 @@
   private static final String CONNECTION = "connection";
   private static final String CLOSE = "close";
 
-  private final ServerLimits limits;
-  private final RequestHandler handler;
-  private final Executor workers;
+  private final ExchangeEnvironment environment;
+  private final SocketAddress remote;
   private final RequestBody body;
   private final OutgoingPieces pieces = new OutgoingPieces();
   private final AtomicBoolean answered = new AtomicBoolean();
@@ -46,19 +47,13 @@
   private @Nullable ResponseChannel responses;
   private @Nullable HttpContext context;
   private volatile @Nullable ReplyListener listener;
-  private volatile @Nullable Future<?> readTimer;
+  private final AtomicReference<@Nullable Future<?>> timer = new AtomicReference<>();
   private final AtomicReference<RequestState> state = new AtomicReference<>(RequestState.READING);
 
-  ServerExchange(ServerLimits limits, RequestHandler handler, Executor workers, BodyBudget budget) {
-    this.limits = limits;
-    this.handler = handler;
-    this.workers = workers;
-    body = new RequestBody(limits.maximumBodyBytes(), budget);
-  }
-
-  /** Names the timer that is stopped when the request has come whole. */
-  void stopWhenRead(Future<?> timer) {
-    readTimer = timer;
+  ServerExchange(ExchangeEnvironment environment, SocketAddress remote) {
+    this.environment = environment;
+    this.remote = remote;
+    body = new RequestBody(environment.limits().maximumBodyBytes(), environment.budget());
   }
 
   @Override
@@ -66,15 +61,25 @@
       HttpRequest head,
       @Nullable EntityDetails entity,
       ResponseChannel responseChannel,
-      HttpContext httpContext) {
+      HttpContext httpContext)
+      throws HttpException, IOException {
     request = head;
     responses = responseChannel;
     context = httpContext;
-    Optional<EdgeFault> fault = RequestHeads.check(head, entity, limits);
+    if (!environment.connections().beginRequest(remote)) {
+      refuse(EdgeFault.TOO_MANY_CONNECTIONS);
+      return;
+    }
+    Optional<EdgeFault> fault = RequestHeads.check(head, entity, environment.limits());
     if (fault.isPresent()) {
       refuse(fault.get());
     } else if (entity == null) {
       dispatch();
+    } else {
+      startTimer(() -> refuse(EdgeFault.TOO_SLOW));
+      if (head.containsHeader(HttpHeaders.EXPECT)) {
+        responseChannel.sendInformation(new BasicHttpResponse(HttpStatus.SC_CONTINUE), httpContext);
+      }
     }
   }
 
@@ -107,8 +112,8 @@
       return;
     }
     body.release();
-    stopReadTimer();
-    send(handler.refuse(fault).withHeader(CONNECTION, CLOSE));
+    stopTimer();
+    send(environment.handler().refuse(fault).withHeader(CONNECTION, CLOSE));
   }
 
   @Override
@@ -125,7 +130,7 @@
       return;
     }
     pieces.add(answer.body());
-    pieces.end();
+    end();
     sendHead(answer.status(), answer.headers(), new BasicEntityDetails(answer.body().length, null));
   }
 
@@ -144,6 +149,7 @@
 
   @Override
   public void end() {
+    startTimer(() -> environment.connections().abort(remote));
     pieces.end();
   }
 
@@ -169,8 +175,9 @@
 
   @Override
   public void releaseResources() {
-    stopReadTimer();
+    stopTimer();
     body.release();
+    environment.connections().endRequest(remote);
     if (!pieces.closed()) {
       notifyGone();
     }
@@ -184,19 +191,19 @@
   }
 
   private void dispatch() {
-    stopReadTimer();
     HttpRequest head = request;
     if (head == null || !state.compareAndSet(RequestState.READING, RequestState.DISPATCHED)) {
       return;
     }
+    stopTimer();
     IncomingRequest incoming =
         new IncomingRequest(head.getMethod(), head.getPath(), headersOf(head), body.takeBytes());
-    workers.execute(() -> handle(incoming));
+    environment.workers().execute(() -> handle(incoming));
   }
 
   private void handle(IncomingRequest incoming) {
     try {
-      handler.handle(incoming, this);
+      environment.handler().handle(incoming, this);
     } catch (RuntimeException e) {
       LOGGER.log(Level.ERROR, "http: a handler failed", e);
       send(Answer.text(500, "text/plain", "internal error"));
@@ -218,10 +225,18 @@
     }
   }
 
-  private void stopReadTimer() {
-    Future<?> timer = readTimer;
-    if (timer != null) {
-      timer.cancel(false);
+  private void startTimer(Runnable task) {
+    replaceTimer(environment.timing().schedule(environment.limits().readTimeout(), task));
+  }
+
+  private void stopTimer() {
+    replaceTimer(null);
+  }
+
+  private void replaceTimer(@Nullable Future<?> next) {
+    Future<?> before = timer.getAndSet(next);
+    if (before != null) {
+      before.cancel(false);
     }
   }
 
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/TolerantRequestParser.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/TolerantRequestParser.java
@@ -4,6 +4,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.jspecify.annotations.Nullable;
@@ -31,7 +32,7 @@
     }
     try {
       return parser.parse(input, endOfStream);
-    } catch (MessageConstraintException e) {
+    } catch (MessageConstraintException | RequestHeaderFieldsTooLargeException e) {
       return fault(EdgeFault.HEADER_TOO_LARGE);
     } catch (HttpException e) {
       return fault(EdgeFault.NOT_HTTP);
--- /dev/null
+++ b/daemon/src/test/java/dev/apricotmill/daemon/http/HttpListenerTest.java
@@ -0,0 +1,162 @@
+package dev.apricotmill.daemon.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.apricotmill.daemon.testing.CallersFixture;
+import dev.apricotmill.daemon.testing.Eventually;
+import dev.apricotmill.daemon.testing.FakeNode;
+import dev.apricotmill.daemon.testing.ManualScheduler;
+import dev.apricotmill.daemon.testing.RawConnection;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+final class HttpListenerTest {
+
+  private static final String BODY = "{\"model\":\"pool\",\"prompt\":\"hello\"}";
+  private static final String GOOD = post("content-length: " + BODY.length()) + BODY;
+
+  private final ManualScheduler time = new ManualScheduler();
+  private CallersFixture callers;
+
+  @BeforeEach
+  void start() throws Exception {
+    callers = CallersFixture.start(CallersFixture.LIMITS, time.timing());
+  }
+
+  @AfterEach
+  void stop() {
+    callers.close();
+    time.shutdownNow();
+  }
+
+  @Test
+  void aHeaderLineBeyondTheLimitGets431() throws Exception {
+    assertRefused(post("x-long: " + "a".repeat(8 << 10)), "431", "header-too-large");
+  }
+
+  @Test
+  void aHeaderWhoseLinesTogetherExceedTheLimitGets431() throws Exception {
+    StringBuilder lines = new StringBuilder("content-length: 0");
+    for (int i = 0; i < 50; i++) {
+      lines.append("\r\nx-").append(i).append(": ").append("a".repeat(100));
+    }
+    assertRefused(post(lines.toString()), "431", "header-too-large");
+  }
+
+  @Test
+  void aFloodOfHeadersGets431() throws Exception {
+    StringBuilder lines = new StringBuilder("content-length: 0");
+    for (int i = 0; i < 150; i++) {
+      lines.append("\r\nx-").append(i).append(": a");
+    }
+    assertRefused(post(lines.toString()), "431", "header-too-large");
+  }
+
+  @Test
+  void bytesThatAreNotHttpGet400() throws Exception {
+    assertRefused("\u0001\u0002 nonsense\r\n\r\n", "400", "not-http");
+  }
+
+  @Test
+  void aBodyAnnouncedBeyondTheLimitGets413BeforeItComes() throws Exception {
+    assertRefused(post("content-length: 1000000000"), "413", "body-too-large");
+  }
+
+  @Test
+  void aChunkedBodyBeyondTheLimitGets413() throws Exception {
+    String chunk = "4000\r\n" + "a".repeat(0x4000) + "\r\n";
+    assertRefused(post("transfer-encoding: chunked") + chunk.repeat(5), "413", "body-too-large");
+  }
+
+  @Test
+  void aTruncatedBodyReachesNobodyAndHoldsNoMemory() throws Exception {
+    try (RawConnection connection = callers.connect()) {
+      connection.send(post("content-length: 500") + "{\"model\":").endSending();
+      assertThat(connection.readToEnd()).isEmpty();
+    }
+    Eventually.holds(() -> callers.listener().bufferedBytes() == 0);
+    assertThat(callers.node().generations()).isEmpty();
+    assertServes();
+  }
+
+  @Test
+  void aSenderThatIsTooSlowGets408() throws Exception {
+    try (RawConnection connection = callers.connect()) {
+      connection.send(post("expect: 100-continue\r\ncontent-length: 500"));
+      assertThat(connection.readUntil("\r\n\r\n")).contains("100 Continue");
+      time.advance(CallersFixture.LIMITS.readTimeout().plusMillis(1));
+      String answer = connection.readUntil("}");
+      assertThat(answer).contains(" 408 ");
+      assertThat(answer).contains("\"reason\":\"too-slow\"");
+      time.advance(CallersFixture.LIMITS.readTimeout().plusMillis(1));
+      assertThat(connection.isClosedByPeer()).isTrue();
+    }
+    assertServes();
+  }
+
+  @Test
+  void aSenderWhoseHeaderNeverEndsIsCutOff() throws Exception {
+    try (RawConnection connection = callers.connect()) {
+      connection.send("POST /v1/completions HTTP/1.1\r\nhost: a\r\n");
+      assertServes();
+      time.advance(CallersFixture.LIMITS.readTimeout().multipliedBy(2).plusSeconds(1));
+      assertThat(connection.isClosedByPeer()).isTrue();
+    }
+  }
+
+  @Test
+  void aConnectionBeyondTheLimitGets503WhileOthersAreServed() throws Exception {
+    List<RawConnection> open = new ArrayList<>();
+    for (int i = 0; i < CallersFixture.LIMITS.maximumConnections(); i++) {
+      RawConnection connection = callers.connect();
+      connection.send(GOOD);
+      callers.node().generations().take();
+      open.add(connection);
+    }
+    assertRefused(GOOD, "503", "too-many-connections");
+    for (RawConnection connection : open) {
+      connection.close();
+    }
+  }
+
+  @Test
+  void bodiesBeyondTheCommonBudgetGet503() throws Exception {
+    String large = "{\"model\":\"pool\",\"prompt\":\"" + "a".repeat(60_000) + "\"}";
+    String request = post("content-length: " + large.length()) + large;
+    try (RawConnection first = callers.connect();
+        RawConnection second = callers.connect()) {
+      first.send(request);
+      callers.node().generations().take();
+      second.send(request);
+      callers.node().generations().take();
+      assertRefused(request, "503", "no-buffer");
+    }
+  }
+
+  private void assertRefused(String request, String status, String reason) throws Exception {
+    try (RawConnection connection = callers.connect()) {
+      connection.send(request);
+      String answer = connection.readUntil("request_id");
+      assertThat(answer).startsWith("HTTP/1.1 " + status);
+      assertThat(answer).contains("Apricotmill-Outcome: not-run");
+      assertThat(answer).contains("\"reason\":\"" + reason + "\"");
+    }
+  }
+
+  private void assertServes() throws Exception {
+    try (RawConnection connection = callers.connect()) {
+      connection.send(GOOD);
+      FakeNode.Generation generation = callers.node().generations().take();
+      assertThat(generation.submission().prompt()).isEqualTo("hello");
+    }
+  }
+
+  private static String post(String lines) {
+    return "POST /v1/completions HTTP/1.1\r\nhost: 127.0.0.1\r\n" + lines + "\r\n\r\n";
+  }
+}
