--- a/cli/src/main/java/dev/apricotmill/cli/CommandTree.java
+++ b/cli/src/main/java/dev/apricotmill/cli/CommandTree.java
@@ -6,7 +6,13 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.cli.command.Command;
+import dev.apricotmill.cli.configuration.ConfigApplyCommand;
 import dev.apricotmill.cli.configuration.ConfigCheckCommand;
+import dev.apricotmill.cli.configuration.ConfigDiffCommand;
+import dev.apricotmill.cli.configuration.ConfigHistoryCommand;
+import dev.apricotmill.cli.configuration.ConfigShowCommand;
+import dev.apricotmill.cli.fleet.DrainCommand;
+import dev.apricotmill.cli.fleet.StatusCommand;
 import java.util.Map;
 import java.util.Optional;
 
@@ -26,6 +32,12 @@
   CommandTree() {
     groups.forEach(root::addCommand);
     add("config", "check", new ConfigCheckCommand());
+    add("config", "apply", new ConfigApplyCommand());
+    add("config", "show", new ConfigShowCommand());
+    add("config", "history", new ConfigHistoryCommand());
+    add("config", "diff", new ConfigDiffCommand());
+    add("", "status", new StatusCommand());
+    add("", "drain", new DrainCommand());
   }
 
   private void add(String group, String name, Command command) {
