The morning sheet: read from CSV, checked in one pass, taken whole or refused

PlannedStops decides which machines get no new work at a time. The least limits of customers are now 0.01 requests and one prompt token a second, so that a sheet cannot shut a customer out with a tiny number.

--- a/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationLimits.java
+++ b/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationLimits.java
@@ -12,11 +12,10 @@
   public static final Range<Integer> WEIGHT = Range.closed(1, 1_000);
 
   /** Requests a second of one customer. */
-  public static final Range<Double> REQUESTS_PER_SECOND = Range.openClosed(0.0, 100_000.0);
+  public static final Range<Double> REQUESTS_PER_SECOND = Range.closed(0.01, 100_000.0);
 
   /** Prompt tokens a second of one customer. */
-  public static final Range<Double> PROMPT_TOKENS_PER_SECOND =
-      Range.openClosed(0.0, 1_000_000_000.0);
+  public static final Range<Double> PROMPT_TOKENS_PER_SECOND = Range.closed(1.0, 1_000_000_000.0);
 
   /** Requests that one customer may have open at once. */
   public static final Range<Integer> OPEN_REQUESTS = Range.closed(1, 100_000);
--- a/core/src/main/java/dev/apricotmill/core/configuration/PlannedStopChecks.java
+++ b/core/src/main/java/dev/apricotmill/core/configuration/PlannedStopChecks.java
@@ -1,9 +1,9 @@
 package dev.apricotmill.core.configuration;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import dev.apricotmill.core.configuration.ConfigurationFault.Kind;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 
 /** Checks that planned stops are well-formed and leave every service a replica at all times. */
@@ -22,8 +22,8 @@
     for (int index = 0; index < stops.size(); index++) {
       checks.checkAlone(stops.get(index).value(), stops.get(index).pointer());
       checks.checkOverlap(stops.get(index), stops.subList(0, index));
-      checks.checkServices(stops.get(index));
     }
+    checks.checkServices();
   }
 
   private void checkAlone(PlannedStop stop, String pointer) {
@@ -59,27 +59,35 @@
         && right.from().isBefore(left.until());
   }
 
-  /** Checks the instant at which a stop begins: only then can the last replica go. */
-  private void checkServices(Placed<PlannedStop> placed) {
-    ImmutableSet<String> stopped = machinesStoppedAt(placed.value().from());
+  /** Checks that every service keeps a replica whatever stops are in force together. */
+  private void checkServices() {
+    PlannedStops stops =
+        new PlannedStops(
+            draft.plannedStops().stream()
+                .map(Placed::value)
+                .collect(ImmutableList.toImmutableList()),
+            ImmutableSet.of());
     for (Placed<Service> service : draft.services()) {
-      List<Replica> replicas = service.value().replicas();
-      boolean concerned =
-          replicas.stream().anyMatch(each -> each.machine().equals(placed.value().machine()));
-      if (concerned && replicas.stream().allMatch(each -> stopped.contains(each.machine()))) {
-        faults.add(
-            placed.pointer(),
-            Kind.STOP_TAKES_LAST_REPLICA,
-            service.value().name() + " at " + placed.value().from());
-      }
+      ImmutableSet<String> machines =
+          service.value().replicas().stream()
+              .map(Replica::machine)
+              .collect(ImmutableSet.toImmutableSet());
+      stops
+          .firstThatTakesAll(machines)
+          .ifPresent(
+              stop ->
+                  faults.add(
+                      pointerOf(stop),
+                      Kind.STOP_TAKES_LAST_REPLICA,
+                      service.value().name() + " at " + stop.from()));
     }
   }
 
-  private ImmutableSet<String> machinesStoppedAt(Instant time) {
+  private String pointerOf(PlannedStop stop) {
     return draft.plannedStops().stream()
-        .map(Placed::value)
-        .filter(stop -> stop.inForceAt(time))
-        .map(PlannedStop::machine)
-        .collect(ImmutableSet.toImmutableSet());
+        .filter(placed -> placed.value().equals(stop))
+        .map(Placed::pointer)
+        .findFirst()
+        .orElse("/plannedStops");
   }
 }
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/configuration/PlannedStops.java
@@ -0,0 +1,62 @@
+package dev.apricotmill.core.configuration;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.coordination.platform.Machine;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * Decides which machines get no new work: those with a planned stop in force, and those that the
+ * platform lists as leaving.
+ *
+ * @param stops the planned stops of the configuration
+ * @param leavingMachines the machines that are leaving whatever the time
+ */
+public record PlannedStops(ImmutableList<PlannedStop> stops, ImmutableSet<String> leavingMachines) {
+
+  /** Returns the decision for a configuration and the platform's list of VMs. */
+  public static PlannedStops of(Configuration configuration, Collection<Machine> machines) {
+    return new PlannedStops(
+        configuration.plannedStops(),
+        machines.stream()
+            .filter(machine -> machine.state() == Machine.State.LEAVING)
+            .map(Machine::name)
+            .collect(ImmutableSet.toImmutableSet()));
+  }
+
+  /** Returns whether a machine may get new work at a time. */
+  public boolean takesNewWork(String machine, Instant time) {
+    return !leavingMachines.contains(machine)
+        && stops.stream().noneMatch(stop -> stop.machine().equals(machine) && stop.inForceAt(time));
+  }
+
+  /** Returns all machines that get no new work at a time. */
+  public ImmutableSet<String> stoppedAt(Instant time) {
+    return Stream.concat(
+            leavingMachines.stream(),
+            stops.stream().filter(stop -> stop.inForceAt(time)).map(PlannedStop::machine))
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
+  /** Returns when the decision may next change although the configuration does not. */
+  public Optional<Instant> nextChangeAfter(Instant time) {
+    return stops.stream()
+        .flatMap(stop -> Stream.of(stop.from(), stop.until()))
+        .filter(instant -> instant.isAfter(time))
+        .min(Instant::compareTo);
+  }
+
+  /**
+   * Returns the first planned stop at whose begin all of the machines are stopped, if there is one.
+   * Only the begin of a stop can take the last machine.
+   */
+  public Optional<PlannedStop> firstThatTakesAll(Collection<String> machines) {
+    return stops.stream()
+        .filter(stop -> machines.contains(stop.machine()))
+        .filter(stop -> stoppedAt(stop.from()).containsAll(machines))
+        .min((left, right) -> left.from().compareTo(right.from()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/sheet/CustomerLine.java
@@ -0,0 +1,42 @@
+package dev.apricotmill.core.sheet;
+
+import dev.apricotmill.core.configuration.Customer;
+import dev.apricotmill.core.configuration.CustomerLimits;
+import dev.apricotmill.core.request.CustomerId;
+import dev.apricotmill.core.request.Priority;
+import java.util.Optional;
+
+/**
+ * What one line sets for a customer; an empty value stays as it is.
+ *
+ * @param line the line in the file
+ * @param customer the customer
+ * @param weight its weight
+ * @param priority its priority
+ * @param requestsPerSecond its limit of requests a second
+ * @param promptTokensPerSecond its limit of prompt tokens a second
+ * @param openRequests its limit of open requests
+ */
+record CustomerLine(
+    int line,
+    CustomerId customer,
+    Optional<Integer> weight,
+    Optional<Priority> priority,
+    Optional<Double> requestsPerSecond,
+    Optional<Double> promptTokensPerSecond,
+    Optional<Integer> openRequests) {
+
+  /** Returns the customer with the values of this line. */
+  Customer applyTo(Customer current) {
+    CustomerLimits limits = current.limits();
+    return new Customer(
+        current.id(),
+        current.keyHash(),
+        weight.orElse(current.weight()),
+        priority.orElse(current.priority()),
+        new CustomerLimits(
+            requestsPerSecond.orElse(limits.requestsPerSecond()),
+            promptTokensPerSecond.orElse(limits.promptTokensPerSecond()),
+            openRequests.orElse(limits.openRequests())));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/sheet/SheetApplication.java
@@ -0,0 +1,109 @@
+package dev.apricotmill.core.sheet;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.core.configuration.Configuration;
+import dev.apricotmill.core.configuration.ConfigurationFault;
+import dev.apricotmill.core.configuration.ConfigurationValidator;
+import dev.apricotmill.core.configuration.Customer;
+import dev.apricotmill.core.configuration.PlannedStop;
+import dev.apricotmill.core.request.CustomerId;
+import dev.apricotmill.core.sheet.SheetFault.Kind;
+import java.time.Instant;
+import java.time.LocalDate;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.stream.Stream;
+
+/**
+ * Gives the configuration that a sheet makes of the one in force, or all reasons to refuse it.
+ *
+ * <p>A sheet sets weights, priorities and limits of customers, and the planned stops that begin on
+ * its day. It reaches nothing else: neither rules nor services, keys or the objective.
+ */
+public final class SheetApplication {
+  /** The largest sheet that is read. */
+  public static final int MAXIMUM_BYTES = 16 << 20;
+
+  private SheetApplication() {}
+
+  /** Returns the faults that show without the configuration in force. */
+  public static ImmutableList<SheetFault> checkForm(byte[] sheet) {
+    SheetFaults faults = new SheetFaults();
+    new SheetReader(faults).read(sheet);
+    return faults.all();
+  }
+
+  /** Returns the configuration with the sheet, or every fault. */
+  public static SheetResult apply(byte[] sheet, SheetContext context) {
+    SheetFaults faults = new SheetFaults();
+    SheetContent content = new SheetReader(faults).read(sheet);
+    content.day().ifPresent(day -> checkDay(day, context, faults));
+    Configuration result = withContent(content, context);
+    SheetChecks.check(content, result, context, faults);
+    if (faults.isEmpty()) {
+      checkResult(result, faults);
+    }
+    return faults.isEmpty()
+        ? new SheetResult.Taken(
+            content.day().orElse(context.today()),
+            result,
+            content.customers().size(),
+            content.stops().size())
+        : new SheetResult.Refused(faults.all());
+  }
+
+  private static void checkDay(LocalDate day, SheetContext context, SheetFaults faults) {
+    if (day.equals(context.today())) {
+      return;
+    }
+    boolean otherYear = day.withYear(context.today().getYear()).equals(context.today());
+    faults.add(
+        otherYear ? Kind.WRONG_YEAR : Kind.WRONG_DAY,
+        2,
+        SheetColumn.DAY.header(),
+        day + ", today is " + context.today());
+  }
+
+  private static Configuration withContent(SheetContent content, SheetContext context) {
+    Configuration current = context.configuration();
+    return new Configuration(
+        current.generation(),
+        current.objective(),
+        customers(content, current),
+        current.services(),
+        current.rules(),
+        stops(content, context));
+  }
+
+  private static ImmutableMap<CustomerId, Customer> customers(
+      SheetContent content, Configuration current) {
+    Map<CustomerId, CustomerLine> lines = new HashMap<>();
+    content.customers().forEach(line -> lines.put(line.customer(), line));
+    return current.customers().values().stream()
+        .map(
+            customer ->
+                lines.containsKey(customer.id())
+                    ? lines.get(customer.id()).applyTo(customer)
+                    : customer)
+        .collect(ImmutableMap.toImmutableMap(Customer::id, customer -> customer));
+  }
+
+  /** The sheet's stops replace those that begin on its day; stops of other days stay. */
+  private static ImmutableList<PlannedStop> stops(SheetContent content, SheetContext context) {
+    Instant dayBegins = context.today().atStartOfDay(context.timeZone()).toInstant();
+    Instant dayEnds = context.today().plusDays(1).atStartOfDay(context.timeZone()).toInstant();
+    Stream<PlannedStop> kept =
+        context.configuration().plannedStops().stream()
+            .filter(stop -> stop.from().isBefore(dayBegins) || !stop.from().isBefore(dayEnds))
+            .filter(stop -> stop.until().isAfter(dayBegins));
+    return Stream.concat(kept, content.stops().stream().map(StopLine::stop))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private static void checkResult(Configuration result, SheetFaults faults) {
+    ConfigurationValidator.check(result).stream()
+        .filter(ConfigurationFault::refuses)
+        .forEach(fault -> faults.add(Kind.REFUSED_RESULT, 1, "", fault.describe()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/sheet/SheetContext.java
@@ -0,0 +1,21 @@
+package dev.apricotmill.core.sheet;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.platform.Machine;
+import dev.apricotmill.core.configuration.Configuration;
+import java.time.LocalDate;
+import java.time.ZoneId;
+
+/**
+ * What a sheet is checked against.
+ *
+ * @param configuration the configuration in force
+ * @param machines the platform's list of VMs
+ * @param today the day on which the sheet would take effect
+ * @param timeZone the time zone of the deployment, in which days begin
+ */
+public record SheetContext(
+    Configuration configuration,
+    ImmutableList<Machine> machines,
+    LocalDate today,
+    ZoneId timeZone) {}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/sheet/StopLine.java
@@ -0,0 +1,11 @@
+package dev.apricotmill.core.sheet;
+
+import dev.apricotmill.core.configuration.PlannedStop;
+
+/**
+ * A planned stop with its line.
+ *
+ * @param line the line in the file
+ * @param stop the stop
+ */
+record StopLine(int line, PlannedStop stop) {}
