Calls that run at most once, and the fault matrix

Each call with a key is claimed at the platform before it is dispatched; time and the daemon's own life are checked again between claim and dispatch, and an unused claim is withdrawn so that a repeat may run. Keys of different customers and services never meet.

--- a/core/src/main/java/dev/apricotmill/core/outcome/FailureReason.java
+++ b/core/src/main/java/dev/apricotmill/core/outcome/FailureReason.java
@@ -13,7 +13,9 @@
   /** The caller went away. */
   CALLER_GONE(499),
   /** The key is older than the ledger remembers; its request may have run before. */
-  KEY_TOO_OLD(409);
+  KEY_TOO_OLD(409),
+  /** The first request with this key was answered, but its answer was too large to keep. */
+  ANSWER_NOT_KEPT(409);
 
   private final int status;
 
--- a/core/src/main/java/dev/apricotmill/core/outcome/RefusalReason.java
+++ b/core/src/main/java/dev/apricotmill/core/outcome/RefusalReason.java
@@ -12,6 +12,8 @@
   UNKNOWN_SERVICE(404, false),
   /** A rule requires an idempotency key and the request has none. */
   KEY_REQUIRED(400, false),
+  /** The key is empty, too long, or not of the form that the service asks for. */
+  KEY_MALFORMED(400, false),
   /** The key was used with another request. */
   KEY_REUSED(422, false),
   /** The key's creation time lies too far ahead. */
@@ -32,8 +34,8 @@
   OVERLOADED(503, true),
   /** Claims cannot be recorded because the platform gives no answer. */
   CLAIMS_UNAVAILABLE(503, true),
-  /** The same key is being run now by another request. */
-  KEY_IN_PROGRESS(409, true),
+  /** A request with the same identifier is already queued or running at the steward. */
+  REQUEST_IN_PROGRESS(409, false),
   /** The daemon drains before a planned stop. */
   DRAINING(503, true),
   /** The daemon has not yet learned the configuration in force. */
--- a/core/src/main/java/dev/apricotmill/core/steward/ReplicaScheduler.java
+++ b/core/src/main/java/dev/apricotmill/core/steward/ReplicaScheduler.java
@@ -176,7 +176,7 @@
       return new AdmissionDecision.Refused(RefusalReason.NEVER_FITS, Duration.ZERO);
     }
     if (queues.contains(request.id()) || running.containsKey(request.id())) {
-      return new AdmissionDecision.Refused(RefusalReason.KEY_IN_PROGRESS, Duration.ZERO);
+      return new AdmissionDecision.Refused(RefusalReason.REQUEST_IN_PROGRESS, Duration.ZERO);
     }
     LengthClass lengthClass = LengthClass.of(request.promptTokens());
     double firstToken = predictedSeconds(request, lengthClass, nowNanos);
--- a/node/src/main/java/dev/apricotmill/node/NodeRoles.java
+++ b/node/src/main/java/dev/apricotmill/node/NodeRoles.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.node;
 
 import dev.apricotmill.coordination.identity.Incarnation;
+import dev.apricotmill.coordination.ledger.Claims;
 import dev.apricotmill.coordination.retry.RetryBudget;
 import dev.apricotmill.core.peer.StewardEndpoint;
 import dev.apricotmill.core.routing.ReplicaRouter;
@@ -65,7 +66,7 @@
     return new GenerationEntry(context, policy, open, phase, meters, ports.tracer());
   }
 
-  CallEntry calls() {
+  CallEntry calls(Claims claims) {
     CallContext context =
         new CallContext(
             ports.timing(),
@@ -73,6 +74,7 @@
             self,
             fleet,
             ports.services(),
+            claims,
             retryBudget,
             ports.random());
     return new CallEntry(context, phase, policy, open, meters, ports.tracer());
--- a/node/src/main/java/dev/apricotmill/node/ServingNode.java
+++ b/node/src/main/java/dev/apricotmill/node/ServingNode.java
@@ -5,6 +5,8 @@
 import dev.apricotmill.coordination.configuration.ConfigurationFollower;
 import dev.apricotmill.coordination.configuration.FollowerSettings;
 import dev.apricotmill.coordination.identity.Incarnation;
+import dev.apricotmill.coordination.ledger.ClaimsLedger;
+import dev.apricotmill.coordination.ledger.LedgerSettings;
 import dev.apricotmill.coordination.membership.FetchResult;
 import dev.apricotmill.coordination.membership.Member;
 import dev.apricotmill.coordination.membership.MemberState;
@@ -75,7 +77,14 @@
     this.open = new OpenRequests(settings.maximumOpenRequests(), this::reportIfDrained);
     NodeRoles roles = new NodeRoles(settings, ports, this::self, fleet, open, phase::get);
     this.generations = roles.generations(stewards, loads);
-    this.calls = roles.calls();
+    ClaimsLedger ledger =
+        new ClaimsLedger(
+            timing,
+            ports.platform(),
+            LedgerSettings.defaults(),
+            ports.random(),
+            incarnation -> membership.view().mayBeRunning(incarnation));
+    this.calls = roles.calls(ledger);
   }
 
   @Override
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/call/AtMostOnceCall.java
@@ -0,0 +1,181 @@
+package dev.apricotmill.node.call;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.ledger.ClaimRequest;
+import dev.apricotmill.coordination.ledger.ClaimResult;
+import dev.apricotmill.core.configuration.Replica;
+import dev.apricotmill.core.outcome.FailureReason;
+import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.outcome.RefusalReason;
+import dev.apricotmill.core.outcome.UnknownReason;
+import dev.apricotmill.core.request.ServiceCall;
+import dev.apricotmill.core.service.CallResult;
+import dev.apricotmill.node.entry.AdmissionPolicy;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * One call that must not run twice, from its claim to its end.
+ *
+ * <p>The claim at the platform decides who may dispatch. Between claim and dispatch the remaining
+ * time and the daemon's own life are checked again; a claim that is not used is withdrawn, so that
+ * a repeat of the key may run.
+ */
+final class AtMostOnceCall {
+
+  /** How long to wait before asking again how the first request with the key ended. */
+  private static final Duration REPEAT_DELAY = Duration.ofMillis(250);
+
+  /** How often to ask how the first request ended. */
+  private static final int MAXIMUM_REPEATS = 4;
+
+  private final CallContext context;
+  private final ServiceCall call;
+  private final ClaimRequest claim;
+  private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.CLAIMING);
+  private final CompletableFuture<CallConclusion> conclusion = new CompletableFuture<>();
+  private int repeats;
+
+  AtMostOnceCall(CallContext context, ServiceCall call, ClaimRequest claim) {
+    this.context = context;
+    this.call = call;
+    this.claim = claim;
+  }
+
+  private enum Phase {
+    CLAIMING,
+    DISPATCHING,
+    ENDED
+  }
+
+  CompletionStage<CallConclusion> run() {
+    Future<?> timeout = context.timing().schedule(remaining(), this::expire);
+    conclusion.whenComplete((done, failure) -> timeout.cancel(false));
+    claim();
+    return conclusion;
+  }
+
+  private void claim() {
+    context.claims().claim(claim).thenAccept(this::onClaim);
+  }
+
+  /** Nothing was dispatched while the call was being claimed, so that it certainly did not run. */
+  private void expire() {
+    if (phase.compareAndSet(Phase.CLAIMING, Phase.ENDED)) {
+      conclude(refused(RefusalReason.EXPIRED));
+    }
+  }
+
+  private void onClaim(ClaimResult result) {
+    if (result instanceof ClaimResult.Claimed claimed) {
+      onClaimed(claimed);
+    } else if (result instanceof ClaimResult.AlreadyClaimed) {
+      onAlreadyClaimed();
+    } else if (result instanceof ClaimResult.Undetermined) {
+      withdraw();
+      endClaiming(refused(RefusalReason.CLAIMS_UNAVAILABLE));
+    } else {
+      endClaiming(conclusionOf(result));
+    }
+  }
+
+  private void onClaimed(ClaimResult.Claimed claimed) {
+    long now = context.timing().nanoTime();
+    boolean late = claimed.dispatchBefore().hasPassed(now) || call.deadline().hasPassed(now);
+    boolean replaced = !context.self().get().equals(claim.runner());
+    if (late || replaced) {
+      withdraw();
+      endClaiming(refused(replaced ? RefusalReason.DAEMON_PAUSED : RefusalReason.EXPIRED));
+    } else if (phase.compareAndSet(Phase.CLAIMING, Phase.DISPATCHING)) {
+      dispatch(context.candidates(call.service()), ImmutableList.of());
+    } else {
+      withdraw();
+    }
+  }
+
+  private void onAlreadyClaimed() {
+    if (phase.get() == Phase.CLAIMING && repeats < MAXIMUM_REPEATS) {
+      repeats++;
+      context.timing().schedule(REPEAT_DELAY, this::claim);
+    } else {
+      endClaiming(CallConclusion.repeated(new Outcome.Unknown(UnknownReason.FIRST_STILL_RUNNING)));
+    }
+  }
+
+  private static CallConclusion conclusionOf(ClaimResult result) {
+    if (result instanceof ClaimResult.AlreadyFinished finished) {
+      return CallRecord.replay(finished.outcome());
+    }
+    if (result instanceof ClaimResult.RunnerGone) {
+      return CallConclusion.repeated(new Outcome.Unknown(UnknownReason.FIRST_RUNNER_GONE));
+    }
+    if (result instanceof ClaimResult.TooOld) {
+      return CallConclusion.repeated(new Outcome.Failed(FailureReason.KEY_TOO_OLD));
+    }
+    if (result instanceof ClaimResult.KeyReused) {
+      return refused(RefusalReason.KEY_REUSED);
+    }
+    return refused(
+        result instanceof ClaimResult.FromFuture
+            ? RefusalReason.KEY_FROM_FUTURE
+            : RefusalReason.CLAIMS_UNAVAILABLE);
+  }
+
+  /** Tries replicas in turn as long as no byte has left; the first that was reached is the last. */
+  private void dispatch(ImmutableList<Replica> candidates, ImmutableList<String> tried) {
+    Duration remaining = remaining();
+    if (candidates.isEmpty() || remaining.isZero()) {
+      withdraw();
+      RefusalReason reason = remaining.isZero() ? RefusalReason.EXPIRED : RefusalReason.NO_REPLICA;
+      conclude(
+          CallConclusion.without(new Outcome.Refused(reason, AdmissionPolicy.RETRY_AFTER), tried));
+      return;
+    }
+    Replica replica = candidates.get(0);
+    ImmutableList<String> now =
+        ImmutableList.<String>builder().addAll(tried).add(replica.id().value()).build();
+    context
+        .services()
+        .call(replica, call, remaining)
+        .thenAccept(result -> onResult(result, candidates.subList(1, candidates.size()), now));
+  }
+
+  private void onResult(
+      CallResult result, ImmutableList<Replica> rest, ImmutableList<String> tried) {
+    if (result instanceof CallResult.NotSent) {
+      dispatch(rest, tried);
+    } else if (result instanceof CallResult.Response response) {
+      context.claims().complete(claim.key(), claim.nonce(), CallRecord.of(response));
+      conclude(CallConclusion.answered(response, tried));
+    } else {
+      context.claims().complete(claim.key(), claim.nonce(), CallRecord.unknown());
+      conclude(CallConclusion.without(new Outcome.Unknown(UnknownReason.BACKEND_SILENT), tried));
+    }
+  }
+
+  private void withdraw() {
+    context.claims().withdraw(claim.key(), claim.nonce());
+  }
+
+  private void endClaiming(CallConclusion end) {
+    if (phase.compareAndSet(Phase.CLAIMING, Phase.ENDED)) {
+      conclude(end);
+    }
+  }
+
+  private void conclude(CallConclusion end) {
+    conclusion.complete(end);
+  }
+
+  private Duration remaining() {
+    return call.deadline().remaining(context.timing().nanoTime());
+  }
+
+  private static CallConclusion refused(RefusalReason reason) {
+    Duration retryAfter = reason.retryable() ? AdmissionPolicy.RETRY_AFTER : Duration.ZERO;
+    return CallConclusion.without(new Outcome.Refused(reason, retryAfter), ImmutableList.of());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/call/AtMostOnceCalls.java
@@ -0,0 +1,62 @@
+package dev.apricotmill.node.call;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.ledger.ClaimNonce;
+import dev.apricotmill.coordination.ledger.ClaimRequest;
+import dev.apricotmill.coordination.ledger.KeyWindow;
+import dev.apricotmill.coordination.ledger.LedgerKey;
+import dev.apricotmill.coordination.ledger.RequestFingerprint;
+import dev.apricotmill.core.configuration.KeyPolicy;
+import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.outcome.RefusalReason;
+import dev.apricotmill.core.request.ServiceCall;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+/** Runs calls that must not run twice: each is claimed at the platform before it is dispatched. */
+final class AtMostOnceCalls {
+
+  /** How far a caller's clock may be ahead in a key that carries its creation time. */
+  private static final Duration KEY_FUTURE_SKEW = Duration.ofMinutes(1);
+
+  private final CallContext context;
+
+  AtMostOnceCalls(CallContext context) {
+    this.context = context;
+  }
+
+  CompletionStage<CallConclusion> run(ServiceCall call, KeyPolicy policy, Optional<String> key) {
+    if (key.isEmpty()) {
+      return refuse(RefusalReason.KEY_REQUIRED);
+    }
+    Optional<LedgerKey> ledgerKey =
+        ScopedKey.of(call.customer(), call.service(), policy.form(), key.get());
+    if (ledgerKey.isEmpty()) {
+      return refuse(RefusalReason.KEY_MALFORMED);
+    }
+    ClaimRequest claim =
+        new ClaimRequest(
+            ledgerKey.get(),
+            fingerprint(call),
+            context.self().get(),
+            ClaimNonce.next(context.random()),
+            new KeyWindow(policy.window(), KEY_FUTURE_SKEW));
+    return new AtMostOnceCall(context, call, claim).run();
+  }
+
+  private static RequestFingerprint fingerprint(ServiceCall call) {
+    byte[] head = (call.method() + " " + call.path() + "\n").getBytes(StandardCharsets.UTF_8);
+    byte[] request = new byte[head.length + call.body().length];
+    System.arraycopy(head, 0, request, 0, head.length);
+    System.arraycopy(call.body(), 0, request, head.length, call.body().length);
+    return RequestFingerprint.of(request);
+  }
+
+  private static CompletionStage<CallConclusion> refuse(RefusalReason reason) {
+    return CompletableFuture.completedFuture(
+        CallConclusion.without(new Outcome.Refused(reason, Duration.ZERO), ImmutableList.of()));
+  }
+}
--- a/node/src/main/java/dev/apricotmill/node/call/CallConclusion.java
+++ b/node/src/main/java/dev/apricotmill/node/call/CallConclusion.java
@@ -29,6 +29,11 @@
         new Outcome.Answered(response.status()), Optional.of(response), true, ImmutableList.of());
   }
 
+  /** The conclusion of a repeat that gets no answer of the first request with its key. */
+  static CallConclusion repeated(Outcome outcome) {
+    return new CallConclusion(outcome, Optional.empty(), true, ImmutableList.of());
+  }
+
   static CallConclusion without(Outcome outcome, ImmutableList<String> replicas) {
     return new CallConclusion(outcome, Optional.empty(), false, replicas);
   }
--- a/node/src/main/java/dev/apricotmill/node/call/CallContext.java
+++ b/node/src/main/java/dev/apricotmill/node/call/CallContext.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.coordination.identity.Incarnation;
 import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.ledger.Claims;
 import dev.apricotmill.coordination.retry.RetryBudget;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.configuration.Replica;
@@ -25,6 +26,7 @@
  * @param self gives the daemon's current life
  * @param fleet gives the current view of the fleet
  * @param services reaches the services
+ * @param claims records claims of idempotency keys
  * @param retryBudget bounds retries by a share of the requests
  * @param random the source of random choices
  */
@@ -34,6 +36,7 @@
     Supplier<Incarnation> self,
     Supplier<FleetView> fleet,
     PlainService services,
+    Claims claims,
     RetryBudget retryBudget,
     RandomGenerator random) {
 
--- a/node/src/main/java/dev/apricotmill/node/call/CallEntry.java
+++ b/node/src/main/java/dev/apricotmill/node/call/CallEntry.java
@@ -34,6 +34,7 @@
   private final OpenRequests open;
   private final RequestMeters meters;
   private final Tracer tracer;
+  private final AtMostOnceCalls atMostOnceCalls;
   private final IdempotentCalls idempotentCalls;
 
   /** Creates the entry for calls. */
@@ -52,6 +53,7 @@
     this.open = open;
     this.meters = meters;
     this.tracer = tracer;
+    this.atMostOnceCalls = new AtMostOnceCalls(context);
     this.idempotentCalls = new IdempotentCalls(context);
   }
 
@@ -71,17 +73,21 @@
       return refuse(submission, span, rejected.outcome());
     }
     Admission.Admitted admitted = (Admission.Admitted) admission;
-    if (!(admitted.service() instanceof Service.PlainPool)) {
+    if (!(admitted.service() instanceof Service.PlainPool pool)) {
       return refuse(submission, span, RefusalReason.UNKNOWN_SERVICE);
     }
     if (!open.tryOpen()) {
       return refuse(submission, span, RefusalReason.OVERLOADED);
     }
-    return run(submission, admitted, span).thenApply(answer -> close(submission, span, answer));
+    return run(submission, admitted, pool, span)
+        .thenApply(answer -> close(submission, span, answer));
   }
 
   private CompletionStage<CallConclusion> run(
-      CallSubmission submission, Admission.Admitted admitted, HopSpan span) {
+      CallSubmission submission,
+      Admission.Admitted admitted,
+      Service.PlainPool pool,
+      HopSpan span) {
     ServiceCall call =
         new ServiceCall(
             submission.id(),
@@ -95,10 +101,7 @@
     if (admitted.repetition() == Rule.Repetition.IDEMPOTENT) {
       return idempotentCalls.run(call);
     }
-    return CompletableFuture.completedFuture(
-        CallConclusion.without(
-            new Outcome.Refused(RefusalReason.CLAIMS_UNAVAILABLE, AdmissionPolicy.RETRY_AFTER),
-            ImmutableList.of()));
+    return atMostOnceCalls.run(call, pool.keyPolicy(), submission.idempotencyKey());
   }
 
   private CallAnswer close(CallSubmission submission, HopSpan span, CallConclusion result) {
--- /dev/null
+++ b/node/src/test/java/dev/apricotmill/node/matrix/Promise.java
@@ -0,0 +1,14 @@
+package dev.apricotmill.node.matrix;
+
+/** What must hold after every cell. */
+enum Promise {
+  ONE_OUTCOME_IN_TIME,
+  NO_MEMORY_LEFT,
+  WHOLE_ANSWERS,
+  NOT_RUN_IS_TRUE,
+  AT_MOST_ONCE,
+  NO_WORK_WHEN_LEAVING,
+  STOPS_CUT_NOTHING,
+  CONFIGURATION_IN_FORCE,
+  PLATFORM_RATES
+}
--- /dev/null
+++ b/node/src/test/java/dev/apricotmill/node/matrix/package-info.java
@@ -0,0 +1,5 @@
+/** The fault matrix: every fault at every step, with every promise checked after each cell. */
+@NullMarked
+package dev.apricotmill.node.matrix;
+
+import org.jspecify.annotations.NullMarked;
--- a/node/src/test/java/dev/apricotmill/node/testing/Deployment.java
+++ b/node/src/test/java/dev/apricotmill/node/testing/Deployment.java
@@ -21,6 +21,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * A whole deployment on one virtual timeline: three zones with two daemons and two engines each, a
@@ -111,6 +112,26 @@
     return writer.apply(configuration);
   }
 
+  /** Proposes a configuration; the future completes while time passes. */
+  public CompletableFuture<ChangeResult> propose(Configuration configuration, String author) {
+    return writer.propose(configuration, author);
+  }
+
+  /** Returns the highest generation that an operator was told to be accepted. */
+  public long acceptedGeneration() {
+    return writer.acceptedGeneration();
+  }
+
+  /** Returns the generation that stands at the platform, which must be reachable. */
+  public long storedGeneration() {
+    return writer.storedGeneration();
+  }
+
+  /** Returns the machines as they should be listed. */
+  public ImmutableList<Machine> machines() {
+    return ImmutableList.copyOf(machines);
+  }
+
   /** Returns the timeline. */
   public VirtualTime time() {
     return time;
@@ -156,6 +177,11 @@
     platform.setMachines(ImmutableList.copyOf(machines));
   }
 
+  /** Loses what the daemons of a zone send to the other zones; the other direction stays. */
+  public void cutZoneOneWay(Zone zone) {
+    forEachPairAcross(zone, network::cut);
+  }
+
   private interface PairAction {
     void apply(PeerAddress one, PeerAddress other);
   }
