--- a/bin/deployment.sh
+++ b/bin/deployment.sh
@@ -26,8 +26,10 @@
 end_all() {
   local pid
   for pid in "${PIDS[@]}"; do
-    kill -CONT "$pid" 2>/dev/null || true
-    kill -KILL "$pid" 2>/dev/null || true
+    # The number of a process that has ended may belong to somebody else by now.
+    if [[ "$(ps -o ppid= -p "$pid" 2>/dev/null | tr -d ' ')" == "$$" ]]; then
+      kill -KILL "$pid" 2>/dev/null || true
+    fi
   done
   rm -rf "$WORK"
 }
@@ -58,16 +60,21 @@
   ADDRESS="127.0.0.1:${ready#ready }"
 }
 
-# start_daemon NAME ZONE
-start_daemon() {
-  local name="$1" zone="$2" line
+# launch_daemon NAME ZONE PUBLIC_PORT INNER_PORT OPERATORS_PORT; the process is left in LAST_PID.
+launch_daemon() {
   java "${JAVA_OPTIONS[@]}" -Xms64m -Xmx256m -jar "$DAEMON" \
-    --daemon-name "$name" --zone "$zone" --platform-address "$PLATFORM" \
-    --public-port 0 --inner-port 0 --operators-port 0 --log-level INFO >"$WORK/$name.log" 2>&1 &
+    --daemon-name "$1" --zone "$2" --platform-address "$PLATFORM" \
+    --public-port "$3" --inner-port "$4" --operators-port "$5" >>"$WORK/$1.log" 2>&1 &
   disown $!
   PIDS+=($!)
-  DAEMON_PIDS+=($!)
-  DAEMON_NAMES+=("$name")
+  LAST_PID=$!
+}
+
+# start_daemon NAME ZONE
+start_daemon() {
+  launch_daemon "$1" "$2" 0 0 0
+  DAEMON_PIDS+=("$LAST_PID")
+  DAEMON_NAMES+=("$1")
 }
 
 # Reads the ports of the daemons from their logs.
--- a/test_helpers/src/main/java/dev/apricotmill/testhelpers/demo/DemoMain.java
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/demo/DemoMain.java
@@ -34,7 +34,7 @@
 
   private DemoMain(DemoArguments arguments) {
     this.arguments = arguments;
-    this.logs = arguments.logs();
+    this.logs = arguments.deployment().logs();
   }
 
   /** Runs the demonstration; the exit code is 0 only if each outcome was right. */
@@ -47,7 +47,8 @@
   private boolean run() {
     boolean ready =
         Waiting.until(
-            START_PATIENCE, () -> arguments.operatorsAddresses().stream().allMatch(logs::isReady));
+            START_PATIENCE,
+            () -> arguments.deployment().operatorsAddresses().stream().allMatch(logs::isReady));
     report.fact("every daemon is ready", ready);
     if (ready) {
       question();
@@ -63,7 +64,10 @@
   }
 
   private String daemon(int index) {
-    return arguments.publicAddresses().get(index % arguments.publicAddresses().size());
+    return arguments
+        .deployment()
+        .publicAddresses()
+        .get(index % arguments.deployment().publicAddresses().size());
   }
 
   private void question() {
@@ -125,7 +129,7 @@
         CompletableFuture.supplyAsync(
             () -> caller.order(daemon(0), "/orders/circuits/8/off", key), callers);
     List<CompletableFuture<CallResult>> streams = new ArrayList<>();
-    for (int index = 0; index < 2 * arguments.publicAddresses().size(); index++) {
+    for (int index = 0; index < 2 * arguments.deployment().publicAddresses().size(); index++) {
       int number = index;
       streams.add(
           CompletableFuture.supplyAsync(
--- a/test_helpers/src/main/java/dev/apricotmill/testhelpers/demo/StandInLogs.java
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/demo/StandInLogs.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.URI;
@@ -9,7 +10,6 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 
 /** Reads from the stand-ins and from the operators' ports what really happened. */
@@ -36,19 +36,14 @@
         .count();
   }
 
-  /** Returns how many calls with a request's identifier the services executed. */
-  long serviceExecutions(String requestId) {
-    return serviceLog().stream()
-        .filter(entry -> entry.path("request_id").asText().equals(requestId))
-        .count();
+  /** Returns what all replicas of the service executed. */
+  ImmutableList<JsonNode> serviceLog() {
+    return logs(services);
   }
 
-  /** Returns how many sequences of a request the engines started. */
-  long engineStarts(String requestId) {
-    return logs(engines).stream()
-        .filter(entry -> entry.path("kind").asText().equals("STARTED"))
-        .filter(entry -> entry.path("sequence").path("request").asText().equals(requestId))
-        .count();
+  /** Returns what happened at all engines. */
+  ImmutableList<JsonNode> engineLog() {
+    return logs(engines);
   }
 
   /** Returns the KV memory that all engines use now, in tokens. */
@@ -86,19 +81,10 @@
     }
   }
 
-  /** Returns a daemon's status. */
-  JsonNode status(String operators) {
-    return get(operators, "/status");
-  }
-
-  private List<JsonNode> serviceLog() {
-    return logs(services);
-  }
-
-  private List<JsonNode> logs(List<String> addresses) {
-    List<JsonNode> entries = new ArrayList<>();
-    addresses.forEach(address -> get(address, "/log").forEach(entries::add));
-    return entries;
+  private ImmutableList<JsonNode> logs(List<String> addresses) {
+    ImmutableList.Builder<JsonNode> entries = ImmutableList.builder();
+    addresses.forEach(address -> entries.addAll(get(address, "/log")));
+    return entries.build();
   }
 
   private JsonNode get(String address, String path) {
