--- a/cli/src/main/java/dev/apricotmill/cli/CommandTree.java
+++ b/cli/src/main/java/dev/apricotmill/cli/CommandTree.java
@@ -13,6 +13,9 @@
 import dev.apricotmill.cli.configuration.ConfigShowCommand;
 import dev.apricotmill.cli.fleet.DrainCommand;
 import dev.apricotmill.cli.fleet.StatusCommand;
+import dev.apricotmill.cli.sheet.SheetApplyCommand;
+import dev.apricotmill.cli.sheet.SheetCheckCommand;
+import dev.apricotmill.cli.sheet.SheetShowCommand;
 import java.util.Map;
 import java.util.Optional;
 
@@ -36,6 +39,9 @@
     add("config", "show", new ConfigShowCommand());
     add("config", "history", new ConfigHistoryCommand());
     add("config", "diff", new ConfigDiffCommand());
+    add("sheet", "check", new SheetCheckCommand());
+    add("sheet", "apply", new SheetApplyCommand());
+    add("sheet", "show", new SheetShowCommand());
     add("", "status", new StatusCommand());
     add("", "drain", new DrainCommand());
   }
--- a/cli/src/main/java/dev/apricotmill/cli/configuration/AuthorOptions.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/AuthorOptions.java
@@ -62,7 +62,7 @@
   }
 
   /** Returns the identifier of the change, a new one unless an earlier change is repeated. */
-  public String changeId() {
-    return changeId == null ? UUID.randomUUID().toString() : changeId;
+  public String changeId(String prefix) {
+    return changeId == null ? prefix + UUID.randomUUID() : changeId;
   }
 }
--- a/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigApplyCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigApplyCommand.java
@@ -76,7 +76,7 @@
         && !authorOptions.repeatsChange()) {
       return new Unchanged(ExitCode.OK, current.generation());
     }
-    String changeId = authorOptions.changeId();
+    String changeId = authorOptions.changeId("file-");
     ChangeResult result =
         client.propose(valid.configuration(), expected, authorOptions.author(context), changeId);
     String retryCommand =
@@ -84,6 +84,10 @@
     return ProposalReport.of(
         result,
         new ProposalReport.Proposal(
-            file, retryCommand, differences, FaultLine.of(valid.warnings())));
+            file,
+            retryCommand,
+            "apricotmill config diff " + file + " shows what yours would change now",
+            differences,
+            FaultLine.of(valid.warnings())));
   }
 }
--- a/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigurationClient.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigurationClient.java
@@ -59,7 +59,7 @@
   }
 
   /** Reads the newest heads. */
-  HistoryResult history(int limit) {
+  public HistoryResult history(int limit) {
     return context.await(store.history(limit));
   }
 
@@ -74,7 +74,7 @@
   }
 
   /** Returns the failure to tell when the platform gave no usable answer to a read. */
-  static Failure unavailable(PlatformFailure failure) {
+  public static Failure unavailable(PlatformFailure failure) {
     return Failure.Kind.PLATFORM_UNAVAILABLE.report(
         "the platform gave no usable answer (" + failure + "); nothing was changed",
         "check the address and try again; daemons go on with the configuration they have");
--- a/cli/src/main/java/dev/apricotmill/cli/configuration/ProposalReport.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/ProposalReport.java
@@ -18,12 +18,14 @@
    *
    * @param source the file that it came from
    * @param retryCommand the command that proposes the same change again
+   * @param afterConflict what the operator may do after a conflict
    * @param differences what it changes
    * @param warnings what the operator should look at
    */
   public record Proposal(
       String source,
       String retryCommand,
+      String afterConflict,
       ImmutableList<Difference> differences,
       ImmutableList<FaultLine> warnings) {}
 
@@ -41,7 +43,8 @@
           ExitCode.CONFLICT,
           proposal.source(),
           Optional.of(HeadSummary.of(conflict.other())).filter(head -> head.generation() > 0),
-          Optional.of(HeadSummary.of(conflict.current())).filter(head -> head.generation() > 0));
+          Optional.of(HeadSummary.of(conflict.current())).filter(head -> head.generation() > 0),
+          proposal.afterConflict());
     }
     if (result instanceof ChangeResult.Undetermined undetermined) {
       return new Undetermined(
@@ -94,9 +97,14 @@
    * @param source the file that was not applied
    * @param other the change that took the expected place
    * @param current the configuration that stands now
+   * @param nextStep what the operator may do
    */
-  record Conflict(
-      ExitCode exitCode, String source, Optional<HeadSummary> other, Optional<HeadSummary> current)
+  public record Conflict(
+      ExitCode exitCode,
+      String source,
+      Optional<HeadSummary> other,
+      Optional<HeadSummary> current,
+      String nextStep)
       implements Report {
     @Override
     public void printText(PrintWriter out) {
@@ -105,7 +113,7 @@
       current
           .filter(head -> !other.equals(current))
           .ifPresent(head -> out.println("  in force now: " + head));
-      out.println("Next: apricotmill config diff " + source + " shows what yours would change now");
+      out.println("Next: " + nextStep);
     }
   }
 
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/sheet/SheetWriter.java
@@ -0,0 +1,87 @@
+package dev.apricotmill.core.sheet;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.dataformat.csv.CsvMapper;
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.core.configuration.Configuration;
+import dev.apricotmill.core.configuration.Customer;
+import dev.apricotmill.core.configuration.PlannedStop;
+import java.math.BigDecimal;
+import java.time.LocalDate;
+import java.time.ZoneId;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+/** Writes what a sheet can set as a sheet, so that planners can begin from what is in force. */
+public final class SheetWriter {
+  private static final CsvMapper MAPPER = new CsvMapper();
+
+  private final StringBuilder text = new StringBuilder();
+  private final LocalDate day;
+  private final ZoneId timeZone;
+  private int lines;
+
+  private SheetWriter(LocalDate day, ZoneId timeZone) {
+    this.day = day;
+    this.timeZone = timeZone;
+  }
+
+  /** Returns a sheet of a day with every customer and the planned stops that begin on it. */
+  public static String render(Configuration configuration, LocalDate day, ZoneId timeZone) {
+    SheetWriter writer = new SheetWriter(day, timeZone);
+    writer.append(Arrays.stream(SheetColumn.values()).map(SheetColumn::header).toList());
+    configuration.customers().values().forEach(writer::customer);
+    configuration.plannedStops().stream()
+        .filter(stop -> stop.from().atZone(timeZone).toLocalDate().equals(day))
+        .forEach(writer::stop);
+    writer.line("end", Integer.toString(writer.lines), Map.of());
+    return writer.text.toString();
+  }
+
+  private void customer(Customer customer) {
+    Map<SheetColumn, String> cells = new EnumMap<>(SheetColumn.class);
+    cells.put(SheetColumn.WEIGHT, Integer.toString(customer.weight()));
+    cells.put(SheetColumn.PRIORITY, customer.priority().name());
+    cells.put(SheetColumn.REQUESTS_PER_SECOND, plain(customer.limits().requestsPerSecond()));
+    cells.put(
+        SheetColumn.PROMPT_TOKENS_PER_SECOND, plain(customer.limits().promptTokensPerSecond()));
+    cells.put(SheetColumn.OPEN_REQUESTS, Integer.toString(customer.limits().openRequests()));
+    line("customer", customer.id().value(), cells);
+    lines++;
+  }
+
+  private void stop(PlannedStop stop) {
+    Map<SheetColumn, String> cells = new EnumMap<>(SheetColumn.class);
+    cells.put(SheetColumn.FROM, stop.from().atZone(timeZone).toOffsetDateTime().toString());
+    cells.put(SheetColumn.UNTIL, stop.until().atZone(timeZone).toOffsetDateTime().toString());
+    line("stop", stop.machine(), cells);
+    lines++;
+  }
+
+  private void line(String kind, String name, Map<SheetColumn, String> values) {
+    Map<SheetColumn, String> cells = new EnumMap<>(SheetColumn.class);
+    cells.putAll(values);
+    cells.put(SheetColumn.DAY, day.toString());
+    cells.put(SheetColumn.KIND, kind);
+    cells.put(SheetColumn.NAME, name);
+    append(
+        Arrays.stream(SheetColumn.values())
+            .map(column -> cells.getOrDefault(column, ""))
+            .collect(ImmutableList.toImmutableList()));
+  }
+
+  private void append(List<String> cells) {
+    try {
+      text.append(MAPPER.writeValueAsString(cells));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("cells can always be written", e);
+    }
+  }
+
+  /** Returns a number without an exponent and without zeros at its end. */
+  private static String plain(double value) {
+    return BigDecimal.valueOf(value).stripTrailingZeros().toPlainString();
+  }
+}
