--- a/cli/src/main/java/dev/apricotmill/cli/CommandTree.java
+++ b/cli/src/main/java/dev/apricotmill/cli/CommandTree.java
@@ -44,6 +44,7 @@
     add("sheet", "show", new SheetShowCommand());
     add("", "status", new StatusCommand());
     add("", "drain", new DrainCommand());
+    add("", "completion", new CompletionCommand(this));
   }
 
   private void add(String group, String name, Command command) {
--- a/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigApplyCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigApplyCommand.java
@@ -7,6 +7,7 @@
 import dev.apricotmill.cli.command.CommandContext;
 import dev.apricotmill.cli.command.ExitCode;
 import dev.apricotmill.cli.command.InputFile;
+import dev.apricotmill.cli.command.OperandValidator;
 import dev.apricotmill.cli.command.PlatformCommand;
 import dev.apricotmill.cli.command.Report;
 import dev.apricotmill.coordination.configuration.ChangeResult;
@@ -20,7 +21,10 @@
 /** Makes a configuration file the configuration in force. */
 @Parameters(commandDescription = "Check a configuration file and put it in force")
 public final class ConfigApplyCommand extends PlatformCommand {
-  @Parameter(required = true, description = "FILE: the configuration as JSON")
+  @Parameter(
+      required = true,
+      validateWith = OperandValidator.class,
+      description = "FILE: the configuration as JSON")
   private String file = "";
 
   @ParametersDelegate private final AuthorOptions authorOptions = new AuthorOptions();
--- a/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigCheckCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigCheckCommand.java
@@ -6,6 +6,7 @@
 import dev.apricotmill.cli.command.Command;
 import dev.apricotmill.cli.command.CommandContext;
 import dev.apricotmill.cli.command.InputFile;
+import dev.apricotmill.cli.command.OperandValidator;
 import dev.apricotmill.cli.command.Report;
 import dev.apricotmill.core.configuration.CheckResult;
 import dev.apricotmill.core.configuration.ConfigurationFile;
@@ -13,7 +14,10 @@
 /** Checks a configuration file without the platform. */
 @Parameters(commandDescription = "Check a configuration file and name every fault")
 public final class ConfigCheckCommand extends Command {
-  @Parameter(required = true, description = "FILE: the configuration as JSON")
+  @Parameter(
+      required = true,
+      validateWith = OperandValidator.class,
+      description = "FILE: the configuration as JSON")
   private String file = "";
 
   @Override
--- a/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigDiffCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigDiffCommand.java
@@ -6,6 +6,7 @@
 import dev.apricotmill.cli.command.CommandContext;
 import dev.apricotmill.cli.command.ExitCode;
 import dev.apricotmill.cli.command.InputFile;
+import dev.apricotmill.cli.command.OperandValidator;
 import dev.apricotmill.cli.command.PlatformCommand;
 import dev.apricotmill.cli.command.Report;
 import dev.apricotmill.coordination.platform.Platform;
@@ -19,7 +20,9 @@
 /** Compares two generations, or a file with the configuration in force. */
 @Parameters(commandDescription = "Show what differs between two configurations")
 public final class ConfigDiffCommand extends PlatformCommand {
-  @Parameter(description = "[FILE]: a configuration file to compare with the one in force")
+  @Parameter(
+      validateWith = OperandValidator.class,
+      description = "[FILE]: a configuration file to compare with the one in force")
   private @Nullable String file;
 
   @Parameter(
--- a/cli/src/main/java/dev/apricotmill/cli/fleet/DaemonOptions.java
+++ b/cli/src/main/java/dev/apricotmill/cli/fleet/DaemonOptions.java
@@ -7,25 +7,16 @@
 import dev.apricotmill.cli.command.CommandContext;
 import dev.apricotmill.cli.command.CommonOptions;
 import dev.apricotmill.cli.command.Failure;
-import dev.apricotmill.cli.command.PeerAddressConverter;
 import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.coordination.platform.Machine;
 import dev.apricotmill.coordination.platform.MachineListResult;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
-/** Tells which daemons a command is about: those named, or all entry VMs in the platform's list. */
+/** Finds daemons through the platform's list of VMs. */
 public final class DaemonOptions {
   private static final int DEFAULT_OPERATORS_PORT = 9090;
 
-  @Parameter(
-      names = "--daemon",
-      description =
-          "Operators' port of a daemon as IP:PORT; may be repeated; all entry VMs if absent",
-      converter = PeerAddressConverter.class)
-  private List<PeerAddress> daemons = new ArrayList<>();
-
   @Parameter(
       names = "--operators-port",
       description = "Operators' port of daemons that are found through the platform's list")
@@ -51,6 +42,14 @@
     static Found only(String name, PeerAddress address) {
       return new Daemons(ImmutableList.of(new NamedDaemon(name, address)));
     }
+
+    /** Returns the daemons at the addresses. */
+    static Found at(List<PeerAddress> addresses) {
+      return new Daemons(
+          addresses.stream()
+              .map(address -> new NamedDaemon(address.toString(), address))
+              .collect(ImmutableList.toImmutableList()));
+    }
   }
 
   /**
@@ -67,20 +66,15 @@
     }
   }
 
-  /** Returns the daemons that were named, or else all that the platform lists. */
+  /** Returns the daemons on all entry VMs that the platform lists. */
   Found find(CommandContext context, CommonOptions options) {
-    if (!daemons.isEmpty()) {
-      return new Found.Daemons(
-          daemons.stream()
-              .map(address -> new NamedDaemon(address.toString(), address))
-              .collect(ImmutableList.toImmutableList()));
-    }
     Optional<PeerAddress> platform = options.platform(context.environment());
     if (platform.isEmpty()) {
       return new Found.None(
           Failure.Kind.NO_DAEMONS.report(
               "neither daemons nor the platform are named",
-              "give --daemon IP:PORT, or --platform IP:PORT to find all daemons"));
+              "give --platform IP:PORT, or addresses: apricotmill status --daemon IP:PORT,"
+                  + " apricotmill drain IP:PORT"));
     }
     return listed(
         context.await(context.connections().platform(platform.get()).machines(options.timeout())));
@@ -111,7 +105,7 @@
               "the platform gave no list of VMs ("
                   + ((MachineListResult.Unavailable) result).failure()
                   + ")",
-              "name daemons with --daemon IP:PORT"));
+              "name daemons by their address IP:PORT"));
     }
     ImmutableList<NamedDaemon> found =
         listed.machines().stream()
@@ -121,7 +115,7 @@
     return found.isEmpty()
         ? new Found.None(
             Failure.Kind.NO_DAEMONS.report(
-                "the platform lists no entry VM", "name daemons with --daemon IP:PORT"))
+                "the platform lists no entry VM", "name daemons by their address IP:PORT"))
         : new Found.Daemons(found);
   }
 
--- a/cli/src/main/java/dev/apricotmill/cli/fleet/DrainCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/fleet/DrainCommand.java
@@ -7,6 +7,7 @@
 import dev.apricotmill.cli.command.Command;
 import dev.apricotmill.cli.command.CommandContext;
 import dev.apricotmill.cli.command.Failure;
+import dev.apricotmill.cli.command.OperandValidator;
 import dev.apricotmill.cli.command.OperatorAnswer;
 import dev.apricotmill.cli.command.PeerAddressConverter;
 import dev.apricotmill.cli.command.Report;
@@ -21,6 +22,7 @@
 
   @Parameter(
       required = true,
+      validateWith = OperandValidator.class,
       description = "DAEMON: its name in the platform's list, or its operators' port as IP:PORT")
   private String daemon = "";
 
--- a/cli/src/main/java/dev/apricotmill/cli/fleet/StatusCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/fleet/StatusCommand.java
@@ -8,13 +8,23 @@
 import dev.apricotmill.cli.command.CommandContext;
 import dev.apricotmill.cli.command.Failure;
 import dev.apricotmill.cli.command.OperatorAnswer;
+import dev.apricotmill.cli.command.PeerAddressConverter;
 import dev.apricotmill.cli.command.Report;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletionStage;
 
 /** Asks daemons for their status and shows the fleet on one screen. */
 @Parameters(commandDescription = "Show daemons, replicas and the configuration in force")
 public final class StatusCommand extends Command {
+  @Parameter(
+      names = "--daemon",
+      description =
+          "Operators' port of a daemon as IP:PORT; may be repeated; all entry VMs if absent",
+      converter = PeerAddressConverter.class)
+  private List<PeerAddress> daemons = new ArrayList<>();
+
   @ParametersDelegate private final DaemonOptions daemonOptions = new DaemonOptions();
 
   @Parameter(names = "--all", description = "List every daemon, not only those that need a look")
@@ -40,25 +50,28 @@
 
   @Override
   public Report run(CommandContext context) {
-    DaemonOptions.Found found = daemonOptions.find(context, options());
+    DaemonOptions.Found found =
+        daemons.isEmpty()
+            ? daemonOptions.find(context, options())
+            : DaemonOptions.Found.at(daemons);
     if (found instanceof DaemonOptions.Found.None none) {
       return none.failure();
     }
-    ImmutableList<DaemonOptions.NamedDaemon> daemons =
+    ImmutableList<DaemonOptions.NamedDaemon> asked =
         ((DaemonOptions.Found.Daemons) found).daemons();
-    FleetStatus fleet = FleetStatus.of(ask(context, daemons), all);
+    FleetStatus fleet = FleetStatus.of(ask(context, asked), all);
     if (fleet.answered() == 0) {
       return Failure.Kind.DAEMON_UNAVAILABLE.report(
-          "none of " + daemons.size() + " daemons told its status: " + fleet.firstReason(),
+          "none of " + asked.size() + " daemons told its status: " + fleet.firstReason(),
           "check the addresses; daemons listen for operators at --operators-address");
     }
     return fleet;
   }
 
   private ImmutableList<FleetStatus.Entry> ask(
-      CommandContext context, List<DaemonOptions.NamedDaemon> daemons) {
+      CommandContext context, List<DaemonOptions.NamedDaemon> asked) {
     List<CompletionStage<OperatorAnswer>> calls =
-        daemons.stream()
+        asked.stream()
             .map(
                 daemon ->
                     context
@@ -67,9 +80,9 @@
                         .get(daemon.address(), "/status", options().timeout()))
             .toList();
     ImmutableList.Builder<FleetStatus.Entry> entries = ImmutableList.builder();
-    for (int index = 0; index < daemons.size(); index++) {
+    for (int index = 0; index < asked.size(); index++) {
       DaemonReply reply = DaemonReply.of(context.await(calls.get(index)));
-      entries.add(FleetStatus.Entry.of(daemons.get(index), reply));
+      entries.add(FleetStatus.Entry.of(asked.get(index), reply));
     }
     return entries.build();
   }
--- a/cli/src/main/java/dev/apricotmill/cli/sheet/SheetApplyCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/sheet/SheetApplyCommand.java
@@ -7,6 +7,7 @@
 import dev.apricotmill.cli.command.CommandContext;
 import dev.apricotmill.cli.command.ExitCode;
 import dev.apricotmill.cli.command.InputFile;
+import dev.apricotmill.cli.command.OperandValidator;
 import dev.apricotmill.cli.command.PlatformCommand;
 import dev.apricotmill.cli.command.Report;
 import dev.apricotmill.cli.configuration.AuthorOptions;
@@ -30,7 +31,10 @@
   /** How many generations are searched for an earlier sheet of the day. */
   private static final int SEARCHED_GENERATIONS = 100;
 
-  @Parameter(required = true, description = "FILE: the sheet as CSV in UTF-8")
+  @Parameter(
+      required = true,
+      validateWith = OperandValidator.class,
+      description = "FILE: the sheet as CSV in UTF-8")
   private String file = "";
 
   @ParametersDelegate private final SheetOptions sheetOptions = new SheetOptions();
--- a/cli/src/main/java/dev/apricotmill/cli/sheet/SheetCheckCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/sheet/SheetCheckCommand.java
@@ -8,6 +8,7 @@
 import dev.apricotmill.cli.command.CommandContext;
 import dev.apricotmill.cli.command.ExitCode;
 import dev.apricotmill.cli.command.InputFile;
+import dev.apricotmill.cli.command.OperandValidator;
 import dev.apricotmill.cli.command.Report;
 import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.core.configuration.ConfigurationDiff;
@@ -18,7 +19,10 @@
 /** Checks a sheet and changes nothing. */
 @Parameters(commandDescription = "Check a morning sheet and name every fault")
 public final class SheetCheckCommand extends Command {
-  @Parameter(required = true, description = "FILE: the sheet as CSV in UTF-8")
+  @Parameter(
+      required = true,
+      validateWith = OperandValidator.class,
+      description = "FILE: the sheet as CSV in UTF-8")
   private String file = "";
 
   @ParametersDelegate private final SheetOptions sheetOptions = new SheetOptions();
