Routing, groups, limits, health, retries and roles as pure decisions, with their measurement

Cause: the router knew neither classes nor work under way, and prompts larger than one engine could not be served at all. The router now prices each replica by the wait for shorter work, by what this daemon has sent since the load was heard of, and by the delay that the request brings to longer prompts there; groups of engines are reserved all or none in the order of their names; limits, ejection, retries and roles are decisions of their own. bin/measure drives these classes in virtual time.

--- /dev/null
+++ b/benchmarks/src/main/java/dev/apricotmill/benchmarks/measure/package-info.java
@@ -0,0 +1,5 @@
+/** Runs policies over loads, seeds and faults, and prints tables and plots. */
+@NullMarked
+package dev.apricotmill.benchmarks.measure;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/group/GroupPlanner.java
@@ -0,0 +1,112 @@
+package dev.apricotmill.core.group;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.core.configuration.EngineProfile;
+import dev.apricotmill.core.configuration.Objective;
+import dev.apricotmill.core.outcome.RefusalReason;
+import dev.apricotmill.core.request.GenerationRequest;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.routing.ReplicaView;
+import dev.apricotmill.core.steward.ShortHeadroom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Chooses the replicas that read a prompt together when it is too large for one.
+ *
+ * <p>Every member keeps its headroom for short prompts, so that no group empties the pool of them.
+ */
+public final class GroupPlanner {
+
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+  private final long usableTokens;
+
+  /** Creates a planner for a pool of engines of the given profile. */
+  public GroupPlanner(EngineProfile profile, Objective objective) {
+    this.usableTokens = profile.memoryTokens() - ShortHeadroom.tokens(profile, objective);
+  }
+
+  /** Returns whether a prompt needs more than one engine. */
+  public boolean needsGroup(GenerationRequest request) {
+    return request.memoryTokens() > usableTokens;
+  }
+
+  /**
+   * Chooses the members; all in one zone if a zone has enough of them.
+   *
+   * @param request the request
+   * @param replicas the replicas of its service
+   * @param tried replicas that failed this request before
+   * @param cost the waiting time at a replica
+   */
+  public GroupDecision plan(
+      GenerationRequest request,
+      ImmutableList<ReplicaView> replicas,
+      Set<ReplicaId> tried,
+      ToDoubleFunction<ReplicaView> cost) {
+    int size = membersNeeded(request);
+    if (size > replicas.size()) {
+      return new GroupDecision.Refuse(RefusalReason.NEVER_FITS, Duration.ZERO);
+    }
+    List<Priced> usable = new ArrayList<>();
+    for (ReplicaView view : replicas) {
+      if (view.usable() && !tried.contains(view.replica())) {
+        usable.add(new Priced(view, cost.applyAsDouble(view)));
+      }
+    }
+    if (size > usable.size()) {
+      return new GroupDecision.Refuse(RefusalReason.NO_REPLICA, RETRY_AFTER);
+    }
+    return members(request, cheapest(usable, size));
+  }
+
+  private int membersNeeded(GenerationRequest request) {
+    long outputTokens = request.maximumOutputTokens();
+    long usableForPrompt = Math.max(1, usableTokens - outputTokens);
+    return (int) Math.min(Integer.MAX_VALUE, divideUp(request.promptTokens(), usableForPrompt));
+  }
+
+  private static List<Priced> cheapest(List<Priced> usable, int size) {
+    usable.sort(Comparator.comparingDouble(Priced::cost));
+    Map<String, List<Priced>> byZone = new TreeMap<>();
+    List<Priced> best = usable.subList(0, size);
+    boolean bestIsNear = false;
+    for (Priced priced : usable) {
+      String zone = priced.view.zone().name();
+      List<Priced> zoneMembers = byZone.computeIfAbsent(zone, unused -> new ArrayList<>());
+      zoneMembers.add(priced);
+      if (zoneMembers.size() == size && !bestIsNear) {
+        best = List.copyOf(zoneMembers);
+        bestIsNear = true;
+      }
+    }
+    return best;
+  }
+
+  private static GroupDecision members(GenerationRequest request, List<Priced> chosen) {
+    long part = divideUp(request.promptTokens(), chosen.size());
+    long left = request.promptTokens();
+    List<ReplicaView> views = new ArrayList<>(chosen.stream().map(Priced::view).toList());
+    views.sort(Comparator.comparing(ReplicaView::replica));
+    ImmutableList.Builder<GroupDecision.Member> members = ImmutableList.builder();
+    for (ReplicaView view : views) {
+      long tokens = Math.min(part, left);
+      members.add(new GroupDecision.Member(view, tokens));
+      left -= tokens;
+    }
+    return new GroupDecision.Members(members.build());
+  }
+
+  private static long divideUp(long value, long divisor) {
+    return (value + divisor - 1) / divisor;
+  }
+
+  private record Priced(ReplicaView view, double cost) {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/health/ReplicaHealth.java
@@ -0,0 +1,118 @@
+package dev.apricotmill.core.health;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.routing.ReplicaView;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Keeps slow or failing replicas out of the choice, but never more than a part of the pool.
+ *
+ * <p>A replica is out after consecutive failures, for a time that doubles with each ejection in
+ * row, or while it reads prompts at less than half of the pool's median rate. Safe for use by
+ * several threads.
+ */
+public final class ReplicaHealth {
+
+  private static final int FAILURES_TO_EJECT = 3;
+  private static final int LONGEST_DOUBLING = 6;
+  private static final Duration FIRST_EJECTION = Duration.ofSeconds(1);
+  private static final double SLOW_PART_OF_MEDIAN = 0.5;
+  private static final int EJECTABLE_ONE_IN = 3;
+
+  private final ConcurrentHashMap<ReplicaId, Streak> records = new ConcurrentHashMap<>();
+
+  /** Notes an answer of a replica. */
+  public void onSuccess(ReplicaId replica) {
+    records.remove(replica);
+  }
+
+  /** Notes a failure of a replica. */
+  public void onFailure(ReplicaId replica, long nowNanos) {
+    records.compute(
+        replica, (unused, known) -> (known == null ? Streak.HEALTHY : known).failed(nowNanos));
+  }
+
+  /** Returns the views with the ejected replicas marked as not usable. */
+  public ImmutableList<ReplicaView> apply(ImmutableList<ReplicaView> views, long nowNanos) {
+    Set<ReplicaId> ejected = ejected(views, nowNanos);
+    if (ejected.isEmpty()) {
+      return views;
+    }
+    ImmutableList.Builder<ReplicaView> marked = ImmutableList.builder();
+    for (ReplicaView view : views) {
+      marked.add(ejected.contains(view.replica()) ? unusable(view) : view);
+    }
+    return marked.build();
+  }
+
+  /** Forgets replicas that are no longer configured. */
+  public void retain(Set<ReplicaId> configured) {
+    records.keySet().retainAll(configured);
+  }
+
+  private Set<ReplicaId> ejected(ImmutableList<ReplicaView> views, long nowNanos) {
+    double slowRate = SLOW_PART_OF_MEDIAN * medianRate(views);
+    List<ReplicaView> failing = new ArrayList<>();
+    List<ReplicaView> slow = new ArrayList<>();
+    for (ReplicaView view : views) {
+      Streak known = records.get(view.replica());
+      double rate = view.load().prefillTokensPerSecond();
+      if (known != null && known.isEjected(nowNanos)) {
+        failing.add(view);
+      } else if (rate > 0 && rate < slowRate) {
+        slow.add(view);
+      }
+    }
+    slow.sort(Comparator.comparingDouble(view -> view.load().prefillTokensPerSecond()));
+    Set<ReplicaId> ejected = new HashSet<>();
+    int most = views.size() / EJECTABLE_ONE_IN;
+    for (List<ReplicaView> part : ImmutableList.of(failing, slow)) {
+      for (ReplicaView view : part) {
+        if (ejected.size() < most) {
+          ejected.add(view.replica());
+        }
+      }
+    }
+    return ejected;
+  }
+
+  private static double medianRate(ImmutableList<ReplicaView> views) {
+    double[] rates =
+        views.stream()
+            .mapToDouble(view -> view.load().prefillTokensPerSecond())
+            .filter(rate -> rate > 0)
+            .sorted()
+            .toArray();
+    return rates.length == 0 ? 0 : rates[rates.length / 2];
+  }
+
+  private static ReplicaView unusable(ReplicaView view) {
+    return new ReplicaView(
+        view.replica(), view.zone(), view.steward(), view.load(), view.loadAtNanos(), false);
+  }
+
+  /** Failures in row and the end of the last ejection. */
+  private record Streak(int failures, int ejections, long ejectedUntilNanos) {
+
+    static final Streak HEALTHY = new Streak(0, 0, 0);
+
+    Streak failed(long nowNanos) {
+      if (failures + 1 < FAILURES_TO_EJECT && ejections == 0) {
+        return new Streak(failures + 1, ejections, ejectedUntilNanos);
+      }
+      long nanos = FIRST_EJECTION.toNanos() << Math.min(ejections, LONGEST_DOUBLING);
+      return new Streak(0, ejections + 1, nowNanos + nanos);
+    }
+
+    boolean isEjected(long nowNanos) {
+      return ejections > 0 && nowNanos - ejectedUntilNanos < 0;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/routing/LocalLoad.java
@@ -0,0 +1,71 @@
+package dev.apricotmill.core.routing;
+
+import dev.apricotmill.core.length.LengthClass;
+import dev.apricotmill.core.request.GenerationRequest;
+import dev.apricotmill.core.request.ReplicaId;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Predicts a replica's waiting times from its last known load and from what this daemon sent since.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class LocalLoad {
+
+  private final ConcurrentHashMap<ReplicaId, SentWork> sent = new ConcurrentHashMap<>();
+
+  /** Notes that a request is sent to a replica. */
+  void onSend(ReplicaView view, GenerationRequest request) {
+    LengthClass lengthClass = LengthClass.of(request.promptTokens());
+    sent.compute(
+        view.replica(),
+        (replica, known) ->
+            current(view, known).plus(lengthClass, request.promptTokens(), request.memoryTokens()));
+  }
+
+  /** Predicts how long a request would wait at a replica before its prompt is read. */
+  double waitSeconds(ReplicaView view, GenerationRequest request, long nowNanos) {
+    double rate = view.load().prefillTokensPerSecond();
+    if (rate <= 0) {
+      return 0;
+    }
+    SentWork since = current(view, sent.get(view.replica()));
+    LengthClass lengthClass = LengthClass.of(request.promptTokens());
+    long ahead =
+        view.load().queuedPromptTokensUpTo(lengthClass) + since.promptTokensUpTo(lengthClass);
+    double reading = Math.max(0, ahead / rate - ageSeconds(view, nowNanos));
+    long free = view.load().memoryTokens() - view.load().reservedTokens() - since.memoryTokens();
+    double memory = request.memoryTokens() <= free ? 0 : view.load().reservedTokens() / rate;
+    return Math.max(reading, memory);
+  }
+
+  /** Returns the time that a replica's engine is busy with prompts of all lengths. */
+  double busySeconds(ReplicaView view, long nowNanos) {
+    double rate = view.load().prefillTokensPerSecond();
+    if (rate <= 0) {
+      return 0;
+    }
+    SentWork since = current(view, sent.get(view.replica()));
+    long all = view.load().queuedPromptTokens() + since.promptTokensUpTo(LengthClass.HUGE);
+    return Math.max(0, all / rate - ageSeconds(view, nowNanos));
+  }
+
+  /** Forgets replicas that are no longer configured. */
+  void retain(Set<ReplicaId> configured) {
+    sent.keySet().retainAll(configured);
+  }
+
+  private static double ageSeconds(ReplicaView view, long nowNanos) {
+    return (double) Math.max(0, nowNanos - view.loadAtNanos()) / TimeUnit.SECONDS.toNanos(1);
+  }
+
+  private static SentWork current(ReplicaView view, @Nullable SentWork known) {
+    if (known == null || known.loadAtNanos() != view.loadAtNanos()) {
+      return SentWork.none(view.loadAtNanos());
+    }
+    return known;
+  }
+}
--- a/core/src/main/java/dev/apricotmill/core/routing/ReplicaRouter.java
+++ b/core/src/main/java/dev/apricotmill/core/routing/ReplicaRouter.java
@@ -1,25 +1,44 @@
 package dev.apricotmill.core.routing;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
 import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.core.configuration.Objective;
+import dev.apricotmill.core.length.LengthClass;
 import dev.apricotmill.core.outcome.RefusalReason;
 import dev.apricotmill.core.request.GenerationRequest;
+import dev.apricotmill.core.request.PrefixFingerprint;
 import dev.apricotmill.core.request.ReplicaId;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
-/** Chooses a replica for a request. Safe for use by several threads. */
+/**
+ * Chooses a replica for a request by prefix affinity, length class, known load and zone.
+ *
+ * <p>Safe for use by several threads. A choice counts at once as work sent to the replica, until
+ * the replica's load is heard of again.
+ */
 public final class ReplicaRouter {
 
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
   private final Zone ownZone;
+  private final double longPromptWeight;
+  private final LocalLoad localLoad = new LocalLoad();
 
-  /** Creates a router for an entry daemon in {@code ownZone}. */
+  /** Creates a router for an entry daemon in {@code ownZone} that weighs short requests more. */
   public ReplicaRouter(Zone ownZone) {
+    this(ownZone, Objective.SHORT_REQUEST_SLOWDOWN);
+  }
+
+  /** Creates a router for an entry daemon in {@code ownZone}. */
+  public ReplicaRouter(Zone ownZone, Objective objective) {
     this.ownZone = ownZone;
+    this.longPromptWeight = objective.longPromptShare() / (1 - objective.longPromptShare());
   }
 
   /**
@@ -37,20 +56,144 @@
       Set<ReplicaId> tried,
       RandomGenerator random,
       long nowNanos) {
-    List<ReplicaView> usable =
-        replicas.stream().filter(view -> view.usable() && !tried.contains(view.replica())).toList();
-    if (usable.isEmpty()) {
-      return new RoutingDecision.Refuse(RefusalReason.NO_REPLICA, RETRY_AFTER);
-    }
-    List<ReplicaView> near = usable.stream().filter(view -> view.zone().equals(ownZone)).toList();
-    boolean spill = near.isEmpty();
-    List<ReplicaView> candidates = spill ? usable : near;
+    List<ReplicaView> near = new ArrayList<>(replicas.size());
+    List<ReplicaView> far = new ArrayList<>(replicas.size());
+    boolean anyFits = false;
+    for (ReplicaView view : replicas) {
+      boolean fits = fits(view, request);
+      anyFits |= fits;
+      if (fits && view.usable() && !tried.contains(view.replica())) {
+        (view.zone().equals(ownZone) ? near : far).add(view);
+      }
+    }
+    if (near.isEmpty() && far.isEmpty()) {
+      return anyFits || replicas.isEmpty()
+          ? new RoutingDecision.Refuse(RefusalReason.NO_REPLICA, RETRY_AFTER)
+          : new RoutingDecision.Refuse(RefusalReason.NEVER_FITS, Duration.ZERO);
+    }
+    RoutingDecision.Forward chosen = chooseAmong(request, near, far, random, nowNanos);
+    localLoad.onSend(chosen.target(), request);
+    return chosen;
+  }
+
+  /** Returns the waiting time of a request at a replica in seconds, as far as this daemon knows. */
+  public double waitSeconds(GenerationRequest request, ReplicaView view, long nowNanos) {
+    return localLoad.waitSeconds(view, request, nowNanos);
+  }
+
+  /** Notes work that was sent to a replica by another choice than this router's. */
+  public void onSend(GenerationRequest request, ReplicaView view) {
+    localLoad.onSend(view, request);
+  }
+
+  /** Forgets replicas that are no longer configured. */
+  public void retain(Set<ReplicaId> configured) {
+    localLoad.retain(configured);
+  }
+
+  private RoutingDecision.Forward chooseAmong(
+      GenerationRequest request,
+      List<ReplicaView> near,
+      List<ReplicaView> far,
+      RandomGenerator random,
+      long nowNanos) {
+    if (near.isEmpty()) {
+      return spill(leastLoaded(request, far, random, nowNanos));
+    }
+    ReplicaView best = leastLoaded(request, near, random, nowNanos);
+    if (!far.isEmpty() && shouldLeaveZone(request, best, nowNanos)) {
+      ReplicaView other = leastLoaded(request, far, random, nowNanos);
+      if (cost(other, request, nowNanos) < cost(best, request, nowNanos) / 2) {
+        return spill(other);
+      }
+    }
+    if (request.prefix().isPresent()) {
+      ReplicaView cached = affine(request.prefix(), near);
+      double extra = cost(cached, request, nowNanos) - cost(best, request, nowNanos);
+      if (extra <= readSeconds(best, request)) {
+        return new RoutingDecision.Forward(cached, RoutingDecision.Cause.PREFIX_AFFINITY);
+      }
+    }
+    return new RoutingDecision.Forward(best, RoutingDecision.Cause.LOWER_LOAD);
+  }
+
+  private boolean shouldLeaveZone(GenerationRequest request, ReplicaView best, long nowNanos) {
+    return LengthClass.of(request.promptTokens()).isLong()
+        || localLoad.waitSeconds(best, request, nowNanos) > readSeconds(best, request);
+  }
+
+  private ReplicaView leastLoaded(
+      GenerationRequest request,
+      List<ReplicaView> candidates,
+      RandomGenerator random,
+      long nowNanos) {
+    if (LengthClass.of(request.promptTokens()) != LengthClass.SHORT) {
+      return leastOfAll(request, candidates, random, nowNanos);
+    }
     ReplicaView first = candidates.get(random.nextInt(candidates.size()));
     ReplicaView second = candidates.get(random.nextInt(candidates.size()));
-    boolean firstIsLighter =
-        first.load().queuedPromptTokens() <= second.load().queuedPromptTokens();
-    return new RoutingDecision.Forward(
-        firstIsLighter ? first : second,
-        spill ? RoutingDecision.Cause.SPILL : RoutingDecision.Cause.LOWER_LOAD);
+    return cost(first, request, nowNanos) <= cost(second, request, nowNanos) ? first : second;
+  }
+
+  private ReplicaView leastOfAll(
+      GenerationRequest request,
+      List<ReplicaView> candidates,
+      RandomGenerator random,
+      long nowNanos) {
+    int offset = random.nextInt(candidates.size());
+    ReplicaView best = candidates.get(offset);
+    double bestCost = cost(best, request, nowNanos);
+    for (int step = 1; step < candidates.size(); step++) {
+      ReplicaView candidate = candidates.get((offset + step) % candidates.size());
+      double cost = cost(candidate, request, nowNanos);
+      if (cost < bestCost) {
+        best = candidate;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /** The wait for shorter work, and the delay that the request brings to longer work there. */
+  private double cost(ReplicaView view, GenerationRequest request, long nowNanos) {
+    double busy = localLoad.busySeconds(view, nowNanos);
+    return localLoad.waitSeconds(view, request, nowNanos)
+        + longPromptWeight * Math.min(busy, readSeconds(view, request));
+  }
+
+  private static double readSeconds(ReplicaView view, GenerationRequest request) {
+    double rate = view.load().prefillTokensPerSecond();
+    return rate <= 0 ? 0 : request.promptTokens() / rate;
+  }
+
+  private static boolean fits(ReplicaView view, GenerationRequest request) {
+    long memory = view.load().memoryTokens();
+    return memory == 0 || request.memoryTokens() <= memory;
+  }
+
+  private static ReplicaView affine(PrefixFingerprint prefix, List<ReplicaView> candidates) {
+    ReplicaView best = candidates.get(0);
+    long bestScore = score(prefix, best);
+    for (ReplicaView candidate : candidates) {
+      long score = score(prefix, candidate);
+      if (score > bestScore) {
+        best = candidate;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  private static long score(PrefixFingerprint prefix, ReplicaView view) {
+    return Hashing.murmur3_128()
+        .newHasher()
+        .putLong(prefix.hash())
+        .putString(view.replica().value(), StandardCharsets.UTF_8)
+        .hash()
+        .asLong();
+  }
+
+  private static RoutingDecision.Forward spill(ReplicaView target) {
+    return new RoutingDecision.Forward(target, RoutingDecision.Cause.SPILL);
   }
 }
--- a/core/src/main/java/dev/apricotmill/core/steward/MemoryAccount.java
+++ b/core/src/main/java/dev/apricotmill/core/steward/MemoryAccount.java
@@ -56,6 +56,17 @@
     return true;
   }
 
+  /**
+   * Takes over memory that the engine already holds, whatever the headroom; it grows only into free
+   * memory.
+   */
+  public void adopt(RequestId request, long tokens) {
+    if (!reservations.containsKey(request)) {
+      long granted = Math.min(Math.max(0, tokens), freeTokens());
+      put(request, new Reservation(granted, isLong(LengthClass.of(tokens))));
+    }
+  }
+
   /**
    * Corrects a reservation to the engine's own count; it grows only into free memory.
    *
--- a/core/src/main/java/dev/apricotmill/core/steward/ReplicaScheduler.java
+++ b/core/src/main/java/dev/apricotmill/core/steward/ReplicaScheduler.java
@@ -1,8 +1,10 @@
 package dev.apricotmill.core.steward;
 
 import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.time.Deadline;
 import dev.apricotmill.core.configuration.EngineProfile;
 import dev.apricotmill.core.configuration.Objective;
+import dev.apricotmill.core.engine.HeldMemory;
 import dev.apricotmill.core.length.LengthClass;
 import dev.apricotmill.core.outcome.RefusalReason;
 import dev.apricotmill.core.request.GenerationRequest;
@@ -27,6 +29,7 @@
   private final EngineProfile profile;
   private final WaitingQueues queues = new WaitingQueues();
   private final Map<RequestId, RunningRequest> running = new HashMap<>();
+  private final Map<RequestId, Deadline> adopted = new HashMap<>();
   private final MemoryAccount account;
   private final PrefillBacklog backlog;
   private final GuaranteedShare longShare;
@@ -115,7 +118,7 @@
   public boolean release(RequestId request, long nowNanos) {
     RunningRequest ended = running.remove(request);
     if (ended == null) {
-      return false;
+      return adopted.remove(request) != null && account.release(request);
     }
     model.onRelease(account.reservedFor(request), nowNanos);
     if (ended.phase() == RunningRequest.Phase.DECODE) {
@@ -126,6 +129,18 @@
     return account.release(request);
   }
 
+  /**
+   * Takes over a sequence that the engine holds from before this scheduler was created. Its memory
+   * is given back by {@link #release}, or when its time is over.
+   */
+  public void adopt(HeldMemory.Sequence sequence, long nowNanos) {
+    RequestId request = sequence.id().request();
+    if (!running.containsKey(request) && !queues.contains(request)) {
+      account.adopt(request, sequence.tokens());
+      adopted.put(request, new Deadline(nowNanos + sequence.remaining().toNanos()));
+    }
+  }
+
   /** Removes a request that still waits; returns false if it does not wait here. */
   public boolean withdraw(RequestId request, long nowNanos) {
     return queues.withdraw(request);
@@ -175,7 +190,9 @@
     if (request.memoryTokens() > profile.memoryTokens()) {
       return new AdmissionDecision.Refused(RefusalReason.NEVER_FITS, Duration.ZERO);
     }
-    if (queues.contains(request.id()) || running.containsKey(request.id())) {
+    if (queues.contains(request.id())
+        || running.containsKey(request.id())
+        || adopted.containsKey(request.id())) {
       return new AdmissionDecision.Refused(RefusalReason.KEY_IN_PROGRESS, Duration.ZERO);
     }
     LengthClass lengthClass = LengthClass.of(request.promptTokens());
@@ -207,7 +224,7 @@
   private long patienceNanos(GenerationRequest request, double remainingSeconds) {
     double bareSeconds = request.promptTokens() / backlog.tokensPerSecond();
     double slackSeconds = remainingSeconds - bareSeconds - model.answerSeconds(request);
-    return duration(Math.min(bareSeconds, Math.max(0, slackSeconds / 2))).toNanos();
+    return duration(Math.max(0, slackSeconds / 2)).toNanos();
   }
 
   private void refuseLate(ImmutableList.Builder<QueueDecision> decisions, long nowNanos) {
@@ -234,6 +251,12 @@
         late.add(request.id());
       }
     }
+    adopted.forEach(
+        (request, deadline) -> {
+          if (deadline.hasPassed(nowNanos)) {
+            late.add(request);
+          }
+        });
     late.forEach(id -> release(id, nowNanos));
   }
 
@@ -307,9 +330,7 @@
   }
 
   private boolean longIsPresent() {
-    return backlog.longPrompts() > 0
-        || queues.count(LengthClass.LONG) > 0
-        || queues.count(LengthClass.HUGE) > 0;
+    return backlog.longPrompts() > 0;
   }
 
   private long pendingTokens(LengthClass lengthClass, long nowNanos) {
--- a/core/src/main/java/dev/apricotmill/core/steward/ShortHeadroom.java
+++ b/core/src/main/java/dev/apricotmill/core/steward/ShortHeadroom.java
@@ -9,10 +9,9 @@
 
   private ShortHeadroom() {}
 
-  /** Returns the headroom in tokens: one medium prompt, but no more than the short ones' part. */
+  /** Returns the headroom in tokens: the short ones' part of one length class's even share. */
   public static long tokens(EngineProfile profile, Objective objective) {
     double shortPart = 1 - objective.longPromptShare();
-    long largest = (long) (profile.memoryTokens() * shortPart / LengthClass.values().length);
-    return Math.min(LengthClass.MEDIUM.maximumTokens(), largest);
+    return (long) (profile.memoryTokens() * shortPart / LengthClass.values().length);
   }
 }
--- /dev/null
+++ b/core/src/test/java/dev/apricotmill/core/retry/RetryDecisionTest.java
@@ -0,0 +1,85 @@
+package dev.apricotmill.core.retry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.apricotmill.core.outcome.FailureReason;
+import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.outcome.RefusalReason;
+import dev.apricotmill.core.outcome.UnknownReason;
+import dev.apricotmill.core.request.GenerationRequest;
+import dev.apricotmill.core.steward.Requests;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class RetryDecisionTest {
+
+  private static final Outcome REFUSED =
+      new Outcome.Refused(RefusalReason.REFUSED_BY_BACKEND, Duration.ZERO);
+  private static final Outcome BROKEN = new Outcome.Failed(FailureReason.STREAM_BROKEN);
+  private static final Outcome UNKNOWN = new Outcome.Unknown(UnknownReason.STEWARD_SILENT);
+
+  private final RetryBudget budget = new RetryBudget();
+  private final GenerationRequest repeatable = Requests.request("r", 1_000);
+  private final GenerationRequest once = once(repeatable);
+
+  @Test
+  void whatDidNotRunIsTriedAgain() {
+    assertThat(decide(REFUSED, once, 1, 0)).isEqualTo(RetryDecision.RETRY);
+  }
+
+  @Test
+  void whatMayHaveRunIsTriedAgainOnlyIfItIsIdempotent() {
+    assertThat(decide(BROKEN, repeatable, 1, 0)).isEqualTo(RetryDecision.RETRY);
+    assertThat(decide(UNKNOWN, repeatable, 1, 0)).isEqualTo(RetryDecision.RETRY);
+    assertThat(decide(BROKEN, once, 1, 0)).isEqualTo(RetryDecision.GIVE_UP);
+    assertThat(decide(UNKNOWN, once, 1, 0)).isEqualTo(RetryDecision.GIVE_UP);
+  }
+
+  @Test
+  void whatCanNeverSucceedIsNotTriedAgain() {
+    Outcome never = new Outcome.Refused(RefusalReason.NEVER_FITS, Duration.ZERO);
+    assertThat(decide(never, repeatable, 1, 0)).isEqualTo(RetryDecision.GIVE_UP);
+    assertThat(decide(new Outcome.Answered(200), repeatable, 1, 0))
+        .isEqualTo(RetryDecision.GIVE_UP);
+  }
+
+  @Test
+  void attemptsAndTimeAreBounded() {
+    assertThat(decide(REFUSED, repeatable, RetryDecision.MOST_ATTEMPTS, 0))
+        .isEqualTo(RetryDecision.GIVE_UP);
+    assertThat(decide(REFUSED, repeatable, 1, repeatable.deadline().atNanos()))
+        .isEqualTo(RetryDecision.GIVE_UP);
+  }
+
+  @Test
+  void repeatsStayATenthOfTheRequests() {
+    int repeats = 0;
+    for (int number = 0; number < 10_000; number++) {
+      budget.onRequest();
+      if (decide(REFUSED, repeatable, 1, 0) == RetryDecision.RETRY) {
+        repeats++;
+      }
+    }
+    assertThat(repeats).isAtLeast(1_000);
+    assertThat(repeats).isAtMost(1_010);
+  }
+
+  private RetryDecision decide(Outcome outcome, GenerationRequest request, int attempts, long now) {
+    return RetryDecision.of(outcome, request, attempts, budget, now);
+  }
+
+  private static GenerationRequest once(GenerationRequest request) {
+    return new GenerationRequest(
+        request.id(),
+        request.customer(),
+        request.service(),
+        request.prompt(),
+        request.promptTokens(),
+        request.maximumOutputTokens(),
+        request.priority(),
+        request.weight(),
+        request.prefix(),
+        false,
+        request.deadline());
+  }
+}
