--- a/core/src/test/java/dev/apricotmill/core/sheet/BadSheetsTest.java
+++ b/core/src/test/java/dev/apricotmill/core/sheet/BadSheetsTest.java
@@ -30,7 +30,7 @@
   }
 
   @ParameterizedTest(name = "{0}")
-  @MethodSource({"texts", "tables", "lines", "days", "stops"})
+  @MethodSource({"texts", "tables", "lines", "values", "days", "stops"})
   void aBadSheetIsRefusedWithEveryFaultInItsPlace(BadSheet bad) {
     SheetResult result =
         SheetApplication.apply(bad.text().getBytes(bad.charset()), Sheets.context());
@@ -121,7 +121,11 @@
         bad(
             "a weight beyond all numbers",
             sheet(customer(FIRST, "9".repeat(40))),
-            "MALFORMED_NUMBER 2 weight"),
+            "MALFORMED_NUMBER 2 weight"));
+  }
+
+  static Stream<BadSheet> values() {
+    return Stream.of(
         bad("a weight with a fraction", sheet(customer(FIRST, "7.5")), "MALFORMED_NUMBER 2 weight"),
         bad("a weight in words", sheet(customer(FIRST, "seven")), "MALFORMED_NUMBER 2 weight"),
         bad("digits of another script", sheet(customer(FIRST, "٧")), "MALFORMED_NUMBER 2 weight"),
