Two daemons of a zone read the list of VMs for all, and a pause is noticed before each dispatch

Cause: every daemon read the list itself and forgot what an earlier list had said. Ruled out: late propagation of the fleet's view. Names of leaving VMs now travel with the probes, and a VM stays leaving until a list shows it as live; the checker starts its clock when a list that shows it was answered. Reads of the list no longer grow with the daemons of a zone. A steward that was frozen takes a new incarnation before it dispatches.

--- a/coordination/src/main/java/dev/apricotmill/coordination/configuration/ConfigurationFollower.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/configuration/ConfigurationFollower.java
@@ -153,6 +153,7 @@
 
   private boolean isTurn() {
     return WatchTurn.isOf(
+        "configuration-watch",
         self.get(),
         view.get(),
         timing.clock().instant(),
--- a/coordination/src/main/java/dev/apricotmill/coordination/configuration/WatchTurn.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/configuration/WatchTurn.java
@@ -7,19 +7,34 @@
 import java.time.Instant;
 
 /**
- * Decides which few daemons of a zone watch the platform now.
+ * Decides which few daemons of a zone read something from the platform now, for all others.
  *
  * <p>The choice changes with every turn, so that a watcher which cannot reach the platform is soon
  * followed by one that can. Clocks and views that differ cost some calls more or a moment's delay.
  */
-final class WatchTurn {
+public final class WatchTurn {
 
   private WatchTurn() {}
 
-  static boolean isOf(
-      Member self, MembershipView view, Instant now, Duration turn, int watchersPerZone) {
+  /**
+   * Returns whether it is this daemon's turn.
+   *
+   * @param duty what is read, so that different duties fall to different daemons
+   * @param self this daemon
+   * @param view the daemons it knows
+   * @param now the wall clock
+   * @param turn how long a turn is
+   * @param watchersPerZone how many daemons of a zone have the turn at a time
+   */
+  public static boolean isOf(
+      String duty,
+      Member self,
+      MembershipView view,
+      Instant now,
+      Duration turn,
+      int watchersPerZone) {
     long number = now.toEpochMilli() / turn.toMillis();
-    return RendezvousHash.ranked(view.owners(self.zone()), "configuration-watch/" + number)
+    return RendezvousHash.ranked(view.owners(self.zone()), duty + "/" + number)
         .limit(watchersPerZone)
         .anyMatch(member -> member.incarnation().daemon().equals(self.incarnation().daemon()));
   }
--- a/node/src/main/java/dev/apricotmill/node/ServingNode.java
+++ b/node/src/main/java/dev/apricotmill/node/ServingNode.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.node;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.util.concurrent.MoreExecutors;
 import dev.apricotmill.coordination.configuration.ConfigurationBundle;
 import dev.apricotmill.coordination.configuration.ConfigurationFollower;
 import dev.apricotmill.coordination.configuration.FollowerSettings;
@@ -17,7 +18,6 @@
 import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.coordination.membership.ProbeMessage;
 import dev.apricotmill.coordination.membership.ProbeResult;
-import dev.apricotmill.coordination.platform.Machine;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.cleanup.CleanUpView;
 import dev.apricotmill.core.peer.ForwardListener;
@@ -53,7 +53,7 @@
   private final Membership membership;
   private final FleetHolder fleet;
   private final ConfigurationFollower follower;
-  private final MachineListPoller machines;
+  private final MachineWatch machines;
   private final StewardService stewards;
   private final OpenRequests open;
   private final ReplicaLoads loads = new ReplicaLoads();
@@ -71,11 +71,19 @@
     this.membership = newMembership(settings, ports);
     this.fleet = new FleetHolder(timing, membership.view(), this::onFleetChanged);
     this.follower = newFollower(ports);
-    this.machines = new MachineListPoller(timing, ports.platform(), this::onMachines);
+    this.machines =
+        new MachineWatch(
+            timing,
+            ports.platform(),
+            membership,
+            MoreExecutors.newSequentialExecutor(timing.scheduler()),
+            fleet::setLeaving);
     this.stewards =
-        new StewardService(timing, this::self, fleet, ports.engines(), this::reportIfDrained);
+        new StewardService(
+            timing, this::selfAfterPauseCheck, fleet, ports.engines(), this::reportIfDrained);
     this.open = new OpenRequests(settings.maximumOpenRequests(), this::reportIfDrained);
-    NodeRoles roles = new NodeRoles(settings, ports, this::self, fleet, open, phase::get);
+    NodeRoles roles =
+        new NodeRoles(settings, ports, this::selfAfterPauseCheck, fleet, open, phase::get);
     this.generations = roles.generations(stewards, loads);
     ClaimsLedger ledger =
         new ClaimsLedger(
@@ -166,6 +174,12 @@
     membership.close();
   }
 
+  /** A process that was frozen takes a new incarnation before it says who it is. */
+  private Incarnation selfAfterPauseCheck() {
+    membership.noticePause();
+    return self();
+  }
+
   private static NodeStatus.Phase draining(NodeStatus.Phase before) {
     return before == NodeStatus.Phase.DRAINED ? before : NodeStatus.Phase.DRAINING;
   }
@@ -208,11 +222,6 @@
     ConfigurationReader.read(bundle).ifPresent(fleet::setConfiguration);
   }
 
-  private void onMachines(ImmutableList<Machine> listed) {
-    membership.seed(listed);
-    fleet.setMachines(listed);
-  }
-
   private void onFleetChanged(FleetView view) {
     stewards.onFleetChanged(view);
     becomeReady();
--- a/node/src/main/java/dev/apricotmill/node/fleet/FleetAssembler.java
+++ b/node/src/main/java/dev/apricotmill/node/fleet/FleetAssembler.java
@@ -2,9 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import dev.apricotmill.coordination.membership.Member;
 import dev.apricotmill.coordination.membership.MembershipView;
-import dev.apricotmill.coordination.platform.Machine;
 import dev.apricotmill.core.configuration.Configuration;
 import dev.apricotmill.core.configuration.Customer;
 import dev.apricotmill.core.configuration.PlannedStop;
@@ -27,17 +27,17 @@
    *
    * @param configuration the configuration in force
    * @param members the daemons
-   * @param machines the VMs by name, as the platform listed them last
+   * @param leaving the names of the VMs that are leaving
    * @param now the time at which planned stops are judged
    * @param previous the view before, whose index of customers is kept if it still holds
    */
   public static FleetView assemble(
       Configuration configuration,
       MembershipView members,
-      ImmutableMap<String, Machine> machines,
+      ImmutableSet<String> leaving,
       Instant now,
       FleetView previous) {
-    Set<String> stopped = stoppedMachines(configuration, machines, now);
+    Set<String> stopped = stoppedMachines(configuration, leaving, now);
     ImmutableMap.Builder<ServiceName, ImmutableList<ReplicaTarget>> targets =
         ImmutableMap.builder();
     ImmutableMap.Builder<ReplicaId, ReplicaTarget> byReplica = ImmutableMap.builder();
@@ -65,18 +65,13 @@
   }
 
   private static Set<String> stoppedMachines(
-      Configuration configuration, ImmutableMap<String, Machine> machines, Instant now) {
-    Set<String> stopped = new HashSet<>();
+      Configuration configuration, ImmutableSet<String> leaving, Instant now) {
+    Set<String> stopped = new HashSet<>(leaving);
     for (PlannedStop stop : configuration.plannedStops()) {
       if (stop.inForceAt(now)) {
         stopped.add(stop.machine());
       }
     }
-    for (Machine machine : machines.values()) {
-      if (machine.state() == Machine.State.LEAVING) {
-        stopped.add(machine.name());
-      }
-    }
     return stopped;
   }
 
--- a/node/src/main/java/dev/apricotmill/node/fleet/FleetHolder.java
+++ b/node/src/main/java/dev/apricotmill/node/fleet/FleetHolder.java
@@ -1,13 +1,10 @@
 package dev.apricotmill.node.fleet;
 
-import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.Maps;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.util.concurrent.MoreExecutors;
 import dev.apricotmill.coordination.membership.MembershipView;
-import dev.apricotmill.coordination.platform.Machine;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.configuration.Configuration;
-import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -24,7 +21,7 @@
   private final Executor serial;
   private Configuration configuration = Configuration.NONE;
   private MembershipView members;
-  private ImmutableMap<String, Machine> machines = ImmutableMap.of();
+  private ImmutableSet<String> leaving = ImmutableSet.of();
   private volatile FleetView current = FleetView.EMPTY;
 
   /**
@@ -66,13 +63,12 @@
         });
   }
 
-  /** Takes the platform's list of VMs. */
-  public void setMachines(List<Machine> changed) {
+  /** Takes the names of the VMs that are leaving. */
+  public void setLeaving(ImmutableSet<String> changed) {
     serial.execute(
         () -> {
-          ImmutableMap<String, Machine> byName = Maps.uniqueIndex(changed, Machine::name);
-          if (!byName.equals(machines)) {
-            machines = byName;
+          if (!changed.equals(leaving)) {
+            leaving = changed;
             rebuild();
           }
         });
@@ -90,8 +86,7 @@
 
   private void rebuild() {
     current =
-        FleetAssembler.assemble(
-            configuration, members, machines, timing.clock().instant(), current);
+        FleetAssembler.assemble(configuration, members, leaving, timing.clock().instant(), current);
     onChanged.accept(current);
   }
 }
--- a/node/src/main/java/dev/apricotmill/node/steward/ReplicaSteward.java
+++ b/node/src/main/java/dev/apricotmill/node/steward/ReplicaSteward.java
@@ -86,6 +86,10 @@
     CLOSED
   }
 
+  Incarnation self() {
+    return self.get();
+  }
+
   ModelEngine engine() {
     return engine;
   }
@@ -198,10 +202,19 @@
   }
 
   private void dispatch(RunningSequence sequence, QueueDecision.Dispatch decision) {
+    Incarnation owner = self.get();
+    if (!owner.equals(sequence.acceptedUnder())) {
+      finish(
+          sequence,
+          new Outcome.Refused(RefusalReason.DAEMON_PAUSED, RETRY_AFTER),
+          ForwardEnd.Usage.NONE,
+          EngineSide.FREED);
+      return;
+    }
     ForwardedRequest forwarded = sequence.forwarded();
     GenerationRequest request = forwarded.request();
     Duration remaining = request.deadline().remaining(timing.nanoTime());
-    SequenceId id = new SequenceId(self.get(), request.id(), forwarded.attempt());
+    SequenceId id = new SequenceId(owner, request.id(), forwarded.attempt());
     sequence.dispatch(
         new EngineRequest(
             id,
@@ -274,7 +287,10 @@
     RequestId request = sequence.forwarded().request().id();
     sequences.remove(request, sequence);
     if (!sequence.dispatched()) {
-      scheduler.withdraw(request, timing.nanoTime());
+      boolean waited = scheduler.withdraw(request, timing.nanoTime());
+      if (!waited) {
+        scheduler.release(request, timing.nanoTime());
+      }
       return;
     }
     scheduler.release(request, timing.nanoTime());
--- a/node/src/main/java/dev/apricotmill/node/steward/RunningSequence.java
+++ b/node/src/main/java/dev/apricotmill/node/steward/RunningSequence.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.node.steward;
 
+import dev.apricotmill.coordination.identity.Incarnation;
 import dev.apricotmill.core.engine.EngineFailure;
 import dev.apricotmill.core.engine.EngineRequest;
 import dev.apricotmill.core.engine.GenerationEnd;
@@ -19,6 +20,7 @@
   private final ReplicaSteward owner;
   private final ForwardedRequest forwarded;
   private final ForwardListener listener;
+  private final Incarnation acceptedUnder;
   private long position;
   private long credit;
   private boolean started;
@@ -31,6 +33,12 @@
     this.forwarded = forwarded;
     this.listener = listener;
     this.position = forwarded.resumeAt();
+    this.acceptedUnder = owner.self();
+  }
+
+  /** Returns the life of this daemon that accepted the request. */
+  Incarnation acceptedUnder() {
+    return acceptedUnder;
   }
 
   ForwardedRequest forwarded() {
--- a/node/src/test/java/dev/apricotmill/node/matrix/PromiseChecker.java
+++ b/node/src/test/java/dev/apricotmill/node/matrix/PromiseChecker.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.node.matrix;
 
 import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.platform.Machine;
 import dev.apricotmill.coordination.platform.MachineListResult;
 import dev.apricotmill.coordination.testing.PlatformOperation;
 import dev.apricotmill.core.outcome.Outcome;
@@ -143,14 +144,18 @@
     return scenario.deployment().platform().log().calls().stream()
         .filter(call -> call.request().operation() == PlatformOperation.MACHINES)
         .filter(call -> call.startNanos() >= listedNanos)
-        .filter(
-            call -> call.outcome().filter(MachineListResult.Listed.class::isInstance).isPresent())
+        .filter(call -> call.outcome().filter(PromiseChecker::showsLeaving).isPresent())
         .filter(call -> scenario.hears(call.request().zone(), call.startNanos()))
         .mapToLong(call -> call.answerNanos())
         .min()
         .orElse(Long.MAX_VALUE / 2);
   }
 
+  private static boolean showsLeaving(Object outcome) {
+    return outcome instanceof MachineListResult.Listed listed
+        && listed.machines().stream().anyMatch(machine -> machine.state() == Machine.State.LEAVING);
+  }
+
   private void checkRates() {
     var log = scenario.deployment().platform().log();
     if (log.peakWritesPerSecond() > PLATFORM_WRITES_PER_SECOND) {
