--- a/adapters/src/test/java/dev/apricotmill/adapters/HttpModelEngineTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/HttpModelEngineTest.java
@@ -291,6 +291,7 @@
   @ParameterizedTest
   @CsvSource({
     "LOST_AFTER_EFFECT, SILENT",
+    "FROZEN, SILENT",
     "CUT, CONNECTION_LOST",
     "MALFORMED, MALFORMED",
     "OVERSIZE, MALFORMED",
--- a/adapters/src/test/java/dev/apricotmill/adapters/HttpPlatformTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/HttpPlatformTest.java
@@ -54,6 +54,10 @@
     fixture.close();
   }
 
+  private static boolean isSilent(Fault fault) {
+    return fault == Fault.LOST_AFTER_EFFECT || fault == Fault.FROZEN;
+  }
+
   private WriteResult create() throws Exception {
     return await(platform.put(KEY, VALUE, Precondition.absent(), PLENTY));
   }
@@ -165,6 +169,7 @@
   @ParameterizedTest
   @CsvSource({
     "LOST_AFTER_EFFECT, NO_ANSWER",
+    "FROZEN, NO_ANSWER",
     "CUT, NO_ANSWER",
     "ERROR, OUT_OF_SERVICE",
     "MALFORMED, MALFORMED_ANSWER",
@@ -173,7 +178,7 @@
   void aWriteWhoseAnswerIsLostOrSpoiledIsIndeterminate(Fault fault, PlatformFailure failure)
       throws Exception {
     server.faults().once(PlatformOperation.WRITE, fault);
-    Duration timeout = fault == Fault.LOST_AFTER_EFFECT ? SHORT : PLENTY;
+    Duration timeout = isSilent(fault) ? SHORT : PLENTY;
 
     assertThat(await(platform.put(KEY, VALUE, Precondition.absent(), timeout)))
         .isEqualTo(new WriteResult.Indeterminate(failure));
@@ -201,6 +206,7 @@
   @ParameterizedTest
   @CsvSource({
     "LOST_AFTER_EFFECT, NO_ANSWER",
+    "FROZEN, NO_ANSWER",
     "CUT, NO_ANSWER",
     "ERROR, OUT_OF_SERVICE",
     "REFUSED, RATE_LIMITED",
@@ -210,7 +216,7 @@
       throws Exception {
     create();
     server.faults().once(PlatformOperation.GET, fault);
-    Duration timeout = fault == Fault.LOST_AFTER_EFFECT ? SHORT : PLENTY;
+    Duration timeout = isSilent(fault) ? SHORT : PLENTY;
 
     assertThat(await(platform.get(KEY, timeout))).isEqualTo(new ReadResult.Unavailable(failure));
   }
--- a/test_helpers/src/main/java/dev/apricotmill/testhelpers/engine/PrefixCache.java
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/engine/PrefixCache.java
@@ -1,7 +1,10 @@
 package dev.apricotmill.testhelpers.engine;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import com.google.common.collect.ImmutableList;
 import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import dev.apricotmill.core.engine.CacheEvents;
 import dev.apricotmill.core.request.PrefixFingerprint;
@@ -14,7 +17,8 @@
 /**
  * Remembers prefixes of prompts in blocks, least recently used out first, and publishes events.
  *
- * <p>The fingerprint of a block covers the whole prefix up to its end.
+ * <p>The fingerprint of the first block is that which routing uses for prefix affinity. The
+ * fingerprint of a later block covers the whole prefix up to its end.
  */
 final class PrefixCache {
 
@@ -25,7 +29,7 @@
   static final int BLOCK_TOKENS = 256;
 
   private static final int KEPT_EVENTS = 4096;
-  private static final HashFunction HASH = Hashing.murmur3_128();
+  private static final HashFunction HASH = Hashing.farmHashFingerprint64();
 
   private final int capacityBlocks;
   private final Map<Long, Boolean> blocks = new LinkedHashMap<>(16, 0.75f, true);
@@ -53,7 +57,12 @@
   }
 
   private static long next(long before, String block) {
-    return HASH.newHasher().putLong(before).putUnencodedChars(block).hash().asLong();
+    Hasher hasher = HASH.newHasher();
+    if (before != 0) {
+      hasher.putLong(before);
+    }
+    long hash = hasher.putString(block, UTF_8).hash().asLong();
+    return hash == 0 ? 1 : hash;
   }
 
   private void store(long fingerprint) {
--- a/test_helpers/src/main/java/dev/apricotmill/testhelpers/http/FaultyReplies.java
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/http/FaultyReplies.java
@@ -36,7 +36,7 @@
     }
     StandInAnswer answer = effect.get();
     switch (fault) {
-      case LOST_AFTER_EFFECT, FROZEN -> {}
+      case LOST_AFTER_EFFECT -> {}
       case ERROR -> reply.send(StandInAnswer.json(500, "{\"error\":\"internal\"}"));
       case LATE -> timing.schedule(lateness, () -> reply.send(answer));
       default -> reply.send(answer, fault);
--- a/test_helpers/src/main/java/dev/apricotmill/testhelpers/http/WholeAnswerProducer.java
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/http/WholeAnswerProducer.java
@@ -15,40 +15,51 @@
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
 
-/** Writes a whole answer, or breaks the connection in the middle of it. */
+/** Writes a whole answer, or stops or breaks the connection in the middle of it. */
 final class WholeAnswerProducer implements AsyncResponseProducer {
 
+  /** What follows the last byte of the body. */
+  private enum Ending {
+    WHOLE,
+    BROKEN,
+    STALLED
+  }
+
   private static final int OVERSIZE_BYTES = 40 << 20;
 
   private final StandInAnswer answer;
   private final ByteBuffer body;
   private final long declaredLength;
-  private final boolean breaks;
+  private final Ending ending;
   private boolean begun;
 
   private WholeAnswerProducer(
-      StandInAnswer answer, byte[] body, long declaredLength, boolean breaks) {
+      StandInAnswer answer, byte[] body, long declaredLength, Ending ending) {
     this.answer = answer;
     this.body = ByteBuffer.wrap(body);
     this.declaredLength = declaredLength;
-    this.breaks = breaks;
+    this.ending = ending;
   }
 
   static WholeAnswerProducer of(StandInAnswer answer, Fault fault) {
     byte[] whole = answer.body();
     return switch (fault) {
-      case CUT, TRUNCATED -> {
-        byte[] half = Arrays.copyOf(whole, whole.length / 2);
-        yield new WholeAnswerProducer(answer, half, whole.length + 1L, true);
-      }
+      case CUT, TRUNCATED -> half(answer, Ending.BROKEN);
+      case FROZEN -> half(answer, Ending.STALLED);
       case MALFORMED -> exact(answer, "{\"malformed".getBytes(UTF_8));
       case OVERSIZE -> exact(answer, new byte[OVERSIZE_BYTES]);
       default -> exact(answer, whole);
     };
   }
 
+  private static WholeAnswerProducer half(StandInAnswer answer, Ending ending) {
+    byte[] whole = answer.body();
+    byte[] half = Arrays.copyOf(whole, whole.length / 2);
+    return new WholeAnswerProducer(answer, half, whole.length + 1L, ending);
+  }
+
   private static WholeAnswerProducer exact(StandInAnswer answer, byte[] body) {
-    return new WholeAnswerProducer(answer, body, body.length, false);
+    return new WholeAnswerProducer(answer, body, body.length, Ending.WHOLE);
   }
 
   @Override
@@ -63,7 +74,7 @@
 
   @Override
   public int available() {
-    return body.hasRemaining() || breaks ? Math.max(1, body.remaining()) : 0;
+    return ending == Ending.BROKEN ? Math.max(1, body.remaining()) : body.remaining();
   }
 
   @Override
@@ -78,10 +89,12 @@
     if (body.hasRemaining()) {
       return;
     }
-    if (breaks) {
+    if (ending == Ending.BROKEN) {
       throw new IOException("the connection is broken on purpose");
     }
-    channel.endStream();
+    if (ending == Ending.WHOLE) {
+      channel.endStream();
+    }
   }
 
   @Override
