A caller who goes cancels its request, also while nothing is being written

HttpCore closes gracefully when a caller ends its side and lets the exchange run on, so the handler never hears of it. The parser of each connection is the one place that learns of the end of input; it now tells the connection table.

--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ConnectionTable.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ConnectionTable.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The open connections of a server. Those beyond the limit get no request through, those far beyond
@@ -34,12 +35,12 @@
   }
 
   /** Notes that a connection has brought a request; returns whether it may be served. */
-  boolean beginRequest(SocketAddress remote) {
+  boolean beginRequest(SocketAddress remote, ServerExchange exchange) {
     Entry entry = entries.get(remote);
     if (entry == null) {
       return true;
     }
-    entry.busy = true;
+    entry.exchange = exchange;
     return !entry.excess;
   }
 
@@ -48,7 +49,16 @@
     Entry entry = entries.get(remote);
     if (entry != null) {
       entry.idleSinceNanos = timing.nanoTime();
-      entry.busy = false;
+      entry.exchange = null;
+    }
+  }
+
+  /** Closes a connection whose caller has gone before its answer was ready. */
+  void endOfInput(SocketAddress remote) {
+    Entry entry = entries.get(remote);
+    ServerExchange exchange = entry == null ? null : entry.exchange;
+    if (entry != null && exchange != null && !exchange.answerIsQueued()) {
+      entry.session.close(CloseMode.IMMEDIATE);
     }
   }
 
@@ -66,7 +76,7 @@
     long now = timing.nanoTime();
     long limitNanos = limits.readTimeout().toNanos();
     for (Entry entry : entries.values()) {
-      if (!entry.busy && now - entry.idleSinceNanos > limitNanos) {
+      if (entry.exchange == null && now - entry.idleSinceNanos > limitNanos) {
         entry.session.close(CloseMode.IMMEDIATE);
       }
     }
@@ -111,7 +121,7 @@
   private static final class Entry {
     private final IOSession session;
     private final boolean excess;
-    private volatile boolean busy;
+    private volatile @Nullable ServerExchange exchange;
     private volatile long idleSinceNanos;
 
     Entry(IOSession session, boolean excess, long nowNanos) {
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
@@ -32,6 +32,7 @@
 import org.apache.hc.core5.http.protocol.ResponseDate;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.Timeout;
 
@@ -39,11 +40,17 @@
 public final class HttpListener implements AutoCloseable {
 
   private static final Logger LOGGER = System.getLogger(HttpListener.class.getName());
+  private static final Timeout TLS_TIMEOUT = Timeout.ofSeconds(10);
   private static final int SWEEPS_PER_TIMEOUT = 2;
   private static final int MAXIMUM_HEADERS = 100;
   private static final int INITIAL_WINDOW_BYTES = 64 << 10;
 
-  private final ServerLimits limits;
+  private final Http1Config config;
+  private final NHttpMessageParserFactory<HttpRequest> parsers;
+  private final HttpProcessor processor =
+      HttpProcessorBuilder.create()
+          .addAll(new ResponseDate(), new ResponseContent(), new ResponseConnControl())
+          .build();
   private final BodyBudget budget;
   private final ConnectionTable connections;
   private final Future<?> sweep;
@@ -66,7 +73,8 @@
       Timing timing,
       int threads)
       throws IOException {
-    this.limits = limits;
+    config = config(limits);
+    parsers = new DefaultHttpRequestParserFactory(config);
     budget = new BodyBudget(limits.maximumBufferedBytes());
     connections = new ConnectionTable(limits, timing);
     workers =
@@ -131,7 +139,9 @@
             .setSelectInterval(Timeout.ofMilliseconds(100))
             .build();
     return new HttpAsyncServer(
-        new ServerHttp1IOEventHandlerFactory(duplexers(), null, Timeout.ofSeconds(10)),
+        (session, attachment) ->
+            new ServerHttp1IOEventHandlerFactory(duplexersFor(session), null, TLS_TIMEOUT)
+                .createHandler(session, attachment),
         reactor,
         null,
         failure -> LOGGER.log(Level.DEBUG, "http: {0}: {1}", name, failure.toString()),
@@ -141,30 +151,28 @@
         null);
   }
 
-  private ServerHttp1StreamDuplexerFactory duplexers() {
-    Http1Config config =
-        Http1Config.custom()
-            .setMaxLineLength(limits.maximumHeaderBytes())
-            .setMaxHeaderCount(MAXIMUM_HEADERS)
-            .setInitialWindowSize(INITIAL_WINDOW_BYTES)
-            .build();
-    NHttpMessageParserFactory<HttpRequest> parsers = new DefaultHttpRequestParserFactory(config);
-    HttpProcessor processor =
-        HttpProcessorBuilder.create()
-            .addAll(new ResponseDate(), new ResponseContent(), new ResponseConnControl())
-            .build();
+  private ServerHttp1StreamDuplexerFactory duplexersFor(IOSession session) {
+    SocketAddress remote = session.getRemoteAddress();
     return new ServerHttp1StreamDuplexerFactory(
         processor,
         this::newExchange,
         config,
         CharCodingConfig.DEFAULT,
         DefaultConnectionReuseStrategy.INSTANCE,
-        () -> new TolerantRequestParser(parsers.create()),
+        () -> new TolerantRequestParser(parsers.create(), () -> connections.endOfInput(remote)),
         DefaultHttpResponseWriterFactory.INSTANCE,
         null,
         failure -> LOGGER.log(Level.DEBUG, "http: {0}", failure.toString()));
   }
 
+  private static Http1Config config(ServerLimits limits) {
+    return Http1Config.custom()
+        .setMaxLineLength(limits.maximumHeaderBytes())
+        .setMaxHeaderCount(MAXIMUM_HEADERS)
+        .setInitialWindowSize(INITIAL_WINDOW_BYTES)
+        .build();
+  }
+
   private AsyncServerExchangeHandler newExchange(HttpRequest request, HttpContext context) {
     SocketAddress remote = HttpCoreContext.cast(context).getEndpointDetails().getRemoteAddress();
     return new ServerExchange(environment, remote);
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/OutgoingPieces.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/OutgoingPieces.java
@@ -70,6 +70,11 @@
     return finished;
   }
 
+  /** Returns whether the whole answer was queued. */
+  synchronized boolean ended() {
+    return ended;
+  }
+
   /** Returns whether the whole answer was handed to the socket. */
   synchronized boolean closed() {
     return closed;
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
@@ -66,7 +66,7 @@
     request = head;
     responses = responseChannel;
     context = httpContext;
-    if (!environment.connections().beginRequest(remote)) {
+    if (!environment.connections().beginRequest(remote, this)) {
       refuse(EdgeFault.TOO_MANY_CONNECTIONS);
       return;
     }
@@ -106,6 +106,11 @@
     dispatch();
   }
 
+  /** Returns whether the whole answer waits for the socket or has been sent. */
+  boolean answerIsQueued() {
+    return pieces.ended();
+  }
+
   /** Answers with a fault instead of handing the request on. */
   void refuse(EdgeFault fault) {
     if (!state.compareAndSet(RequestState.READING, RequestState.REFUSED)) {
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/TolerantRequestParser.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/TolerantRequestParser.java
@@ -13,10 +13,18 @@
 final class TolerantRequestParser implements NHttpMessageParser<HttpRequest> {
 
   private final NHttpMessageParser<HttpRequest> parser;
+  private final Runnable onEndOfInput;
   private boolean faulty;
 
-  TolerantRequestParser(NHttpMessageParser<HttpRequest> parser) {
+  /**
+   * Creates the parser of one connection.
+   *
+   * @param onEndOfInput runs when the caller has ended its side, which the library tells to the
+   *     parser alone
+   */
+  TolerantRequestParser(NHttpMessageParser<HttpRequest> parser, Runnable onEndOfInput) {
     this.parser = parser;
+    this.onEndOfInput = onEndOfInput;
   }
 
   @Override
@@ -27,6 +35,9 @@
   @Override
   public @Nullable HttpRequest parse(SessionInputBuffer input, boolean endOfStream)
       throws IOException {
+    if (endOfStream) {
+      onEndOfInput.run();
+    }
     if (faulty) {
       return null;
     }
--- a/daemon/src/main/java/dev/apricotmill/daemon/process/Logs.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/Logs.java
@@ -10,9 +10,6 @@
 
   private static final String MANAGER_PROPERTY = "java.util.logging.manager";
 
-  /** Held so that the level is not lost with an unused logger. */
-  private static final Logger APRICOTMILL = Logger.getLogger("dev.apricotmill");
-
   private Logs() {}
 
   /** Chooses the log manager; must run before any logger is made. */
@@ -31,7 +28,7 @@
     handler.setLevel(java.util.logging.Level.ALL);
     root.addHandler(handler);
     root.setLevel(java.util.logging.Level.WARNING);
-    APRICOTMILL.setLevel(julLevel(level));
+    ProjectLogger.INSTANCE.setLevel(julLevel(level));
   }
 
   private static java.util.logging.Level julLevel(Level level) {
@@ -42,4 +39,11 @@
       default -> java.util.logging.Level.INFO;
     };
   }
+
+  /** Keeps the logger, and with it its level; made only after the log manager was chosen. */
+  private static final class ProjectLogger {
+    private static final Logger INSTANCE = Logger.getLogger("dev.apricotmill");
+
+    private ProjectLogger() {}
+  }
 }
--- /dev/null
+++ b/daemon/src/test/java/dev/apricotmill/daemon/callers/StreamBackPressureTest.java
@@ -0,0 +1,84 @@
+package dev.apricotmill.daemon.callers;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.apricotmill.core.engine.TokenChunk;
+import dev.apricotmill.daemon.testing.CallersFixture;
+import dev.apricotmill.daemon.testing.FakeNode;
+import dev.apricotmill.daemon.testing.RawConnection;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+final class StreamBackPressureTest {
+
+  private static final String BODY = "{\"model\":\"pool\",\"prompt\":\"hello\",\"stream\":true}";
+  private static final String REQUEST =
+      "POST /v1/completions HTTP/1.1\r\nhost: 127.0.0.1\r\ncontent-length: "
+          + BODY.length()
+          + "\r\n\r\n"
+          + BODY;
+  private static final String TEXT = "a".repeat(64 << 10);
+  private static final int ENDLESS_CHUNKS = 10_000;
+
+  private CallersFixture callers;
+
+  @BeforeEach
+  void start() throws Exception {
+    callers = CallersFixture.start();
+  }
+
+  @AfterEach
+  void stop() {
+    callers.close();
+  }
+
+  @Test
+  void aCallerWhoDoesNotReadStopsTheDemandAfterABoundedNumberOfChunks() throws Exception {
+    try (RawConnection connection = callers.connect()) {
+      connection.send(REQUEST);
+      FakeNode.Generation generation = callers.node().generations().take();
+      int sent = sendWhileDemanded(generation);
+      // What the sockets took is beyond the window, and bounded by the kernel's buffers.
+      assertThat(sent).isAtLeast((int) CompletionHandler.WINDOW_CHUNKS);
+      assertThat(sent).isLessThan(ENDLESS_CHUNKS);
+
+      for (int i = 0; i < sent; i++) {
+        connection.readUntil("\n\n");
+      }
+      assertThat(generation.demand().awaitOne()).isTrue();
+    }
+  }
+
+  @Test
+  void aCallerWhoGoesCancelsItsRequest() throws Exception {
+    RawConnection connection = callers.connect();
+    connection.send(REQUEST);
+    FakeNode.Generation generation = callers.node().generations().take();
+    assertThat(generation.demand().isCancelled()).isFalse();
+    connection.close();
+    assertThat(generation.demand().awaitCancel()).isTrue();
+  }
+
+  @Test
+  void aCallerWhoGoesInTheMiddleOfAStreamCancelsItsRequest() throws Exception {
+    RawConnection connection = callers.connect();
+    connection.send(REQUEST);
+    FakeNode.Generation generation = callers.node().generations().take();
+    generation.listener().onChunk(new TokenChunk(generation.submission().id(), 0, 1, "good"));
+    connection.readUntil("good");
+    connection.close();
+    assertThat(generation.demand().awaitCancel()).isTrue();
+  }
+
+  private static int sendWhileDemanded(FakeNode.Generation generation) throws InterruptedException {
+    int sent = 0;
+    while (sent < ENDLESS_CHUNKS && generation.demand().awaitOneBriefly()) {
+      generation.listener().onChunk(new TokenChunk(generation.submission().id(), sent, 1, TEXT));
+      sent++;
+    }
+    return sent;
+  }
+}
--- a/daemon/src/test/java/dev/apricotmill/daemon/testing/RawConnection.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/testing/RawConnection.java
@@ -49,14 +49,17 @@
 
   /** Reads until the text has come and returns all that was read. */
   public String readUntil(String text) throws IOException {
+    byte[] wanted = text.getBytes(StandardCharsets.UTF_8);
     ByteArrayOutputStream read = new ByteArrayOutputStream();
     InputStream input = socket.getInputStream();
-    while (!read.toString(StandardCharsets.UTF_8).contains(text)) {
+    int matched = 0;
+    while (matched < wanted.length) {
       int next = input.read();
       if (next < 0) {
         throw new IOException("ended before \"" + text + "\": " + read);
       }
       read.write(next);
+      matched = next == wanted[matched] ? matched + 1 : next == wanted[0] ? 1 : 0;
     }
     return read.toString(StandardCharsets.UTF_8);
   }
--- a/daemon/src/test/java/dev/apricotmill/daemon/testing/RecordedDemand.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/testing/RecordedDemand.java
@@ -9,6 +9,7 @@
 public final class RecordedDemand implements Flow.Subscription {
 
   private static final long PATIENCE_SECONDS = 20;
+  private static final long QUIET_MILLIS = 300;
 
   private final Semaphore requested = new Semaphore(0);
   private final CountDownLatch cancelled = new CountDownLatch(1);
@@ -28,6 +29,11 @@
     return requested.tryAcquire(PATIENCE_SECONDS, TimeUnit.SECONDS);
   }
 
+  /** Waits a moment for demand; used where demand is expected to stop. */
+  public boolean awaitOneBriefly() throws InterruptedException {
+    return requested.tryAcquire(QUIET_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   /** Takes one chunk's demand if there is any now. */
   public boolean tryOne() {
     return requested.tryAcquire();
