--- a/daemon/src/main/java/dev/apricotmill/daemon/operators/OperatorsHandler.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/operators/OperatorsHandler.java
@@ -18,9 +18,11 @@
 
   private final Node node;
   private final PrometheusMeterRegistry meters;
+  private final OperatorsToken token;
 
   /** Creates the handler of a daemon. */
-  public OperatorsHandler(Node node, PrometheusMeterRegistry meters) {
+  public OperatorsHandler(Node node, PrometheusMeterRegistry meters, OperatorsToken token) {
+    this.token = token;
     this.node = node;
     this.meters = meters;
   }
@@ -33,6 +35,11 @@
     } else if (!request.method().equals(path.method())) {
       reply.send(
           problem(405, "the path takes " + path.method()).withHeader("Allow", path.method()));
+    } else if (path.right() == OperatorsPath.Right.OPERATOR
+        && !token.isShownBy(request.header("authorization"))) {
+      reply.send(
+          problem(401, "the operators' token is missing or wrong")
+              .withHeader("WWW-Authenticate", "Bearer"));
     } else {
       reply.send(answer(path));
     }
--- a/daemon/src/main/java/dev/apricotmill/daemon/operators/OperatorsPath.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/operators/OperatorsPath.java
@@ -3,22 +3,24 @@
 /** What the operators' port serves. */
 enum OperatorsPath {
   /** Whether the process works. */
-  LIVE("/live", "GET"),
+  LIVE("/live", "GET", Right.ANYBODY),
   /** Whether the daemon takes requests. */
-  READY("/ready", "GET"),
+  READY("/ready", "GET", Right.ANYBODY),
   /** The metrics in Prometheus' text format. */
-  METRICS("/metrics", "GET"),
+  METRICS("/metrics", "GET", Right.OPERATOR),
   /** The daemon's status. */
-  STATUS("/status", "GET"),
+  STATUS("/status", "GET", Right.OPERATOR),
   /** Begins a drain. */
-  DRAIN("/drain", "POST"),
+  DRAIN("/drain", "POST", Right.OPERATOR),
   /** Any other path. */
-  NONE("", "");
+  NONE("", "", Right.ANYBODY);
 
   private final String path;
   private final String method;
+  private final Right right;
 
-  OperatorsPath(String path, String method) {
+  OperatorsPath(String path, String method, Right right) {
+    this.right = right;
     this.path = path;
     this.method = method;
   }
@@ -33,8 +35,21 @@
     return NONE;
   }
 
+  /** Returns who may use the path. */
+  Right right() {
+    return right;
+  }
+
   /** Returns the method that the path takes. */
   String method() {
     return method;
   }
+
+  /** Who may use a path. */
+  enum Right {
+    /** Probes of the platform and anybody else. */
+    ANYBODY,
+    /** Whoever shows the operators' token, if one is set. */
+    OPERATOR
+  }
 }
--- a/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
@@ -12,6 +12,7 @@
 import dev.apricotmill.daemon.inner.InnerPeerProbes;
 import dev.apricotmill.daemon.inner.InnerStewardPeers;
 import dev.apricotmill.daemon.operators.OperatorsHandler;
+import dev.apricotmill.daemon.operators.OperatorsToken;
 import dev.apricotmill.daemon.settings.CallerLimits;
 import dev.apricotmill.daemon.settings.DaemonSettings;
 import dev.apricotmill.node.Node;
@@ -190,7 +191,7 @@
             "operators",
             settings.operatorsAddress(),
             OPERATORS_LIMITS,
-            new OperatorsHandler(node, meters),
+            new OperatorsHandler(node, meters, new OperatorsToken(settings.operatorTokenHash())),
             timing,
             1);
     closer.register(listener::close);
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/DaemonSettings.java
@@ -23,6 +23,7 @@
  * @param maximumTimeLimit the longest time limit that a caller may ask for
  * @param drainTime the time that open requests get to finish after SIGTERM
  * @param otlpEndpoint where spans are sent, if anywhere
+ * @param operatorTokenHash SHA-256 in hexadecimal of the operators' token, if one is asked for
  * @param logLevel the lowest level that is logged
  */
 public record DaemonSettings(
@@ -37,4 +38,5 @@
     Duration maximumTimeLimit,
     Duration drainTime,
     Optional<URI> otlpEndpoint,
+    Optional<String> operatorTokenHash,
     Level logLevel) {}
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/EnvironmentDefaults.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/EnvironmentDefaults.java
@@ -2,12 +2,16 @@
 
 import com.beust.jcommander.IDefaultProvider;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.Locale;
 import org.jspecify.annotations.Nullable;
 
 /** Gives a flag that is absent from the command line the value of its environment variable. */
 record EnvironmentDefaults(ImmutableMap<String, String> environment) implements IDefaultProvider {
 
+  /** Flags that ask for a text instead of a daemon. */
+  static final ImmutableSet<String> WITHOUT_VARIABLE = ImmutableSet.of("--help", "--version");
+
   private static final String PREFIX = "APRICOTMILL_";
 
   /** Returns the variable of a flag: {@code --public-port} has {@code APRICOTMILL_PUBLIC_PORT}. */
@@ -17,6 +21,6 @@
 
   @Override
   public @Nullable String getDefaultValueFor(String optionName) {
-    return environment.get(variableOf(optionName));
+    return WITHOUT_VARIABLE.contains(optionName) ? null : environment.get(variableOf(optionName));
   }
 }
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/Fault.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/Fault.java
@@ -20,14 +20,12 @@
   NOT_A_CHOICE("is not one of the choices"),
   /** The default is larger than the maximum. */
   ABOVE_MAXIMUM("must not exceed --maximum-time-limit"),
+  /** The text is not a hash. */
+  NOT_A_HASH("must be 64 hexadecimal digits"),
   /** Two ports are the same. */
   PORT_TAKEN_TWICE("must differ from the other ports"),
   /** No such flag, or a flag without its value. */
-  NOT_UNDERSTOOD("is not understood"),
-  /** A file cannot be read or does not hold what it should. */
-  NOT_READABLE("cannot be read as PEM"),
-  /** Only some of the settings that belong together were given. */
-  INCOMPLETE("must be given together with the others of its group");
+  NOT_UNDERSTOOD("is not understood");
 
   private final String explanation;
 
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingFlags.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingFlags.java
@@ -87,6 +87,11 @@
   @Parameter(names = "--otlp-endpoint", description = "URL to which spans are sent; none if empty")
   private String otlpEndpoint = "";
 
+  @Parameter(
+      names = "--operator-token-hash",
+      description = "SHA-256 in hexadecimal of the operators' token; none is asked for if empty")
+  private String operatorTokenHash = "";
+
   @Parameter(names = "--log-level", description = "ERROR, WARNING, INFO or DEBUG")
   private String logLevel = "INFO";
 
@@ -177,6 +182,10 @@
     return otlpEndpoint;
   }
 
+  String operatorTokenHash() {
+    return operatorTokenHash;
+  }
+
   String logLevel() {
     return logLevel;
   }
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsCheck.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsCheck.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.daemon.settings;
 
+import com.google.common.base.Ascii;
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.InetAddresses;
 import com.google.common.primitives.Ints;
@@ -21,6 +22,7 @@
 final class SettingsCheck {
 
   private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,63}");
+  private static final Pattern HASH = Pattern.compile("[0-9a-f]{64}");
   private static final int MAXIMUM_PORT = 0xFFFF;
   private static final int MINIMUM_HEADER_BYTES = 1 << 10;
   private static final int MAXIMUM_HEADER_BYTES = 1 << 20;
@@ -77,6 +79,7 @@
         maximumLimit,
         seconds("--drain-time", flags.drainTime(), ONE_DAY),
         otlpEndpoint(),
+        operatorTokenHash(),
         logLevel());
   }
 
@@ -184,6 +187,17 @@
     return Optional.empty();
   }
 
+  private Optional<String> operatorTokenHash() {
+    String hash = Ascii.toLowerCase(flags.operatorTokenHash());
+    if (hash.isEmpty()) {
+      return Optional.empty();
+    }
+    if (!HASH.matcher(hash).matches()) {
+      report("--operator-token-hash", Fault.NOT_A_HASH, hash, "");
+    }
+    return Optional.of(hash);
+  }
+
   private Level logLevel() {
     try {
       Level level = Level.valueOf(flags.logLevel().toUpperCase(Locale.ROOT));
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsReader.java
@@ -42,7 +42,10 @@
 
   /** Returns the names of all flags. */
   public static ImmutableList<String> flagNames() {
-    return commander(new SettingFlags(), ImmutableMap.of()).getParameters().stream()
+    JCommander commander = commander(new SettingFlags(), ImmutableMap.of());
+    // The library describes its parameters only once it has parsed something.
+    commander.parse();
+    return commander.getParameters().stream()
         .map(description -> description.getParameter().names()[0])
         .sorted()
         .collect(ImmutableList.toImmutableList());
--- /dev/null
+++ b/daemon/src/test/java/dev/apricotmill/daemon/operators/OperatorsHandlerTest.java
@@ -0,0 +1,111 @@
+package dev.apricotmill.daemon.operators;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.hash.Hashing;
+import dev.apricotmill.daemon.http.Answer;
+import dev.apricotmill.daemon.http.IncomingRequest;
+import dev.apricotmill.daemon.http.Reply;
+import dev.apricotmill.daemon.http.ReplyListener;
+import dev.apricotmill.daemon.http.ReplyStream;
+import dev.apricotmill.daemon.testing.FakeNode;
+import dev.apricotmill.node.api.NodeStatus;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+final class OperatorsHandlerTest {
+
+  private static final String TOKEN = "operators-token";
+  private static final String HASH =
+      Hashing.sha256().hashString(TOKEN, StandardCharsets.UTF_8).toString();
+
+  private final FakeNode node = new FakeNode();
+  private final PrometheusMeterRegistry meters =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+  @Test
+  void readinessFollowsThePhase() {
+    assertThat(ask("GET", "/live").status()).isEqualTo(200);
+    assertThat(ask("GET", "/ready").status()).isEqualTo(503);
+    node.start();
+    assertThat(ask("GET", "/ready").status()).isEqualTo(200);
+  }
+
+  @Test
+  void theStatusTellsDaemonPhaseAndMembers() {
+    node.start();
+    String status = new String(ask("GET", "/status").body(), StandardCharsets.UTF_8);
+    assertThat(status).contains("\"daemon\":\"fake\",\"incarnation\":7,\"zone\":\"test-1\"");
+    assertThat(status).contains("\"phase\":\"ready\"");
+    assertThat(status).contains("\"state\":\"alive\"");
+  }
+
+  @Test
+  void aDrainBeginsByPostAlone() {
+    node.start();
+    assertThat(ask("GET", "/drain").status()).isEqualTo(405);
+    assertThat(node.status().phase()).isEqualTo(NodeStatus.Phase.READY);
+    assertThat(ask("POST", "/drain").status()).isEqualTo(202);
+    assertThat(node.status().phase()).isEqualTo(NodeStatus.Phase.DRAINED);
+  }
+
+  @Test
+  void metricsAreGivenInPrometheusFormat() {
+    meters.counter("apricotmill.test").increment();
+    assertThat(new String(ask("GET", "/metrics").body(), StandardCharsets.UTF_8))
+        .contains("apricotmill_test_total 1.0");
+  }
+
+  @Test
+  void withATokenSetOnlyProbesAreOpenToAnybody() {
+    OperatorsHandler handler =
+        new OperatorsHandler(node, meters, new OperatorsToken(Optional.of(HASH)));
+    assertThat(ask(handler, "GET", "/live", ImmutableMap.of()).status()).isEqualTo(200);
+    assertThat(ask(handler, "POST", "/drain", ImmutableMap.of()).status()).isEqualTo(401);
+    assertThat(
+            ask(handler, "GET", "/status", ImmutableMap.of("authorization", "Bearer other"))
+                .status())
+        .isEqualTo(401);
+    assertThat(
+            ask(handler, "GET", "/status", ImmutableMap.of("authorization", "Bearer " + TOKEN))
+                .status())
+        .isEqualTo(200);
+  }
+
+  private Answer ask(String method, String path) {
+    OperatorsHandler handler =
+        new OperatorsHandler(node, meters, new OperatorsToken(Optional.empty()));
+    return ask(handler, method, path, ImmutableMap.of());
+  }
+
+  private static Answer ask(
+      OperatorsHandler handler, String method, String path, ImmutableMap<String, String> headers) {
+    RecordedReply reply = new RecordedReply();
+    handler.handle(new IncomingRequest(method, path, headers, new byte[0]), reply);
+    assertThat(reply.answers).hasSize(1);
+    return reply.answers.get(0);
+  }
+
+  private static final class RecordedReply implements Reply {
+    private final List<Answer> answers = new ArrayList<>();
+
+    @Override
+    public void send(Answer answer) {
+      answers.add(answer);
+    }
+
+    @Override
+    public ReplyStream stream(int status, ImmutableMap<String, String> headers) {
+      throw new AssertionError("nothing is streamed to operators");
+    }
+
+    @Override
+    public void watch(ReplyListener listener) {}
+  }
+}
