Bound the counts of a configuration and a sheet; compare rules by what they match

Stops and rules are compared each with each, so that a sheet of 200,000 stops would have kept a command busy for hours: 2,000 stops, 2,000 rules, 4,000 replicas and 100,000 customers are the most, checked before any comparison. A rule put in front of others is now one difference instead of one for each rule.

--- a/cli/src/main/java/dev/apricotmill/cli/ApricotmillCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/ApricotmillCommand.java
@@ -82,6 +82,8 @@
       report = command.run(contexts.apply(err));
     } catch (ParameterException e) {
       return wrongUsage(tree, e);
+    } catch (RuntimeException e) {
+      return internalFault(e);
     }
     command.options().output().print(report, out);
     out.flush();
@@ -98,6 +100,14 @@
     return asked ? ExitCode.OK : ExitCode.USAGE;
   }
 
+  private ExitCode internalFault(RuntimeException fault) {
+    err.println(CommandTree.PROGRAM + ": the program itself failed");
+    fault.printStackTrace(err);
+    err.println("Next: report this output; apricotmill config history shows what was accepted");
+    err.flush();
+    return ExitCode.INTERNAL;
+  }
+
   private ExitCode wrongUsage(CommandTree tree, ParameterException problem) {
     err.println(CommandTree.PROGRAM + ": " + problem.getMessage());
     String words = words(tree);
--- a/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigurationRefused.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigurationRefused.java
@@ -14,6 +14,7 @@
  */
 record ConfigurationRefused(ExitCode exitCode, String file, ImmutableList<FaultLine> faults)
     implements Report {
+  private static final int SHOWN_FAULTS = 1_000;
 
   ConfigurationRefused(String file, ImmutableList<FaultLine> faults) {
     this(ExitCode.DATA, file, faults);
@@ -21,7 +22,10 @@
 
   @Override
   public void printText(PrintWriter out) {
-    faults.forEach(fault -> fault.print(out));
+    faults.stream().limit(SHOWN_FAULTS).forEach(fault -> fault.print(out));
+    if (faults.size() > SHOWN_FAULTS) {
+      out.println("... and " + (faults.size() - SHOWN_FAULTS) + " more; --output json lists all");
+    }
     out.println(file + ": refused, nothing was changed");
     out.println("Next: mend every error above, then apricotmill config check " + file);
   }
--- a/cli/src/main/java/dev/apricotmill/cli/sheet/SheetRefused.java
+++ b/cli/src/main/java/dev/apricotmill/cli/sheet/SheetRefused.java
@@ -14,6 +14,7 @@
  */
 record SheetRefused(ExitCode exitCode, String file, ImmutableList<SheetFaultLine> faults)
     implements Report {
+  private static final int SHOWN_FAULTS = 1_000;
 
   SheetRefused(String file, ImmutableList<SheetFaultLine> faults) {
     this(ExitCode.DATA, file, faults);
@@ -21,7 +22,10 @@
 
   @Override
   public void printText(PrintWriter out) {
-    faults.forEach(fault -> out.println("error: " + fault.message()));
+    faults.stream().limit(SHOWN_FAULTS).forEach(fault -> out.println("error: " + fault.message()));
+    if (faults.size() > SHOWN_FAULTS) {
+      out.println("... and " + (faults.size() - SHOWN_FAULTS) + " more; --output json lists all");
+    }
     out.println(file + ": refused whole, nothing was changed");
     out.println("Next: mend every error above, then apricotmill sheet check " + file);
   }
--- a/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationDiff.java
+++ b/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationDiff.java
@@ -7,9 +7,9 @@
 import com.google.common.collect.Sets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.function.Function;
 
 /** Finds what differs between two configurations, entry by entry and field by field. */
 public final class ConfigurationDiff {
@@ -35,10 +35,8 @@
     diff.compare("objective", before.objective().name(), after.objective().name());
     diff.compareEntries("customers", customers(before), customers(after));
     diff.compareEntries("services", services(before), services(after));
-    diff.compareEntries(
-        "rules",
-        numbered(before.rules(), ConfigurationWriter::rule),
-        numbered(after.rules(), ConfigurationWriter::rule));
+    diff.compareEntries("rules", rules(before), rules(after));
+    diff.compareOrder(rules(before).keySet(), rules(after).keySet());
     diff.compareEntries("plannedStops", stops(before), stops(after));
     return diff.differences.build();
   }
@@ -75,13 +73,22 @@
                 (first, last) -> last));
   }
 
-  private static <T> ImmutableMap<String, JsonNode> numbered(
-      ImmutableList<T> entries, Function<T, ObjectNode> writer) {
-    ImmutableMap.Builder<String, JsonNode> numbered = ImmutableMap.builder();
-    for (int index = 0; index < entries.size(); index++) {
-      numbered.put(String.format("%04d", index), writer.apply(entries.get(index)));
+  /** Returns the rules in their order by what they match. */
+  private static ImmutableMap<String, JsonNode> rules(Configuration configuration) {
+    ImmutableMap.Builder<String, JsonNode> rules = ImmutableMap.builder();
+    for (Rule rule : configuration.rules()) {
+      rules.put(
+          rule.service() + " " + rule.method() + " " + rule.pathPrefix(),
+          ConfigurationWriter.rule(rule));
     }
-    return numbered.buildOrThrow();
+    return rules.buildKeepingLast();
+  }
+
+  /** Compares the order of the rules that both have: the first that matches a request holds. */
+  private void compareOrder(Set<String> before, Set<String> after) {
+    String commonBefore = String.join(", ", Sets.intersection(before, after));
+    String commonAfter = String.join(", ", Sets.intersection(after, before));
+    compare("rules (order)", commonBefore, commonAfter);
   }
 
   private void compareEntries(
--- a/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationFault.java
+++ b/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationFault.java
@@ -79,6 +79,8 @@
     UNKNOWN_SERVICE("the service does not exist"),
     /** There are no customers, services or rules at all. */
     EMPTY("there must be at least one entry"),
+    /** There are more entries than a configuration may have. */
+    TOO_MANY("there are too many entries"),
     /** A service has no replica. */
     NO_REPLICA("the service has no replica"),
     /** A service has no replica in a zone in which other services have some. */
--- a/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationLimits.java
+++ b/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationLimits.java
@@ -47,6 +47,18 @@
   /** A TCP port of a back end. */
   public static final Range<Integer> PORT = Range.closed(1, 0xFFFF);
 
+  /** The most customers of a configuration. */
+  public static final int MAXIMUM_CUSTOMERS = 100_000;
+
+  /** The most replicas of all services together. */
+  public static final int MAXIMUM_REPLICAS = 4_000;
+
+  /** The most rules of a configuration. */
+  public static final int MAXIMUM_RULES = 2_000;
+
+  /** The most planned stops of a configuration. */
+  public static final int MAXIMUM_STOPS = 2_000;
+
   /** The longest planned stop. */
   public static final Duration LONGEST_STOP = Duration.ofDays(7);
 
--- a/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationValidator.java
+++ b/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationValidator.java
@@ -17,6 +17,10 @@
 
   static void check(ConfigurationDraft draft, FaultCollector faults) {
     int faultsOfForm = faults.count();
+    checkCounts(draft, faults);
+    if (faults.count() > faultsOfForm) {
+      return;
+    }
     CustomerChecks.check(draft, faults);
     ServiceChecks.check(draft, faults);
     RuleChecks.check(draft, faults);
@@ -26,6 +30,24 @@
     }
   }
 
+  /** Checks the counts first, since the checks of stops and rules compare each with each. */
+  private static void checkCounts(ConfigurationDraft draft, FaultCollector faults) {
+    int replicas =
+        draft.services().stream().mapToInt(placed -> placed.value().replicas().size()).sum();
+    checkCount(
+        draft.customers().size(), ConfigurationLimits.MAXIMUM_CUSTOMERS, "/customers", faults);
+    checkCount(replicas, ConfigurationLimits.MAXIMUM_REPLICAS, "/services", faults);
+    checkCount(draft.rules().size(), ConfigurationLimits.MAXIMUM_RULES, "/rules", faults);
+    checkCount(
+        draft.plannedStops().size(), ConfigurationLimits.MAXIMUM_STOPS, "/plannedStops", faults);
+  }
+
+  private static void checkCount(int count, int maximum, String pointer, FaultCollector faults) {
+    if (count > maximum) {
+      faults.add(pointer, Kind.TOO_MANY, count + ", at most " + maximum);
+    }
+  }
+
   private static void checkPartSizes(ConfigurationDraft draft, FaultCollector faults) {
     ConfigurationCodec.encode(draft.toConfiguration(0))
         .forEach(
--- a/core/src/main/java/dev/apricotmill/core/sheet/SheetFault.java
+++ b/core/src/main/java/dev/apricotmill/core/sheet/SheetFault.java
@@ -70,6 +70,8 @@
     STOP_ENDS_BEFORE_IT_BEGINS("the stop ends before it begins"),
     /** The stop is longer than one may be. */
     STOP_TOO_LONG("the stop is longer than a day"),
+    /** The sheet has more stops than a configuration may have. */
+    TOO_MANY_STOPS("there are too many stops"),
     /** The stop begins on another day than that of the sheet. */
     STOP_ON_ANOTHER_DAY("the stop does not begin on the day of the sheet"),
     /** The customer stands twice in the sheet. */
--- a/core/src/main/java/dev/apricotmill/core/sheet/SheetReader.java
+++ b/core/src/main/java/dev/apricotmill/core/sheet/SheetReader.java
@@ -32,7 +32,7 @@
   /** Returns what could be read. */
   SheetContent read(byte[] bytes) {
     SheetText.decode(bytes, faults).ifPresent(this::readText);
-    return new SheetContent(day, customers.build(), stops.build());
+    return new SheetContent(day, customers.build(), comparableStops());
   }
 
   private void readText(String text) {
@@ -127,6 +127,20 @@
     }
   }
 
+  /** Leaves out all stops if there are too many to compare each with each. */
+  private ImmutableList<StopLine> comparableStops() {
+    ImmutableList<StopLine> all = stops.build();
+    if (all.size() <= ConfigurationLimits.MAXIMUM_STOPS) {
+      return all;
+    }
+    faults.add(
+        Kind.TOO_MANY_STOPS,
+        all.get(ConfigurationLimits.MAXIMUM_STOPS).line(),
+        "",
+        all.size() + ", at most " + ConfigurationLimits.MAXIMUM_STOPS);
+    return ImmutableList.of();
+  }
+
   private void readEnd(SheetRow row) {
     ended = true;
     if (!row.cell(SheetColumn.NAME).equals(Integer.toString(lines))) {
--- a/core/src/test/java/dev/apricotmill/core/configuration/ConfigurationDiffTest.java
+++ b/core/src/test/java/dev/apricotmill/core/configuration/ConfigurationDiffTest.java
@@ -2,8 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import dev.apricotmill.core.configuration.ConfigurationDiff.Difference;
 import dev.apricotmill.core.request.CustomerId;
+import dev.apricotmill.core.request.ServiceName;
+import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
@@ -62,4 +66,40 @@
     assertThat(difference.before()).isEmpty();
     assertThat(difference.after().orElseThrow()).contains("\"keyHash\":\"(a key)\"");
   }
+
+  @Test
+  void aRuleInFrontOfOthersIsOneDifference() {
+    Rule added =
+        new Rule(
+            new ServiceName("desk"),
+            "PUT",
+            "/archive",
+            Rule.Access.DENY,
+            Rule.Repetition.IDEMPOTENT,
+            Duration.ofSeconds(1));
+
+    assertThat(
+            places(
+                withRules(ImmutableList.<Rule>builder().add(added).addAll(SMALL.rules()).build())))
+        .containsExactly("rules/desk PUT /archive");
+  }
+
+  @Test
+  void anotherOrderOfRulesIsADifference() {
+    assertThat(places(withRules(SMALL.rules().reverse()))).containsExactly("rules (order)");
+  }
+
+  private static List<String> places(Configuration after) {
+    return ConfigurationDiff.between(SMALL, after).stream().map(Difference::place).toList();
+  }
+
+  private static Configuration withRules(ImmutableList<Rule> rules) {
+    return new Configuration(
+        SMALL.generation(),
+        SMALL.objective(),
+        SMALL.customers(),
+        SMALL.services(),
+        rules,
+        SMALL.plannedStops());
+  }
 }
--- a/core/src/test/java/dev/apricotmill/core/configuration/ConfigurationFileTest.java
+++ b/core/src/test/java/dev/apricotmill/core/configuration/ConfigurationFileTest.java
@@ -125,6 +125,14 @@
     assertThat(check(ConfigurationFile.render(large))).isInstanceOf(CheckResult.Valid.class);
   }
 
+  @Test
+  void moreRulesThanAllowedAreRefusedBeforeTheyAreCompared() {
+    String rule = ExampleFile.text().replaceAll("(?s).*\"rules\": \\[\\s*(\\{.*?\\}).*", "$1,");
+    String text = ExampleFile.with("\"rules\": [", "\"rules\": [" + rule.repeat(2_000));
+
+    assertThat(places(faults(check(text)))).containsExactly("TOO_MANY /rules");
+  }
+
   @Test
   void noFaultShowsAKey() {
     String text = ExampleFile.with("crews-key-0123456789", "short-key");
--- a/core/src/test/java/dev/apricotmill/core/sheet/BadSheetsTest.java
+++ b/core/src/test/java/dev/apricotmill/core/sheet/BadSheetsTest.java
@@ -12,6 +12,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.nio.charset.Charset;
+import java.util.Collections;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -212,6 +213,10 @@
             "a stop of a week",
             sheet("stop,entry-0,,,,,,2026-11-20T08:00Z,2026-11-27T08:00Z"),
             "STOP_TOO_LONG 2 until"),
+        bad(
+            "more stops than allowed",
+            sheet(Collections.nCopies(2_001, stop("entry-0", "08:00", "09:00"))),
+            "TOO_MANY_STOPS 2002"),
         bad(
             "a stop on another day",
             sheet("stop,entry-0,,,,,,2026-11-21T08:00Z,2026-11-21T09:00Z"),
