--- a/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationCodec.java
+++ b/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationCodec.java
@@ -52,7 +52,7 @@
 
   /** Returns the configuration that the parts hold, with the generation of their head. */
   public static DecodeResult decode(long generation, Map<String, byte[]> parts) {
-    return new ConfigurationDecoding(parts).decode(generation);
+    return new ConfigurationDecoding(parts, ImmutableMap.of()).decode(generation);
   }
 
   /** Returns the name of the part that holds a customer. */
--- a/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationDecoding.java
+++ b/core/src/main/java/dev/apricotmill/core/configuration/ConfigurationDecoding.java
@@ -2,6 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.hash.HashCode;
+import com.google.common.hash.Hashing;
 import dev.apricotmill.core.configuration.ConfigurationFault.Kind;
 import java.util.HashSet;
 import java.util.Map;
@@ -15,9 +18,31 @@
   private final FaultCollector faults = new FaultCollector();
   private final ConfigurationReader reader = new ConfigurationReader();
   private final TreeMap<String, byte[]> unreadParts;
+  private final ImmutableMap<String, CustomerPart> knownParts;
+  private final ImmutableMap.Builder<String, CustomerPart> readParts = ImmutableMap.builder();
 
-  ConfigurationDecoding(Map<String, byte[]> parts) {
+  /**
+   * Prepares to decode.
+   *
+   * @param parts the parts by name
+   * @param knownParts customers' parts that were read without a fault before
+   */
+  ConfigurationDecoding(Map<String, byte[]> parts, ImmutableMap<String, CustomerPart> knownParts) {
     this.unreadParts = new TreeMap<>(parts);
+    this.knownParts = knownParts;
+  }
+
+  /**
+   * The customers of one part.
+   *
+   * @param hash the SHA-256 of the part
+   * @param customers the customers
+   */
+  record CustomerPart(HashCode hash, ImmutableList<Placed<Customer>> customers) {}
+
+  /** Returns the customers' parts that were read without a fault, by name. */
+  ImmutableMap<String, CustomerPart> readParts() {
+    return readParts.buildOrThrow();
   }
 
   DecodeResult decode(long generation) {
@@ -63,14 +88,29 @@
     ImmutableList.Builder<Placed<Customer>> customers = ImmutableList.builder();
     for (String name : ImmutableList.copyOf(unreadParts.keySet())) {
       if (name.startsWith(ConfigurationCodec.CUSTOMERS_PREFIX)) {
-        ImmutableList<Placed<Customer>> ofPart = entries(name, reader::storedCustomer);
-        checkPart(name, ofPart);
-        customers.addAll(ofPart);
+        customers.addAll(customersOf(name));
       }
     }
     return customers.build();
   }
 
+  private ImmutableList<Placed<Customer>> customersOf(String name) {
+    HashCode hash = Hashing.sha256().hashBytes(unreadParts.get(name));
+    CustomerPart known = knownParts.get(name);
+    if (known != null && known.hash().equals(hash)) {
+      unreadParts.remove(name);
+      readParts.put(name, known);
+      return known.customers();
+    }
+    int faultsBefore = faults.count();
+    ImmutableList<Placed<Customer>> customers = entries(name, reader::storedCustomer);
+    checkPart(name, customers);
+    if (faults.count() == faultsBefore) {
+      readParts.put(name, new CustomerPart(hash, customers));
+    }
+    return customers;
+  }
+
   private void checkPart(String part, ImmutableList<Placed<Customer>> customers) {
     Set<Object> seen = new HashSet<>();
     for (Placed<Customer> customer : customers) {
