--- a/cli/src/main/java/dev/apricotmill/cli/configuration/ProposalReport.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/ProposalReport.java
@@ -86,7 +86,9 @@
         out.println("... and " + (differences.size() - SHOWN_DIFFERENCES) + " more changes");
       }
       out.println("accepted as " + head);
-      out.println("Next: apricotmill status shows which daemons have it in force");
+      out.println(
+          "Next: apricotmill status --await-generation %d waits until all daemons have it in force"
+              .formatted(head.generation()));
     }
   }
 
--- a/cli/src/main/java/dev/apricotmill/cli/fleet/FleetStatus.java
+++ b/cli/src/main/java/dev/apricotmill/cli/fleet/FleetStatus.java
@@ -88,6 +88,14 @@
     return daemons.stream().filter(entry -> entry.status().isPresent()).count();
   }
 
+  /** Returns how many daemons have a generation or a newer one in force. */
+  long daemonsWith(long generation) {
+    return daemons.stream()
+        .flatMap(entry -> entry.status().stream())
+        .filter(status -> status.configurationGeneration() >= generation)
+        .count();
+  }
+
   String firstReason() {
     return daemons.stream()
         .flatMap(entry -> entry.silence().stream())
--- a/cli/src/main/java/dev/apricotmill/cli/fleet/StatusCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/fleet/StatusCommand.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.cli.fleet;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import com.google.common.collect.ImmutableList;
@@ -11,13 +12,19 @@
 import dev.apricotmill.cli.command.PeerAddressConverter;
 import dev.apricotmill.cli.command.Report;
 import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.time.Deadline;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletionStage;
+import org.jspecify.annotations.Nullable;
 
 /** Asks daemons for their status and shows the fleet on one screen. */
 @Parameters(commandDescription = "Show daemons, replicas and the configuration in force")
 public final class StatusCommand extends Command {
+  private static final int MAXIMUM_WAIT_SECONDS = 3_600;
+  private static final Duration POLL_PERIOD = Duration.ofSeconds(1);
+
   @Parameter(
       names = "--daemon",
       description =
@@ -30,10 +37,21 @@
   @Parameter(names = "--all", description = "List every daemon, not only those that need a look")
   private boolean all;
 
+  @Parameter(
+      names = "--await-generation",
+      description = "Wait until every daemon that was found has this generation or a newer one")
+  private @Nullable Long awaitedGeneration;
+
+  @Parameter(names = "--wait-seconds", description = "How long --await-generation waits, 0 to 3600")
+  private int waitSeconds = 30;
+
   @Override
   public void check() {
     super.check();
     daemonOptions.check();
+    if (waitSeconds < 0 || waitSeconds > MAXIMUM_WAIT_SECONDS) {
+      throw new ParameterException("--wait-seconds must be 0 to " + MAXIMUM_WAIT_SECONDS);
+    }
   }
 
   @Override
@@ -44,6 +62,7 @@
         or behind the newest generation that any daemon has in force.
 
         Example: apricotmill status
+        Example: apricotmill status --await-generation 7
         Example: apricotmill status --daemon 10.1.1.5:9090 --daemon 10.1.2.5:9090 --output json
         """;
   }
@@ -60,6 +79,9 @@
     ImmutableList<DaemonOptions.NamedDaemon> asked =
         ((DaemonOptions.Found.Daemons) found).daemons();
     FleetStatus fleet = FleetStatus.of(ask(context, asked), all);
+    if (awaitedGeneration != null) {
+      return await(context, asked, awaitedGeneration, fleet);
+    }
     if (fleet.answered() == 0) {
       return Failure.Kind.DAEMON_UNAVAILABLE.report(
           "none of " + asked.size() + " daemons told its status: " + fleet.firstReason(),
@@ -68,6 +90,27 @@
     return fleet;
   }
 
+  /** Asks again until all daemons have the generation or the time is over. */
+  private Report await(
+      CommandContext context,
+      ImmutableList<DaemonOptions.NamedDaemon> asked,
+      long generation,
+      FleetStatus first) {
+    Deadline deadline = context.timing().deadlineAfter(Duration.ofSeconds(waitSeconds));
+    FleetStatus fleet = first;
+    while (fleet.daemonsWith(generation) < asked.size()) {
+      if (deadline.hasPassed(context.timing().nanoTime())) {
+        return Failure.Kind.NOT_FINISHED.report(
+            "%d of %d daemons have generation %d after %d s"
+                .formatted(fleet.daemonsWith(generation), asked.size(), generation, waitSeconds),
+            "apricotmill status shows those that are behind or silent");
+      }
+      context.pause(POLL_PERIOD);
+      fleet = FleetStatus.of(ask(context, asked), all);
+    }
+    return fleet;
+  }
+
   private ImmutableList<FleetStatus.Entry> ask(
       CommandContext context, List<DaemonOptions.NamedDaemon> asked) {
     List<CompletionStage<OperatorAnswer>> calls =
--- a/cli/src/test/java/dev/apricotmill/cli/fleet/StatusCommandTest.java
+++ b/cli/src/test/java/dev/apricotmill/cli/fleet/StatusCommandTest.java
@@ -65,6 +65,29 @@
     assertThat(out).contains("\"silence\" : \"UNREACHABLE\"");
   }
 
+  @Test
+  void aGenerationIsAwaitedAtEveryDaemon() {
+    answer("127.0.0.1", DaemonAnswers.status("vm-1", "ready", 4, 0));
+    answer("127.0.0.2", DaemonAnswers.status("vm-2", "ready", 3, 0));
+    answer("127.0.0.2", DaemonAnswers.status("vm-2", "ready", 4, 0));
+
+    CommandLineHarness.Run run = harness.run("status", "--await-generation", "4");
+
+    assertThat(run.exitCode()).isEqualTo(ExitCode.OK);
+    assertThat(run.out()).contains("newest generation in force 4");
+  }
+
+  @Test
+  void aGenerationThatDoesNotComeInTimeIsTold() {
+    answer("127.0.0.1", DaemonAnswers.status("vm-1", "ready", 4, 0));
+
+    CommandLineHarness.Run run =
+        harness.run("status", "--await-generation", "4", "--wait-seconds", "5");
+
+    assertThat(run.exitCode()).isEqualTo(ExitCode.UNDETERMINED);
+    assertThat(run.out()).contains("1 of 2 daemons have generation 4 after 5 s");
+  }
+
   @Test
   void noAnswerAtAllIsAFailure() {
     assertThat(harness.run("status").exitCode()).isEqualTo(ExitCode.UNAVAILABLE);
