--- /dev/null
+++ b/coordination/src/test/java/dev/apricotmill/coordination/configuration/ConfigurationRun.java
@@ -0,0 +1,139 @@
+package dev.apricotmill.coordination.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.platform.WriterSettings;
+import dev.apricotmill.coordination.testing.FakePlatform;
+import dev.apricotmill.coordination.testing.PlatformFault;
+import dev.apricotmill.coordination.testing.PlatformOperation;
+import dev.apricotmill.coordination.testing.VirtualScheduler;
+import dev.apricotmill.coordination.testing.VirtualTime;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+
+/** Two operators who propose changes while things go wrong, and a checker of what they are told. */
+final class ConfigurationRun {
+
+  private final VirtualTime time = new VirtualTime();
+  private final FakePlatform platform = new FakePlatform(time);
+  private final List<ConfigurationStore> operators;
+  private final List<Attempt> attempts = new ArrayList<>();
+  private long generation;
+
+  ConfigurationRun() {
+    operators = Stream.of("ana", "bor").map(this::newStore).toList();
+  }
+
+  /** One proposal. */
+  private static final class Attempt {
+
+    private final ConfigurationStore store;
+    private final ConfigurationChange change;
+    private Optional<ChangeResult> result = Optional.empty();
+
+    Attempt(ConfigurationStore store, ConfigurationChange change) {
+      this.store = store;
+      this.change = change;
+    }
+  }
+
+  FakePlatform platform() {
+    return platform;
+  }
+
+  void propose(int operator) {
+    PartContent part = PartContent.copyOf(("v" + attempts.size()).getBytes(UTF_8));
+    start(
+        operators.get(operator),
+        new ConfigurationChange(
+            generation, ImmutableMap.of("p", part), "operator", "c" + attempts.size()));
+  }
+
+  /** Proposes the last change again, as an operator does who was not told the result. */
+  void repeatLast() {
+    if (!attempts.isEmpty()) {
+      Attempt last = attempts.get(attempts.size() - 1);
+      start(last.store, last.change);
+    }
+  }
+
+  void failWrites(PlatformFault fault) {
+    platform.failNext(1, fault, call -> call.operation() == PlatformOperation.PUT);
+  }
+
+  void advance(Duration duration) {
+    time.advance(duration);
+    attempts.stream()
+        .flatMap(attempt -> attempt.result.stream())
+        .forEach(result -> generation = Math.max(generation, generationOf(result)));
+  }
+
+  /** Ends all faults and compares what the operators were told with the history. */
+  void finish() {
+    platform.heal();
+    advance(Duration.ofSeconds(40));
+    ImmutableList<ConfigurationHead> history = history();
+    List<String> accepted = history.stream().map(ConfigurationHead::changeId).toList();
+    Set<String> unique = new HashSet<>(accepted);
+    assertWithMessage("a change is accepted once").that(unique).hasSize(accepted.size());
+    for (int i = 0; i < history.size(); i++) {
+      assertThat(history.get(i).generation()).isEqualTo(history.size() - i);
+    }
+    for (Attempt attempt : attempts) {
+      ChangeResult result = attempt.result.orElseThrow();
+      String changeId = attempt.change.changeId();
+      if (result instanceof ChangeResult.Accepted) {
+        assertThat(accepted).contains(changeId);
+      } else if (result instanceof ChangeResult.ConflictsWith) {
+        assertThat(accepted).doesNotContain(changeId);
+      } else if (result instanceof ChangeResult.Unavailable && !isRepeated(changeId)) {
+        assertThat(accepted).doesNotContain(changeId);
+      }
+    }
+  }
+
+  private boolean isRepeated(String changeId) {
+    return attempts.stream().filter(each -> each.change.changeId().equals(changeId)).count() > 1;
+  }
+
+  private void start(ConfigurationStore store, ConfigurationChange change) {
+    Attempt attempt = new Attempt(store, change);
+    attempts.add(attempt);
+    store.propose(change).thenAccept(result -> attempt.result = Optional.of(result));
+  }
+
+  private ImmutableList<ConfigurationHead> history() {
+    var result = operators.get(0).history(1000).toCompletableFuture();
+    time.advance(Duration.ofSeconds(5));
+    return ((HistoryResult.Listed) result.join()).heads();
+  }
+
+  private static long generationOf(ChangeResult result) {
+    if (result instanceof ChangeResult.Accepted accepted) {
+      return accepted.head().generation();
+    }
+    return result instanceof ChangeResult.ConflictsWith conflict
+        ? conflict.current().generation()
+        : 0;
+  }
+
+  private ConfigurationStore newStore(String process) {
+    VirtualScheduler scheduler = time.newScheduler();
+    return new ConfigurationStore(
+        time.timingOf(scheduler),
+        platform.clientFor(process, new Zone("office"), scheduler),
+        WriterSettings.defaults(),
+        new SplittableRandom(process.hashCode()));
+  }
+}
