--- a/coordination/src/test/java/dev/apricotmill/coordination/ledger/ClaimsLedgerTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/ledger/ClaimsLedgerTest.java
@@ -152,6 +152,17 @@
         .isInstanceOf(ClaimResult.Claimed.class);
   }
 
+  @Test
+  void aRepeatedOpaqueKeyIsFoundWithinTheRetention() {
+    LedgerKey key = new LedgerKey("booking 2026/17");
+    ClaimRequest request = first.request(key);
+    await(first.ledger().claim(request));
+    await(first.ledger().complete(key, request.nonce(), DONE));
+    fillShardOf(key, 600);
+    time.advance(Duration.ofMinutes(14));
+    assertThat(await(second.claim(key))).isEqualTo(new ClaimResult.AlreadyFinished(DONE));
+  }
+
   @Test
   void aForgottenKeyIsRefusedWhateverTheClockOfTheDaemonSays() {
     LedgerKey old = newKey();
