Claims go to the daemon that usually writes their shard

One message carries an opaque question to that daemon's ledger, so that the claims of all daemons share updates. Seen failing first: the repeat of an order whose daemon had died was told that the first was still running. Cause: a daemon of another zone kept the ledger, and other zones only suspect a daemon whose last neighbour may be cut off itself. Ruled out: a claim that was lost, since the repeat found it. The daemon that asks now judges by its own view too.

--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerEndpoint.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerEndpoint.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.daemon.inner;
 
+import dev.apricotmill.coordination.ledger.LedgerQuestions;
 import dev.apricotmill.coordination.membership.FetchResult;
 import dev.apricotmill.coordination.membership.ProbeEndpoint;
 import dev.apricotmill.coordination.membership.ProbeMessage;
@@ -12,8 +13,10 @@
 import dev.apricotmill.protocol.ServerStream;
 import dev.apricotmill.protocol.StreamAcceptor;
 import dev.apricotmill.protocol.StreamHandler;
+import dev.apricotmill.protocol.generated.AskLedger;
 import dev.apricotmill.protocol.generated.Fetched;
 import dev.apricotmill.protocol.generated.Forward;
+import dev.apricotmill.protocol.generated.LedgerAnswer;
 import dev.apricotmill.protocol.generated.Probe;
 import dev.apricotmill.protocol.generated.ProbeAnswer;
 import dev.apricotmill.protocol.generated.ProbeThrough;
@@ -31,12 +34,15 @@
 
   private final StewardEndpoint steward;
   private final ProbeEndpoint probes;
+  private final LedgerQuestions ledger;
   private final Timing timing;
 
   /** Creates the receiving side of the inner protocol. */
-  public InnerEndpoint(StewardEndpoint steward, ProbeEndpoint probes, Timing timing) {
+  public InnerEndpoint(
+      StewardEndpoint steward, ProbeEndpoint probes, LedgerQuestions ledger, Timing timing) {
     this.steward = steward;
     this.probes = probes;
+    this.ledger = ledger;
     this.timing = timing;
   }
 
@@ -68,6 +74,7 @@
       case PROBE -> onProbe(request.getProbe(), stream);
       case PROBE_THROUGH -> onProbeThrough(request.getProbeThrough(), stream);
       case FETCH -> onFetch(request.getFetch().getPartName(), stream);
+      case ASK_LEDGER -> onAskLedger(request.getAskLedger(), stream);
       case BODY_NOT_SET -> throw new MalformedMessageException("request without a body");
     }
     return StreamHandler.SINGLE_RESPONSE;
@@ -119,6 +126,17 @@
     stream.finish(Response.newBuilder().setFetched(fetched).build());
   }
 
+  private void onAskLedger(AskLedger message, ServerStream stream) {
+    ledger
+        .onAskLedger(message.getQuestion().toByteArray())
+        .thenAccept(
+            answer -> {
+              LedgerAnswer.Builder reply = LedgerAnswer.newBuilder();
+              answer.map(MemberMessages::wrap).ifPresent(reply::setValue);
+              stream.finish(Response.newBuilder().setLedgerAnswer(reply).build());
+            });
+  }
+
   private static void finish(ServerStream stream, ProbeMessage reply) {
     stream.finish(
         Response.newBuilder()
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPeerProbes.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPeerProbes.java
@@ -1,5 +1,7 @@
 package dev.apricotmill.daemon.inner;
 
+import dev.apricotmill.coordination.ledger.LedgerPeers;
+import dev.apricotmill.coordination.ledger.LedgerReply;
 import dev.apricotmill.coordination.membership.FetchResult;
 import dev.apricotmill.coordination.membership.Member;
 import dev.apricotmill.coordination.membership.PeerAddress;
@@ -11,6 +13,7 @@
 import dev.apricotmill.protocol.InnerClient;
 import dev.apricotmill.protocol.ResponseListener;
 import dev.apricotmill.protocol.StreamLoss;
+import dev.apricotmill.protocol.generated.AskLedger;
 import dev.apricotmill.protocol.generated.Fetch;
 import dev.apricotmill.protocol.generated.ProbeThrough;
 import dev.apricotmill.protocol.generated.Request;
@@ -21,8 +24,8 @@
 import java.util.concurrent.Future;
 import java.util.function.Function;
 
-/** Probes peers and fetches parts from them over the inner protocol. */
-public final class InnerPeerProbes implements PeerProbes {
+/** Probes peers, fetches parts from them and asks their ledgers over the inner protocol. */
+public final class InnerPeerProbes implements PeerProbes, LedgerPeers {
 
   private final InnerClient client;
   private final Timing timing;
@@ -37,7 +40,7 @@
   public CompletionStage<ProbeResult> probe(
       PeerAddress peer, ProbeMessage message, Duration timeout) {
     Request request = Request.newBuilder().setProbe(MemberMessages.toMessage(message)).build();
-    return ask(peer, request, timeout, InnerPeerProbes::probeResult, new ProbeResult.Silent());
+    return exchange(peer, request, timeout, InnerPeerProbes::probeResult, new ProbeResult.Silent());
   }
 
   @Override
@@ -50,17 +53,33 @@
                     .setTarget(MemberMessages.toMessage(target))
                     .setProbe(MemberMessages.toMessage(message)))
             .build();
-    return ask(peer, request, timeout, InnerPeerProbes::probeResult, new ProbeResult.Silent());
+    return exchange(peer, request, timeout, InnerPeerProbes::probeResult, new ProbeResult.Silent());
   }
 
   @Override
   public CompletionStage<FetchResult> fetch(PeerAddress peer, String partName, Duration timeout) {
     Request request =
         Request.newBuilder().setFetch(Fetch.newBuilder().setPartName(partName)).build();
-    return ask(peer, request, timeout, InnerPeerProbes::fetchResult, new FetchResult.Silent());
+    return exchange(peer, request, timeout, InnerPeerProbes::fetchResult, new FetchResult.Silent());
   }
 
-  private <T> CompletionStage<T> ask(
+  @Override
+  public CompletionStage<LedgerReply> ask(PeerAddress peer, byte[] question, Duration timeout) {
+    Request request =
+        Request.newBuilder()
+            .setAskLedger(AskLedger.newBuilder().setQuestion(MemberMessages.wrap(question)))
+            .build();
+    return exchange(peer, request, timeout, InnerPeerProbes::ledgerReply, new LedgerReply.Silent());
+  }
+
+  private static LedgerReply ledgerReply(Response response) {
+    boolean answered = response.hasLedgerAnswer() && response.getLedgerAnswer().hasValue();
+    return answered
+        ? new LedgerReply.Answered(response.getLedgerAnswer().getValue().toByteArray())
+        : new LedgerReply.Silent();
+  }
+
+  private <T> CompletionStage<T> exchange(
       PeerAddress peer, Request request, Duration timeout, Function<Response, T> reader, T silent) {
     CompletableFuture<T> result = new CompletableFuture<>();
     ClientStream stream =
--- a/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
@@ -81,14 +81,16 @@
     Tracing tracing = Tracing.start(name, settings.otlpEndpoint());
     closer.register(tracing::close);
     PrometheusMeterRegistry meters = meters();
+    InnerPeerProbes probes = new InnerPeerProbes(client, timing);
     node =
         factory.create(
             nodeSettings(),
             new NodePorts(
                 timing,
                 outer.platform(),
-                new InnerPeerProbes(client, timing),
+                probes,
                 new InnerStewardPeers(client, timing),
+                probes,
                 outer.engines(),
                 outer.services(),
                 new SecureRandom(),
@@ -109,7 +111,7 @@
       throws IOException {
     DaemonProcess process = new DaemonProcess(settings, timing, outer, factory);
     process.node.start();
-    process.innerServer.serve(new InnerEndpoint(process.node, process.node, timing));
+    process.innerServer.serve(new InnerEndpoint(process.node, process.node, process.node, timing));
     LOGGER.log(
         Level.INFO,
         "daemon: {0} in zone {1} listens: public {2}, inner {3}, operators {4}",
--- a/daemon/src/test/java/dev/apricotmill/daemon/inner/InnerPortsTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/inner/InnerPortsTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.ledger.LedgerReply;
 import dev.apricotmill.coordination.membership.FetchResult;
 import dev.apricotmill.coordination.membership.Member;
 import dev.apricotmill.coordination.membership.MemberState;
@@ -72,7 +73,7 @@
             TransportLimits.DEFAULT,
             TransportSecurity.PLAIN,
             group,
-            new InnerEndpoint(node, node, timing));
+            new InnerEndpoint(node, node, node, timing));
     client = new InnerClient("client", TransportLimits.DEFAULT, TransportSecurity.PLAIN, group);
     peer = new PeerAddress("127.0.0.1", server.address().getPort());
   }
@@ -209,6 +210,15 @@
         .isEqualTo(new FetchResult.NotHeld());
   }
 
+  @Test
+  void aLedgerAnswersWhatItUnderstandsAndIsSilentElse() throws Exception {
+    InnerPeerProbes probes = new InnerPeerProbes(client, timing);
+    assertThat(probes.ask(peer, new byte[] {7}, PATIENCE).toCompletableFuture().get())
+        .isEqualTo(new LedgerReply.Answered(new byte[] {7}));
+    assertThat(probes.ask(peer, new byte[0], PATIENCE).toCompletableFuture().get())
+        .isEqualTo(new LedgerReply.Silent());
+  }
+
   private void assertSurvives(Outcome outcome) throws MalformedMessageException {
     assertThat(OutcomeMessages.fromMessage(OutcomeMessages.toMessage(outcome))).isEqualTo(outcome);
   }
--- a/daemon/src/test/java/dev/apricotmill/daemon/testing/FakeNode.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/testing/FakeNode.java
@@ -18,6 +18,7 @@
 import dev.apricotmill.node.api.CallSubmission;
 import dev.apricotmill.node.api.GenerationSubmission;
 import dev.apricotmill.node.api.NodeStatus;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -127,6 +128,12 @@
     return CompletableFuture.completedFuture(new ProbeResult.Silent());
   }
 
+  @Override
+  public CompletionStage<Optional<byte[]>> onAskLedger(byte[] question) {
+    return CompletableFuture.completedFuture(
+        question.length == 0 ? Optional.empty() : Optional.of(question));
+  }
+
   @Override
   public FetchResult onFetch(String partName) {
     return partName.equals("held")
--- a/node/src/main/java/dev/apricotmill/node/NodePorts.java
+++ b/node/src/main/java/dev/apricotmill/node/NodePorts.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.node;
 
+import dev.apricotmill.coordination.ledger.LedgerPeers;
 import dev.apricotmill.coordination.membership.PeerProbes;
 import dev.apricotmill.coordination.platform.Platform;
 import dev.apricotmill.coordination.time.Timing;
@@ -17,6 +18,7 @@
  * @param platform the platform's store
  * @param probes probes of other daemons
  * @param stewards forwards to other daemons
+ * @param ledgers the claims ledgers of other daemons
  * @param engines the model engines
  * @param services the plain services
  * @param random the source of random choices
@@ -28,6 +30,7 @@
     Platform platform,
     PeerProbes probes,
     StewardPeers stewards,
+    LedgerPeers ledgers,
     EngineConnector engines,
     PlainService services,
     RandomGenerator random,
--- a/node/src/main/java/dev/apricotmill/node/NodeRoles.java
+++ b/node/src/main/java/dev/apricotmill/node/NodeRoles.java
@@ -15,6 +15,7 @@
 import dev.apricotmill.node.entry.RequestMeters;
 import dev.apricotmill.node.fleet.FleetView;
 import dev.apricotmill.node.fleet.ReplicaLoads;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /** Makes the roles that callers' requests pass, from what they share. */
@@ -66,7 +67,7 @@
     return new GenerationEntry(context, policy, open, phase, meters, ports.tracer());
   }
 
-  CallEntry calls(Claims claims) {
+  CallEntry calls(Claims claims, Predicate<Incarnation> mayBeRunning) {
     CallContext context =
         new CallContext(
             ports.timing(),
@@ -75,6 +76,7 @@
             fleet,
             ports.services(),
             claims,
+            mayBeRunning,
             retryBudget,
             ports.random());
     return new CallEntry(context, phase, policy, open, meters, ports.tracer());
--- a/node/src/main/java/dev/apricotmill/node/ServingNode.java
+++ b/node/src/main/java/dev/apricotmill/node/ServingNode.java
@@ -7,7 +7,10 @@
 import dev.apricotmill.coordination.configuration.FollowerSettings;
 import dev.apricotmill.coordination.identity.Incarnation;
 import dev.apricotmill.coordination.ledger.ClaimsLedger;
+import dev.apricotmill.coordination.ledger.LedgerEndpoint;
 import dev.apricotmill.coordination.ledger.LedgerSettings;
+import dev.apricotmill.coordination.ledger.RoutedClaims;
+import dev.apricotmill.coordination.ledger.RoutedSettings;
 import dev.apricotmill.coordination.membership.FetchResult;
 import dev.apricotmill.coordination.membership.Member;
 import dev.apricotmill.coordination.membership.MemberState;
@@ -35,6 +38,7 @@
 import dev.apricotmill.node.fleet.ReplicaLoads;
 import dev.apricotmill.node.steward.StewardService;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Flow;
@@ -59,6 +63,7 @@
   private final ReplicaLoads loads = new ReplicaLoads();
   private final GenerationEntry generations;
   private final CallEntry calls;
+  private final LedgerEndpoint ledgerEndpoint;
   private final AtomicReference<NodeStatus.Phase> phase =
       new AtomicReference<>(NodeStatus.Phase.STARTING);
   private final CompletableFuture<NodeStatus> drained = new CompletableFuture<>();
@@ -91,8 +96,18 @@
             ports.platform(),
             LedgerSettings.defaults(),
             ports.random(),
-            incarnation -> membership.view().mayBeRunning(incarnation));
-    this.calls = roles.calls(ledger);
+            this::mayBeRunning);
+    this.ledgerEndpoint = new LedgerEndpoint(ledger);
+    this.calls =
+        roles.calls(
+            new RoutedClaims(
+                timing,
+                ledger,
+                ports.ledgers(),
+                RoutedSettings.defaults(),
+                membership::self,
+                membership::view),
+            this::mayBeRunning);
   }
 
   @Override
@@ -138,6 +153,11 @@
     return follower.onFetch(partName);
   }
 
+  @Override
+  public CompletionStage<Optional<byte[]>> onAskLedger(byte[] question) {
+    return ledgerEndpoint.onAsk(question);
+  }
+
   @Override
   public NodeStatus status() {
     FleetView view = fleet.get();
@@ -180,6 +200,10 @@
     return self();
   }
 
+  private boolean mayBeRunning(Incarnation incarnation) {
+    return membership.view().mayBeRunning(incarnation);
+  }
+
   private static NodeStatus.Phase draining(NodeStatus.Phase before) {
     return before == NodeStatus.Phase.DRAINED ? before : NodeStatus.Phase.DRAINING;
   }
--- a/node/src/main/java/dev/apricotmill/node/call/AtMostOnceCall.java
+++ b/node/src/main/java/dev/apricotmill/node/call/AtMostOnceCall.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.node.call;
 
 import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.identity.Incarnation;
 import dev.apricotmill.coordination.ledger.ClaimRequest;
 import dev.apricotmill.coordination.ledger.ClaimResult;
 import dev.apricotmill.core.configuration.Replica;
@@ -72,8 +73,8 @@
   private void onClaim(ClaimResult result) {
     if (result instanceof ClaimResult.Claimed claimed) {
       onClaimed(claimed);
-    } else if (result instanceof ClaimResult.AlreadyClaimed) {
-      onAlreadyClaimed();
+    } else if (result instanceof ClaimResult.AlreadyClaimed claimed) {
+      onAlreadyClaimed(claimed.runner());
     } else if (result instanceof ClaimResult.Undetermined) {
       withdraw();
       endClaiming(refused(RefusalReason.CLAIMS_UNAVAILABLE));
@@ -96,8 +97,11 @@
     }
   }
 
-  private void onAlreadyClaimed() {
-    if (phase.get() == Phase.CLAIMING && repeats < MAXIMUM_REPEATS) {
+  /** The daemon that keeps the ledger may know later than this one that the runner is gone. */
+  private void onAlreadyClaimed(Incarnation runner) {
+    if (!context.mayBeRunning().test(runner)) {
+      endClaiming(conclusionOf(new ClaimResult.RunnerGone(runner)));
+    } else if (phase.get() == Phase.CLAIMING && repeats < MAXIMUM_REPEATS) {
       repeats++;
       context.timing().schedule(REPEAT_DELAY, this::claim);
     } else {
--- a/node/src/main/java/dev/apricotmill/node/call/CallContext.java
+++ b/node/src/main/java/dev/apricotmill/node/call/CallContext.java
@@ -15,6 +15,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -27,6 +28,7 @@
  * @param fleet gives the current view of the fleet
  * @param services reaches the services
  * @param claims records claims of idempotency keys
+ * @param mayBeRunning tells whether a life of a daemon is not known to be over
  * @param retryBudget bounds retries by a share of the requests
  * @param random the source of random choices
  */
@@ -37,6 +39,7 @@
     Supplier<FleetView> fleet,
     PlainService services,
     Claims claims,
+    Predicate<Incarnation> mayBeRunning,
     RetryBudget retryBudget,
     RandomGenerator random) {
 
--- a/node/src/test/java/dev/apricotmill/node/ServingNodeTest.java
+++ b/node/src/test/java/dev/apricotmill/node/ServingNodeTest.java
@@ -1,7 +1,9 @@
 package dev.apricotmill.node;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
+import dev.apricotmill.coordination.membership.MemberState;
 import dev.apricotmill.core.outcome.Outcome;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.node.api.NodeStatus;
@@ -74,6 +76,21 @@
     assertThat(heldTokens()).isEqualTo(0);
   }
 
+  @Test
+  void aDeadDaemonIsKnownInItsZoneAndSuspectedElsewhere() {
+    SimulatedDaemon dead = deployment.daemon(0);
+    dead.kill();
+    deployment.advance(Duration.ofSeconds(14));
+    for (SimulatedDaemon daemon : deployment.daemons()) {
+      if (daemon.isAlive()) {
+        boolean sameZone = daemon.zone().equals(dead.zone());
+        assertWithMessage(daemon.name())
+            .that(stateOf(daemon, dead.name()))
+            .isEqualTo(sameZone ? MemberState.DEAD : MemberState.SUSPECT);
+      }
+    }
+  }
+
   @Test
   void aStatusReadIsAnswered() {
     Ordered read = caller.read(deployment.daemon(2), LIMIT);
@@ -94,6 +111,14 @@
     assertThat(deployment.daemon(1).node().status().phase()).isEqualTo(NodeStatus.Phase.DRAINED);
   }
 
+  private static MemberState stateOf(SimulatedDaemon daemon, String name) {
+    return daemon.node().status().members().stream()
+        .filter(member -> member.incarnation().daemon().name().equals(name))
+        .findFirst()
+        .orElseThrow()
+        .state();
+  }
+
   private long heldTokens() {
     long tokens = 0;
     for (ReplicaId replica : deployment.engines().keySet()) {
--- a/node/src/test/java/dev/apricotmill/node/testing/SimulatedDaemon.java
+++ b/node/src/test/java/dev/apricotmill/node/testing/SimulatedDaemon.java
@@ -54,12 +54,14 @@
                 deployment.platform().clientFor(name, zone, scheduler),
                 peers,
                 peers,
+                peers,
                 new FakeEngines(deployment.engines(), timing),
                 deployment.service().portFor(timing),
                 new SplittableRandom(seed),
                 meters,
                 TracerProvider.noop().get("test")));
     peers.serve(node, node);
+    peers.serveLedger(node);
   }
 
   void start() {
--- a/test_helpers/src/main/java/dev/apricotmill/testhelpers/peers/InProcessPeers.java
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/peers/InProcessPeers.java
@@ -1,5 +1,8 @@
 package dev.apricotmill.testhelpers.peers;
 
+import dev.apricotmill.coordination.ledger.LedgerPeers;
+import dev.apricotmill.coordination.ledger.LedgerQuestions;
+import dev.apricotmill.coordination.ledger.LedgerReply;
 import dev.apricotmill.coordination.membership.FetchResult;
 import dev.apricotmill.coordination.membership.Member;
 import dev.apricotmill.coordination.membership.PeerAddress;
@@ -22,7 +25,7 @@
 import java.util.function.BiConsumer;
 
 /** One simulated daemon's side of an {@link InProcessNetwork}: what it sends and what it serves. */
-public final class InProcessPeers implements PeerProbes, StewardPeers {
+public final class InProcessPeers implements PeerProbes, StewardPeers, LedgerPeers {
 
   private final InProcessNetwork network;
   private final PeerAddress self;
@@ -30,6 +33,7 @@
   private final List<InProcessForward> forwards = new ArrayList<>();
   private Optional<ProbeEndpoint> probeEndpoint = Optional.empty();
   private Optional<StewardEndpoint> stewardEndpoint = Optional.empty();
+  private Optional<LedgerQuestions> ledgerQuestions = Optional.empty();
 
   InProcessPeers(InProcessNetwork network, PeerAddress self, Timing timing) {
     this.network = network;
@@ -89,6 +93,36 @@
     void accept(T value);
   }
 
+  /** Begins to answer questions about the claims ledger. */
+  public void serveLedger(LedgerQuestions questions) {
+    ledgerQuestions = Optional.of(questions);
+  }
+
+  @Override
+  public CompletionStage<LedgerReply> ask(PeerAddress peer, byte[] question, Duration timeout) {
+    PendingReply<LedgerReply> reply = new PendingReply<>(timing, timeout, new LedgerReply.Silent());
+    Optional<InProcessPeers> receiver = network.process(peer);
+    if (receiver.isPresent() && network.passes(self, peer)) {
+      receiver.get().serveQuestion(self, question, reply);
+    }
+    return reply.stage();
+  }
+
+  private void serveQuestion(PeerAddress caller, byte[] question, PendingReply<LedgerReply> reply) {
+    timing.schedule(
+        network.latency(),
+        () ->
+            ledgerQuestions.ifPresent(
+                questions ->
+                    questions
+                        .onAskLedger(question)
+                        .thenAccept(
+                            answer ->
+                                answer.ifPresent(
+                                    value ->
+                                        answer(caller, new LedgerReply.Answered(value), reply)))));
+  }
+
   private <T> CompletionStage<T> call(
       PeerAddress peer,
       Duration timeout,
