--- a/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
@@ -21,6 +21,7 @@
 import dev.apricotmill.node.api.NodeStatus;
 import dev.apricotmill.protocol.InnerClient;
 import dev.apricotmill.protocol.InnerServer;
+import dev.apricotmill.protocol.MutualTls;
 import dev.apricotmill.protocol.TransportLimits;
 import dev.apricotmill.protocol.TransportSecurity;
 import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics;
@@ -38,6 +39,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -46,6 +48,7 @@
 
   private static final Logger LOGGER = System.getLogger(DaemonProcess.class.getName());
   private static final int IO_THREADS = 2;
+  private static final Duration TLS_RELOAD_PERIOD = Duration.ofSeconds(10);
   private static final long GROUP_SHUTDOWN_MILLIS = 500;
   private static final ServerLimits OPERATORS_LIMITS =
       new ServerLimits(16 << 10, 64 << 10, 1 << 20, 64, Duration.ofSeconds(10));
@@ -67,16 +70,12 @@
     closer.register(() -> stop(group));
     String name = settings.daemon().name();
     TransportLimits limits = TransportLimits.DEFAULT;
+    TransportSecurity security = innerSecurity();
     innerServer =
         new InnerServer(
-            name,
-            settings.innerAddress(),
-            limits,
-            TransportSecurity.PLAIN,
-            group,
-            InnerEndpoint.notReady());
+            name, settings.innerAddress(), limits, security, group, InnerEndpoint.notReady());
     closer.register(innerServer::close);
-    InnerClient client = new InnerClient(name, limits, TransportSecurity.PLAIN, group);
+    InnerClient client = new InnerClient(name, limits, security, group);
     closer.register(client::close);
     Tracing tracing = Tracing.start(name, settings.otlpEndpoint());
     closer.register(tracing::close);
@@ -160,6 +159,16 @@
     closer.close();
   }
 
+  private TransportSecurity innerSecurity() throws IOException {
+    if (settings.innerTls().isEmpty()) {
+      return TransportSecurity.PLAIN;
+    }
+    MutualTls tls = MutualTls.load(settings.innerTls().get());
+    Future<?> reload = timing.scheduleRepeatedly(TLS_RELOAD_PERIOD, tls::reloadIfChanged);
+    closer.register(() -> reload.cancel(false));
+    return tls;
+  }
+
   private HttpListener publicListener() throws IOException {
     CallerLimits limits = settings.limits();
     CallerHandler handler =
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/DaemonSettings.java
@@ -3,6 +3,7 @@
 import dev.apricotmill.coordination.identity.DaemonId;
 import dev.apricotmill.coordination.identity.Zone;
 import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.protocol.TlsFiles;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -23,6 +24,7 @@
  * @param maximumTimeLimit the longest time limit that a caller may ask for
  * @param drainTime the time that open requests get to finish after SIGTERM
  * @param otlpEndpoint where spans are sent, if anywhere
+ * @param innerTls the certificates of the inner port, in clear if absent
  * @param operatorTokenHash SHA-256 in hexadecimal of the operators' token, if one is asked for
  * @param logLevel the lowest level that is logged
  */
@@ -38,5 +40,6 @@
     Duration maximumTimeLimit,
     Duration drainTime,
     Optional<URI> otlpEndpoint,
+    Optional<TlsFiles> innerTls,
     Optional<String> operatorTokenHash,
     Level logLevel) {}
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/Fault.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/Fault.java
@@ -22,6 +22,10 @@
   ABOVE_MAXIMUM("must not exceed --maximum-time-limit"),
   /** The text is not a hash. */
   NOT_A_HASH("must be 64 hexadecimal digits"),
+  /** The file cannot be read. */
+  NOT_READABLE("must name a file that can be read"),
+  /** Only some of the settings that belong together were given. */
+  INCOMPLETE("must be given together with the other --tls settings"),
   /** Two ports are the same. */
   PORT_TAKEN_TWICE("must differ from the other ports"),
   /** No such flag, or a flag without its value. */
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingFlags.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingFlags.java
@@ -92,6 +92,21 @@
       description = "SHA-256 in hexadecimal of the operators' token; none is asked for if empty")
   private String operatorTokenHash = "";
 
+  @Parameter(
+      names = "--tls-certificate",
+      description = "PEM file of the inner port's certificate chain; in clear if empty")
+  private String tlsCertificate = "";
+
+  @Parameter(
+      names = "--tls-key",
+      description = "PEM file of the certificate's key, as unencrypted PKCS #8")
+  private String tlsKey = "";
+
+  @Parameter(
+      names = "--tls-authority",
+      description = "PEM file of the authority that signs all daemons' certificates")
+  private String tlsAuthority = "";
+
   @Parameter(names = "--log-level", description = "ERROR, WARNING, INFO or DEBUG")
   private String logLevel = "INFO";
 
@@ -186,6 +201,18 @@
     return operatorTokenHash;
   }
 
+  String tlsCertificate() {
+    return tlsCertificate;
+  }
+
+  String tlsKey() {
+    return tlsKey;
+  }
+
+  String tlsAuthority() {
+    return tlsAuthority;
+  }
+
   String logLevel() {
     return logLevel;
   }
--- a/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsCheck.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/settings/SettingsCheck.java
@@ -7,9 +7,13 @@
 import dev.apricotmill.coordination.identity.DaemonId;
 import dev.apricotmill.coordination.identity.Zone;
 import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.protocol.TlsFiles;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Locale;
@@ -79,6 +83,7 @@
         maximumLimit,
         seconds("--drain-time", flags.drainTime(), ONE_DAY),
         otlpEndpoint(),
+        innerTls(),
         operatorTokenHash(),
         logLevel());
   }
@@ -187,6 +192,37 @@
     return Optional.empty();
   }
 
+  private Optional<TlsFiles> innerTls() {
+    if (flags.tlsCertificate().isEmpty()
+        && flags.tlsKey().isEmpty()
+        && flags.tlsAuthority().isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new TlsFiles(
+            file("--tls-certificate", flags.tlsCertificate()),
+            file("--tls-key", flags.tlsKey()),
+            file("--tls-authority", flags.tlsAuthority())));
+  }
+
+  private Path file(String flag, String text) {
+    if (text.isEmpty()) {
+      report(flag, Fault.INCOMPLETE, "", "");
+      return Path.of("");
+    }
+    try {
+      Path file = Path.of(text);
+      if (Files.isReadable(file)) {
+        return file;
+      }
+    } catch (InvalidPathException e) {
+      report(flag, Fault.NOT_READABLE, text, "");
+      return Path.of("");
+    }
+    report(flag, Fault.NOT_READABLE, text, "");
+    return Path.of("");
+  }
+
   private Optional<String> operatorTokenHash() {
     String hash = Ascii.toLowerCase(flags.operatorTokenHash());
     if (hash.isEmpty()) {
--- a/protocol/src/main/java/dev/apricotmill/protocol/Connection.java
+++ b/protocol/src/main/java/dev/apricotmill/protocol/Connection.java
@@ -5,6 +5,7 @@
 import dev.apricotmill.protocol.generated.KeepAlive;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.ssl.SslHandshakeCompletionEvent;
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import java.io.IOException;
@@ -17,6 +18,7 @@
 abstract class Connection extends SimpleChannelInboundHandler<Frame> {
 
   private static final Logger LOGGER = System.getLogger(Connection.class.getName());
+  private static final int MAXIMUM_LOGGED_CHARACTERS = 200;
   private static final Frame KEEP_ALIVE =
       Frame.newBuilder().setKeepAlive(KeepAlive.getDefaultInstance()).build();
 
@@ -26,6 +28,7 @@
   private @Nullable ChannelHandlerContext context;
   private @Nullable FragmentQueue outgoing;
   private boolean greeted;
+  private boolean faulty;
 
   Connection(String daemon, TransportLimits limits) {
     this.daemon = daemon;
@@ -113,6 +116,10 @@
       }
       return;
     }
+    if (event instanceof SslHandshakeCompletionEvent handshake && !handshake.isSuccess()) {
+      closeFor(active, "tls: refused {0}: {1}", handshake.cause());
+      return;
+    }
     active.fireUserEventTriggered(event);
   }
 
@@ -124,11 +131,20 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext active, Throwable cause) {
-    LOGGER.log(
-        Level.WARNING,
-        "inner: closed connection with {0}: {1}",
-        active.channel().remoteAddress(),
-        cause.toString());
+    closeFor(active, "inner: closed connection with {0}: {1}", cause);
+  }
+
+  /** Closes the connection and logs the first fault, of which the others are consequences. */
+  private void closeFor(ChannelHandlerContext active, String format, Throwable cause) {
+    if (!faulty) {
+      faulty = true;
+      String text = String.valueOf(cause.getMessage());
+      LOGGER.log(
+          Level.WARNING,
+          format,
+          active.channel().remoteAddress(),
+          text.substring(0, Math.min(text.length(), MAXIMUM_LOGGED_CHARACTERS)));
+    }
     active.close();
   }
 
