A drain ends only when the sockets took the last answers

The node is drained when its requests have ended, but the ends of their answers may still wait for slow callers.

--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ConnectionTable.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ConnectionTable.java
@@ -34,6 +34,11 @@
     return entries.size();
   }
 
+  /** Returns how many requests were handed on whose answers the sockets have not taken whole. */
+  long openAnswers() {
+    return entries.values().stream().filter(Entry::awaitsAnswer).count();
+  }
+
   /** Notes that a connection has brought a request; returns whether it may be served. */
   boolean beginRequest(SocketAddress remote, ServerExchange exchange) {
     Entry entry = entries.get(remote);
@@ -124,6 +129,11 @@
     private volatile @Nullable ServerExchange exchange;
     private volatile long idleSinceNanos;
 
+    boolean awaitsAnswer() {
+      ServerExchange current = exchange;
+      return current != null && current.isDispatched();
+    }
+
     Entry(IOSession session, boolean excess, long nowNanos) {
       this.session = session;
       this.excess = excess;
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
@@ -99,6 +99,11 @@
     return budget.heldBytes();
   }
 
+  /** Returns how many requests were handed on whose answers the sockets have not taken whole. */
+  public long openAnswers() {
+    return connections.openAnswers();
+  }
+
   /** Returns how many connections are open. */
   public int connectionCount() {
     return connections.size();
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
@@ -106,6 +106,11 @@
     dispatch();
   }
 
+  /** Returns whether the request was handed on; its exchange then ends with its answer. */
+  boolean isDispatched() {
+    return state.get() == RequestState.DISPATCHED;
+  }
+
   /** Returns whether the whole answer waits for the socket or has been sent. */
   boolean answerIsQueued() {
     return pieces.ended();
--- a/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
@@ -3,6 +3,7 @@
 import com.google.common.io.Closer;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.time.Deadline;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.daemon.callers.CallerHandler;
 import dev.apricotmill.daemon.callers.RequestIds;
@@ -42,6 +43,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
 
 /** All parts of one daemon: three listeners, the inner client and the node behind them. */
 public final class DaemonProcess implements AutoCloseable {
@@ -49,6 +51,7 @@
   private static final Logger LOGGER = System.getLogger(DaemonProcess.class.getName());
   private static final int IO_THREADS = 2;
   private static final Duration TLS_RELOAD_PERIOD = Duration.ofSeconds(10);
+  private static final long ANSWERS_POLL_NANOS = 5_000_000;
   private static final long GROUP_SHUTDOWN_MILLIS = 500;
   private static final ServerLimits OPERATORS_LIMITS =
       new ServerLimits(16 << 10, 64 << 10, 1 << 20, 64, Duration.ofSeconds(10));
@@ -138,13 +141,14 @@
   /** Lets open requests end, for at most the drain time; returns whether all ended. */
   public boolean drain() {
     LOGGER.log(Level.INFO, "daemon: draining for at most {0}", settings.drainTime());
+    Deadline deadline = timing.deadlineAfter(settings.drainTime());
     try {
       NodeStatus status =
           node.drain()
               .toCompletableFuture()
               .get(settings.drainTime().toMillis(), TimeUnit.MILLISECONDS);
       LOGGER.log(Level.INFO, "daemon: drained, {0} requests open", status.openRequests());
-      return true;
+      return awaitAnswersTaken(deadline);
     } catch (TimeoutException | ExecutionException e) {
       LOGGER.log(Level.WARNING, "daemon: drain did not end: {0}", e.toString());
       return false;
@@ -159,6 +163,18 @@
     closer.close();
   }
 
+  /** Waits until the sockets took the ends of all answers; returns false if time ran out. */
+  private boolean awaitAnswersTaken(Deadline deadline) {
+    while (publicListener.openAnswers() > 0) {
+      if (deadline.hasPassed(timing.nanoTime())) {
+        LOGGER.log(Level.WARNING, "daemon: {0} answers were cut", publicListener.openAnswers());
+        return false;
+      }
+      LockSupport.parkNanos(ANSWERS_POLL_NANOS);
+    }
+    return true;
+  }
+
   private TransportSecurity innerSecurity() throws IOException {
     if (settings.innerTls().isEmpty()) {
       return TransportSecurity.PLAIN;
--- a/daemon/src/test/java/dev/apricotmill/daemon/callers/StreamBackPressureTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/callers/StreamBackPressureTest.java
@@ -2,10 +2,15 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import dev.apricotmill.core.engine.TokenChunk;
+import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.peer.ForwardEnd;
 import dev.apricotmill.daemon.testing.CallersFixture;
+import dev.apricotmill.daemon.testing.Eventually;
 import dev.apricotmill.daemon.testing.FakeNode;
 import dev.apricotmill.daemon.testing.RawConnection;
+import dev.apricotmill.node.api.AnswerEnd;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -52,6 +57,25 @@
     }
   }
 
+  @Test
+  void anAnswerCountsAsOpenUntilTheSocketTookItsEnd() throws Exception {
+    try (RawConnection connection = callers.connect()) {
+      connection.send(REQUEST);
+      FakeNode.Generation generation = callers.node().generations().take();
+      assertThat(callers.listener().openAnswers()).isEqualTo(1);
+      generation
+          .listener()
+          .onEnd(
+              new AnswerEnd(
+                  generation.submission().id(),
+                  new Outcome.Answered(200),
+                  ForwardEnd.Usage.NONE,
+                  ImmutableList.of()));
+      connection.readUntil("[DONE]");
+      Eventually.holds(() -> callers.listener().openAnswers() == 0);
+    }
+  }
+
   @Test
   void aCallerWhoGoesCancelsItsRequest() throws Exception {
     RawConnection connection = callers.connect();
