--- a/cli/src/main/java/dev/apricotmill/cli/command/CommonOptions.java
+++ b/cli/src/main/java/dev/apricotmill/cli/command/CommonOptions.java
@@ -51,6 +51,11 @@
     return Duration.ofSeconds(timeoutSeconds);
   }
 
+  /** Returns the platform's address if it was given as an option. */
+  Optional<PeerAddress> platformOption() {
+    return Optional.ofNullable(platform);
+  }
+
   /** Returns the platform's address from the option or from the environment. */
   public Optional<PeerAddress> platform(Map<String, String> environment) {
     if (platform != null) {
--- a/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigApplyCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigApplyCommand.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParametersDelegate;
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.cli.command.CommandContext;
+import dev.apricotmill.cli.command.CommandLineText;
 import dev.apricotmill.cli.command.ExitCode;
 import dev.apricotmill.cli.command.InputFile;
 import dev.apricotmill.cli.command.OperandValidator;
@@ -84,13 +85,22 @@
     ChangeResult result =
         client.propose(valid.configuration(), expected, authorOptions.author(context), changeId);
     String retryCommand =
-        "apricotmill config apply " + file + " --expect " + expected + " --change-id " + changeId;
+        CommandLineText.of(
+            options(),
+            "config",
+            "apply",
+            file,
+            "--expect",
+            Long.toString(expected),
+            "--change-id",
+            changeId);
     return ProposalReport.of(
         result,
         new ProposalReport.Proposal(
             file,
             retryCommand,
-            "apricotmill config diff " + file + " shows what yours would change now",
+            CommandLineText.of(options(), "config", "diff", file)
+                + " shows what yours would change now",
             differences,
             FaultLine.of(valid.warnings())));
   }
--- a/cli/src/main/java/dev/apricotmill/cli/sheet/SheetApplyCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/sheet/SheetApplyCommand.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParametersDelegate;
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.cli.command.CommandContext;
+import dev.apricotmill.cli.command.CommandLineText;
 import dev.apricotmill.cli.command.ExitCode;
 import dev.apricotmill.cli.command.InputFile;
 import dev.apricotmill.cli.command.OperandValidator;
@@ -96,8 +97,17 @@
         client.propose(
             good.sheet().configuration(), expected, authorOptions.author(context), changeId);
     String retryCommand =
-        "apricotmill sheet apply %s --time-zone %s --expect %d --change-id %s"
-            .formatted(file, sheetOptions.timeZone(context), expected, changeId);
+        CommandLineText.of(
+            options(),
+            "sheet",
+            "apply",
+            file,
+            "--time-zone",
+            sheetOptions.timeZone(context).getId(),
+            "--expect",
+            Long.toString(expected),
+            "--change-id",
+            changeId);
     return ProposalReport.of(
         result,
         new ProposalReport.Proposal(
