--- a/core/src/main/java/dev/apricotmill/core/routing/ReplicaRouter.java
+++ b/core/src/main/java/dev/apricotmill/core/routing/ReplicaRouter.java
@@ -22,6 +22,7 @@
  */
 public final class ReplicaRouter {
 
+  private static final int EXAMINED_REPLICAS = 32;
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
   private final Zone ownZone;
@@ -60,7 +61,7 @@
     for (ReplicaView view : replicas) {
       boolean fits = fits(view, request);
       anyFits |= fits;
-      if (fits && view.usable() && !tried.contains(view.replica())) {
+      if (fits && view.usable() && (tried.isEmpty() || !tried.contains(view.replica()))) {
         (view.zone().equals(ownZone) ? near : far).add(view);
       }
     }
@@ -144,7 +145,8 @@
     int offset = random.nextInt(candidates.size());
     ReplicaView best = candidates.get(offset);
     double bestCost = cost(best, request, nowNanos);
-    for (int step = 1; step < candidates.size(); step++) {
+    int examined = Math.min(candidates.size(), EXAMINED_REPLICAS);
+    for (int step = 1; step < examined; step++) {
       ReplicaView candidate = candidates.get((offset + step) % candidates.size());
       double cost = cost(candidate, request, nowNanos);
       if (cost < bestCost) {
