--- a/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigApplyCommand.java
+++ b/cli/src/main/java/dev/apricotmill/cli/configuration/ConfigApplyCommand.java
@@ -7,6 +7,7 @@
 import dev.apricotmill.cli.command.CommandContext;
 import dev.apricotmill.cli.command.ExitCode;
 import dev.apricotmill.cli.command.InputFile;
+import dev.apricotmill.cli.command.OperandValidator;
 import dev.apricotmill.cli.command.PlatformCommand;
 import dev.apricotmill.cli.command.Report;
 import dev.apricotmill.coordination.configuration.ChangeResult;
@@ -20,7 +21,10 @@
 /** Makes a configuration file the configuration in force. */
 @Parameters(commandDescription = "Check a configuration file and put it in force")
 public final class ConfigApplyCommand extends PlatformCommand {
-  @Parameter(required = true, description = "FILE: the configuration as JSON")
+  @Parameter(
+      required = true,
+      validateWith = OperandValidator.class,
+      description = "FILE: the configuration as JSON")
   private String file = "";
 
   @ParametersDelegate private final AuthorOptions authorOptions = new AuthorOptions();
@@ -76,7 +80,7 @@
         && !authorOptions.repeatsChange()) {
       return new Unchanged(ExitCode.OK, current.generation());
     }
-    String changeId = authorOptions.changeId();
+    String changeId = authorOptions.changeId("file-");
     ChangeResult result =
         client.propose(valid.configuration(), expected, authorOptions.author(context), changeId);
     String retryCommand =
@@ -84,6 +88,10 @@
     return ProposalReport.of(
         result,
         new ProposalReport.Proposal(
-            file, retryCommand, differences, FaultLine.of(valid.warnings())));
+            file,
+            retryCommand,
+            "apricotmill config diff " + file + " shows what yours would change now",
+            differences,
+            FaultLine.of(valid.warnings())));
   }
 }
