--- a/core/src/main/java/dev/apricotmill/core/routing/ReplicaRouter.java
+++ b/core/src/main/java/dev/apricotmill/core/routing/ReplicaRouter.java
@@ -9,9 +9,9 @@
 import dev.apricotmill.core.request.PrefixFingerprint;
 import dev.apricotmill.core.request.ReplicaId;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 
 /**
@@ -28,6 +28,7 @@
   private final Zone ownZone;
   private final double longPromptWeight;
   private final LocalLoad localLoad = new LocalLoad();
+  private final AtomicReference<ZonePartition> lastPartition;
 
   /** Creates a router for an entry daemon in {@code ownZone} that weighs short requests more. */
   public ReplicaRouter(Zone ownZone) {
@@ -37,6 +38,7 @@
   /** Creates a router for an entry daemon in {@code ownZone}. */
   public ReplicaRouter(Zone ownZone, Objective objective) {
     this.ownZone = ownZone;
+    this.lastPartition = new AtomicReference<>(ZonePartition.of(ImmutableList.of(), ownZone));
     this.longPromptWeight = objective.longPromptShare() / (1 - objective.longPromptShare());
   }
 
@@ -55,22 +57,15 @@
       Set<ReplicaId> tried,
       RandomGenerator random,
       long nowNanos) {
-    List<ReplicaView> near = new ArrayList<>(replicas.size());
-    List<ReplicaView> far = new ArrayList<>(replicas.size());
-    boolean anyFits = false;
-    for (ReplicaView view : replicas) {
-      boolean fits = fits(view, request);
-      anyFits |= fits;
-      if (fits && view.usable() && (tried.isEmpty() || !tried.contains(view.replica()))) {
-        (view.zone().equals(ownZone) ? near : far).add(view);
-      }
-    }
-    if (near.isEmpty() && far.isEmpty()) {
+    ZonePartition candidates = partition(replicas).candidates(request, tried);
+    if (candidates.isEmpty()) {
+      boolean anyFits = replicas.stream().anyMatch(view -> ZonePartition.fits(view, request));
       return anyFits || replicas.isEmpty()
           ? new RoutingDecision.Refuse(RefusalReason.NO_REPLICA, RETRY_AFTER)
           : new RoutingDecision.Refuse(RefusalReason.NEVER_FITS, Duration.ZERO);
     }
-    RoutingDecision.Forward chosen = chooseAmong(request, near, far, random, nowNanos);
+    RoutingDecision.Forward chosen =
+        chooseAmong(request, candidates.near(), candidates.far(), random, nowNanos);
     localLoad.onSend(chosen.target(), request);
     return chosen;
   }
@@ -90,6 +85,18 @@
     localLoad.retain(configured);
   }
 
+  /** Parts a snapshot once; the requests that see the same snapshot share the result. */
+  @SuppressWarnings("ReferenceEquality") // comparing 600 views by value would cost what this saves
+  private ZonePartition partition(ImmutableList<ReplicaView> replicas) {
+    ZonePartition known = lastPartition.get();
+    if (known.source() == replicas) {
+      return known;
+    }
+    ZonePartition parted = ZonePartition.of(replicas, ownZone);
+    lastPartition.set(parted);
+    return parted;
+  }
+
   private RoutingDecision.Forward chooseAmong(
       GenerationRequest request,
       List<ReplicaView> near,
@@ -169,11 +176,6 @@
     return rate <= 0 ? 0 : request.promptTokens() / rate;
   }
 
-  private static boolean fits(ReplicaView view, GenerationRequest request) {
-    long memory = view.load().memoryTokens();
-    return memory == 0 || request.memoryTokens() <= memory;
-  }
-
   private static ReplicaView affine(PrefixFingerprint prefix, List<ReplicaView> candidates) {
     ReplicaView best = candidates.get(0);
     long bestScore = score(prefix, best);
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/routing/ZonePartition.java
@@ -0,0 +1,65 @@
+package dev.apricotmill.core.routing;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.core.request.GenerationRequest;
+import dev.apricotmill.core.request.ReplicaId;
+import java.util.Set;
+
+/**
+ * The usable replicas of one snapshot, parted into those of the own zone and all others.
+ *
+ * @param source the snapshot that was parted
+ * @param near the usable replicas of the own zone
+ * @param far the usable replicas of other zones
+ * @param smallestMemoryTokens the least memory that any of them is known to have
+ */
+record ZonePartition(
+    ImmutableList<ReplicaView> source,
+    ImmutableList<ReplicaView> near,
+    ImmutableList<ReplicaView> far,
+    long smallestMemoryTokens) {
+
+  static ZonePartition of(ImmutableList<ReplicaView> source, Zone ownZone) {
+    ImmutableList.Builder<ReplicaView> near = ImmutableList.builder();
+    ImmutableList.Builder<ReplicaView> far = ImmutableList.builder();
+    long smallest = Long.MAX_VALUE;
+    for (ReplicaView view : source) {
+      if (view.usable()) {
+        (view.zone().equals(ownZone) ? near : far).add(view);
+        long memory = view.load().memoryTokens();
+        smallest = memory > 0 ? Math.min(smallest, memory) : smallest;
+      }
+    }
+    return new ZonePartition(source, near.build(), far.build(), smallest);
+  }
+
+  /** Returns the partition without replicas that were tried or can never hold the request. */
+  ZonePartition candidates(GenerationRequest request, Set<ReplicaId> tried) {
+    if (tried.isEmpty() && request.memoryTokens() <= smallestMemoryTokens) {
+      return this;
+    }
+    return new ZonePartition(
+        source,
+        candidates(near, request, tried),
+        candidates(far, request, tried),
+        smallestMemoryTokens);
+  }
+
+  boolean isEmpty() {
+    return near.isEmpty() && far.isEmpty();
+  }
+
+  /** Returns whether a replica could hold the request, be it usable now or not. */
+  static boolean fits(ReplicaView view, GenerationRequest request) {
+    long memory = view.load().memoryTokens();
+    return memory == 0 || request.memoryTokens() <= memory;
+  }
+
+  private static ImmutableList<ReplicaView> candidates(
+      ImmutableList<ReplicaView> views, GenerationRequest request, Set<ReplicaId> tried) {
+    return views.stream()
+        .filter(view -> fits(view, request) && !tried.contains(view.replica()))
+        .collect(ImmutableList.toImmutableList());
+  }
+}
