--- a/daemon/src/test/java/dev/apricotmill/daemon/client/RealClientTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/client/RealClientTest.java
@@ -8,11 +8,14 @@
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.daemon.testing.Eventually;
 import dev.apricotmill.testhelpers.StandInText;
+import dev.apricotmill.testhelpers.fault.Fault;
+import dev.apricotmill.testhelpers.service.ServiceOperation;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.UUID;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
 import org.apache.hc.client5.http.classic.methods.HttpPost;
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
@@ -228,6 +231,53 @@
         .isEqualTo(1);
   }
 
+  @Test
+  void anOrderWithoutAKeyIsRefusedAsNotRun() throws Exception {
+    Received answer = send(completion("/services/dispatch/orders/circuits/7/off", "{}"));
+
+    assertThat(answer.status()).isEqualTo(400);
+    assertThat(answer.header("Apricotmill-Outcome")).isEqualTo("not-run");
+    assertThat(daemon.service().core().orders()).isEqualTo(0);
+  }
+
+  @Test
+  void aRepeatedKeyGetsTheFirstAnswerAndRunsOnce() throws Exception {
+    String key = timedKey();
+    Received first = send(order(key));
+    Received second = send(order(key));
+
+    assertThat(first.status()).isEqualTo(201);
+    assertThat(first.header("Apricotmill-Replayed")).isEmpty();
+    assertThat(second.status()).isEqualTo(201);
+    assertThat(second.header("Apricotmill-Replayed")).isEqualTo("true");
+    assertThat(second.body()).isEqualTo(first.body());
+    assertThat(daemon.service().core().ordersWithKey(key)).isEqualTo(1);
+  }
+
+  @Test
+  void anOrderWhoseAnswerIsCutIsToldAsUnknownAndNeverRepeated() throws Exception {
+    String key = timedKey();
+    daemon.service().faults().once(ServiceOperation.ORDER, Fault.CUT);
+    Received first = send(order(key));
+    Received second = send(order(key));
+
+    assertThat(first.header("Apricotmill-Outcome")).isEqualTo("unknown-may-have-run");
+    assertThat(second.header("Apricotmill-Outcome")).isEqualTo("unknown-may-have-run");
+    assertThat(daemon.service().core().ordersWithKey(key)).isEqualTo(1);
+  }
+
+  private HttpPost order(String key) {
+    HttpPost request = completion("/services/dispatch/orders/circuits/7/off", "{}");
+    request.setHeader("Idempotency-Key", key);
+    return request;
+  }
+
+  /** Returns a UUID version 7 (RFC 9562) made now. */
+  private static String timedKey() {
+    long high = (System.currentTimeMillis() << 16) | 0x7000L;
+    return new UUID(high, 0x8000_0000_0000_0001L).toString();
+  }
+
   @Test
   void aCallThatNoRuleAllowsIsRefusedAsNotRun() throws Exception {
     Received answer = send(completion("/services/dispatch/administration", "{}"));
