Customers' limits, length estimates and the objective reach the entry role

Cause: the limits of the configuration were checked and shown but not held: a test with 22 open questions of a customer that may have 20 at one daemon had all of them admitted. Ruled out: the limiter, which its own tests cover; nothing called it. The gate now refuses with the limiter's time to come back, prompts are estimated from the engine's own counts, and the router weighs what the deployment's objective says.

--- a/node/src/main/java/dev/apricotmill/node/NodeRoles.java
+++ b/node/src/main/java/dev/apricotmill/node/NodeRoles.java
@@ -1,8 +1,10 @@
 package dev.apricotmill.node;
 
+import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.coordination.identity.Incarnation;
 import dev.apricotmill.coordination.ledger.Claims;
 import dev.apricotmill.coordination.retry.RetryBudget;
+import dev.apricotmill.core.configuration.Objective;
 import dev.apricotmill.core.peer.StewardEndpoint;
 import dev.apricotmill.core.routing.ReplicaRouter;
 import dev.apricotmill.node.api.NodeStatus;
@@ -11,12 +13,13 @@
 import dev.apricotmill.node.entry.AdmissionPolicy;
 import dev.apricotmill.node.entry.EntryContext;
 import dev.apricotmill.node.entry.GenerationEntry;
-import dev.apricotmill.node.entry.OpenRequests;
+import dev.apricotmill.node.entry.RequestGate;
 import dev.apricotmill.node.entry.RequestMeters;
 import dev.apricotmill.node.fleet.FleetView;
 import dev.apricotmill.node.fleet.ReplicaLoads;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 /** Makes the roles that callers' requests pass, from what they share. */
 final class NodeRoles {
@@ -28,7 +31,7 @@
   private final NodePorts ports;
   private final Supplier<Incarnation> self;
   private final Supplier<FleetView> fleet;
-  private final OpenRequests open;
+  private final RequestGate gate;
   private final Supplier<NodeStatus.Phase> phase;
   private final AdmissionPolicy policy;
   private final RequestMeters meters;
@@ -40,13 +43,13 @@
       NodePorts ports,
       Supplier<Incarnation> self,
       Supplier<FleetView> fleet,
-      OpenRequests open,
+      RequestGate gate,
       Supplier<NodeStatus.Phase> phase) {
     this.settings = settings;
     this.ports = ports;
     this.self = self;
     this.fleet = fleet;
-    this.open = open;
+    this.gate = gate;
     this.phase = phase;
     this.policy = new AdmissionPolicy(settings);
     this.meters = new RequestMeters(ports.meters());
@@ -59,12 +62,20 @@
             self,
             fleet,
             loads,
-            new ReplicaRouter(settings.zone()),
+            routers(),
             ports.stewards(),
             ownSteward,
             retryBudget,
             ports.random());
-    return new GenerationEntry(context, policy, open, phase, meters, ports.tracer());
+    return new GenerationEntry(context, policy, gate, phase, meters, ports.tracer());
+  }
+
+  private ImmutableMap<Objective, ReplicaRouter> routers() {
+    return Stream.of(Objective.values())
+        .collect(
+            ImmutableMap.toImmutableMap(
+                objective -> objective,
+                objective -> new ReplicaRouter(settings.zone(), objective)));
   }
 
   CallEntry calls(Claims claims, Predicate<Incarnation> mayBeRunning) {
@@ -79,6 +90,6 @@
             mayBeRunning,
             retryBudget,
             ports.random());
-    return new CallEntry(context, phase, policy, open, meters, ports.tracer());
+    return new CallEntry(context, phase, policy, gate, meters, ports.tracer());
   }
 }
--- a/node/src/main/java/dev/apricotmill/node/ServingNode.java
+++ b/node/src/main/java/dev/apricotmill/node/ServingNode.java
@@ -33,6 +33,7 @@
 import dev.apricotmill.node.call.CallEntry;
 import dev.apricotmill.node.entry.GenerationEntry;
 import dev.apricotmill.node.entry.OpenRequests;
+import dev.apricotmill.node.entry.RequestGate;
 import dev.apricotmill.node.fleet.FleetHolder;
 import dev.apricotmill.node.fleet.FleetView;
 import dev.apricotmill.node.fleet.ReplicaLoads;
@@ -60,6 +61,7 @@
   private final MachineWatch machines;
   private final StewardService stewards;
   private final OpenRequests open;
+  private final RequestGate gate;
   private final ReplicaLoads loads = new ReplicaLoads();
   private final GenerationEntry generations;
   private final CallEntry calls;
@@ -87,8 +89,9 @@
         new StewardService(
             timing, this::selfAfterPauseCheck, fleet, ports.engines(), this::reportIfDrained);
     this.open = new OpenRequests(settings.maximumOpenRequests(), this::reportIfDrained);
+    this.gate = new RequestGate(timing, fleet, open);
     NodeRoles roles =
-        new NodeRoles(settings, ports, this::selfAfterPauseCheck, fleet, open, phase::get);
+        new NodeRoles(settings, ports, this::selfAfterPauseCheck, fleet, gate, phase::get);
     this.generations = roles.generations(stewards, loads);
     ClaimsLedger ledger =
         new ClaimsLedger(
@@ -263,6 +266,7 @@
   private void keepHouse() {
     becomeReady();
     fleet.refresh();
+    gate.sweep();
     stewards.cleanUp(new CleanUpView(self(), membership.view()));
   }
 
--- a/node/src/main/java/dev/apricotmill/node/call/CallEntry.java
+++ b/node/src/main/java/dev/apricotmill/node/call/CallEntry.java
@@ -7,13 +7,14 @@
 import dev.apricotmill.core.configuration.Service;
 import dev.apricotmill.core.outcome.Outcome;
 import dev.apricotmill.core.outcome.RefusalReason;
+import dev.apricotmill.core.request.CustomerId;
 import dev.apricotmill.core.request.ServiceCall;
 import dev.apricotmill.node.api.CallAnswer;
 import dev.apricotmill.node.api.CallSubmission;
 import dev.apricotmill.node.api.NodeStatus;
 import dev.apricotmill.node.entry.Admission;
 import dev.apricotmill.node.entry.AdmissionPolicy;
-import dev.apricotmill.node.entry.OpenRequests;
+import dev.apricotmill.node.entry.RequestGate;
 import dev.apricotmill.node.entry.RequestMeters;
 import dev.apricotmill.node.fleet.FleetView;
 import dev.apricotmill.node.trace.HopSpan;
@@ -31,7 +32,7 @@
   private final Supplier<FleetView> fleet;
   private final Supplier<NodeStatus.Phase> phase;
   private final AdmissionPolicy policy;
-  private final OpenRequests open;
+  private final RequestGate gate;
   private final RequestMeters meters;
   private final Tracer tracer;
   private final AtMostOnceCalls atMostOnceCalls;
@@ -42,7 +43,7 @@
       CallContext context,
       Supplier<NodeStatus.Phase> phase,
       AdmissionPolicy policy,
-      OpenRequests open,
+      RequestGate gate,
       RequestMeters meters,
       Tracer tracer) {
     this.timing = context.timing();
@@ -50,7 +51,7 @@
     this.fleet = context.fleet();
     this.phase = phase;
     this.policy = policy;
-    this.open = open;
+    this.gate = gate;
     this.meters = meters;
     this.tracer = tracer;
     this.atMostOnceCalls = new AtMostOnceCalls(context);
@@ -76,11 +77,12 @@
     if (!(admitted.service() instanceof Service.PlainPool pool)) {
       return refuse(submission, span, RefusalReason.UNKNOWN_SERVICE);
     }
-    if (!open.tryOpen()) {
-      return refuse(submission, span, RefusalReason.OVERLOADED);
+    Optional<Outcome.Refused> closed = gate.enter(admitted.customer(), 0);
+    if (closed.isPresent()) {
+      return refuse(submission, span, closed.get());
     }
     return run(submission, admitted, pool, span)
-        .thenApply(answer -> close(submission, span, answer));
+        .thenApply(answer -> close(submission, admitted.customer().id(), span, answer));
   }
 
   private CompletionStage<CallConclusion> run(
@@ -104,8 +106,9 @@
     return atMostOnceCalls.run(call, pool.keyPolicy(), submission.idempotencyKey());
   }
 
-  private CallAnswer close(CallSubmission submission, HopSpan span, CallConclusion result) {
-    open.close();
+  private CallAnswer close(
+      CallSubmission submission, CustomerId customer, HopSpan span, CallConclusion result) {
+    gate.leave(customer);
     span.end(result.outcome());
     meters.ended(submission.service(), result.outcome());
     ImmutableList<String> hops =
--- a/node/src/main/java/dev/apricotmill/node/entry/EntryContext.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/EntryContext.java
@@ -1,10 +1,12 @@
 package dev.apricotmill.node.entry;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.coordination.identity.Incarnation;
 import dev.apricotmill.coordination.membership.Member;
 import dev.apricotmill.coordination.retry.RetryBudget;
 import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.configuration.Objective;
 import dev.apricotmill.core.peer.ForwardEnd;
 import dev.apricotmill.core.peer.ForwardListener;
 import dev.apricotmill.core.peer.ForwardedRequest;
@@ -32,7 +34,7 @@
  * @param self gives the daemon's current life
  * @param fleet gives the current view of the fleet
  * @param loads the loads of replicas as heard last
- * @param router chooses replicas
+ * @param routers choose replicas, one for each objective
  * @param peers reaches other stewards
  * @param ownSteward the steward role of this daemon
  * @param retryBudget bounds retries by a share of the requests
@@ -43,7 +45,7 @@
     Supplier<Incarnation> self,
     Supplier<FleetView> fleet,
     ReplicaLoads loads,
-    ReplicaRouter router,
+    ImmutableMap<Objective, ReplicaRouter> routers,
     StewardPeers peers,
     StewardEndpoint ownSteward,
     RetryBudget retryBudget,
@@ -58,7 +60,7 @@
     for (ReplicaTarget target : fleet.get().targetsOf(request.service())) {
       toView(target).ifPresent(views::add);
     }
-    return router.choose(request, views.build(), tried, random, timing.nanoTime());
+    return router().choose(request, views.build(), tried, random, timing.nanoTime());
   }
 
   /** Forwards a request to the steward of a replica, which may be this daemon. */
@@ -89,6 +91,15 @@
     loads.observe(replica, load, timing.nanoTime());
   }
 
+  private ReplicaRouter router() {
+    Objective objective = fleet.get().configuration().objective();
+    ReplicaRouter router = routers.get(objective);
+    if (router == null) {
+      throw new IllegalStateException("no router for " + objective);
+    }
+    return router;
+  }
+
   private Optional<ReplicaView> toView(ReplicaTarget target) {
     ReplicaId replica = target.replica().id();
     ReplicaLoads.Observation seen = loads.of(replica);
--- a/node/src/main/java/dev/apricotmill/node/entry/GenerationEntry.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/GenerationEntry.java
@@ -5,6 +5,7 @@
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.configuration.Rule;
 import dev.apricotmill.core.configuration.Service;
+import dev.apricotmill.core.length.LengthEstimator;
 import dev.apricotmill.core.outcome.Outcome;
 import dev.apricotmill.core.outcome.RefusalReason;
 import dev.apricotmill.core.peer.ForwardEnd;
@@ -17,6 +18,7 @@
 import dev.apricotmill.node.trace.HopSpan;
 import io.opentelemetry.api.trace.Tracer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.Flow;
 import java.util.function.Supplier;
 
@@ -25,27 +27,27 @@
 
   private static final String METHOD = "POST";
   private static final String PATH = "/";
-  private static final int BYTES_PER_TOKEN = 4;
   private static final int PREFIX_CHARACTERS = 1024;
 
   private final EntryContext context;
   private final AdmissionPolicy policy;
-  private final OpenRequests open;
+  private final RequestGate gate;
   private final Supplier<NodeStatus.Phase> phase;
   private final RequestMeters meters;
   private final Tracer tracer;
+  private final LengthEstimator lengths = new LengthEstimator();
 
   /** Creates the entry for generated text. */
   public GenerationEntry(
       EntryContext context,
       AdmissionPolicy policy,
-      OpenRequests open,
+      RequestGate gate,
       Supplier<NodeStatus.Phase> phase,
       RequestMeters meters,
       Tracer tracer) {
     this.context = context;
     this.policy = policy;
-    this.open = open;
+    this.gate = gate;
     this.phase = phase;
     this.meters = meters;
     this.tracer = tracer;
@@ -70,18 +72,16 @@
     if (!(admitted.service() instanceof Service.ModelPool)) {
       return refuse(submission, span, listener, RefusalReason.UNKNOWN_SERVICE);
     }
-    if (!open.tryOpen()) {
-      return refuse(submission, span, listener, RefusalReason.OVERLOADED);
+    GenerationRequest request = toRequest(submission, admitted);
+    Optional<Outcome.Refused> closed = gate.enter(admitted.customer(), request.promptTokens());
+    if (closed.isPresent()) {
+      return refuse(submission, span, listener, closed.get());
     }
-    return relay(submission, admitted, span, listener);
+    return relay(request, span, listener);
   }
 
   private Flow.Subscription relay(
-      GenerationSubmission submission,
-      Admission.Admitted admitted,
-      HopSpan span,
-      AnswerListener listener) {
-    GenerationRequest request = toRequest(submission, admitted);
+      GenerationRequest request, HopSpan span, AnswerListener listener) {
     RequestMeters.Watch watch = meters.start(request, context.timing().nanoTime());
     RelayObserver observer =
         new RelayObserver() {
@@ -91,9 +91,10 @@
           }
 
           @Override
-          public void onEnd(GenerationRequest done, Outcome outcome) {
-            open.close();
-            watch.end(outcome, context.timing().nanoTime());
+          public void onEnd(GenerationRequest done, Outcome outcome, ForwardEnd.Usage usage) {
+            gate.leave(done.customer());
+            lengths.observe(done.service(), done.prompt().length(), usage.promptTokens());
+            watch.end(outcome);
           }
         };
     context.retryBudget().onRequest();
@@ -110,7 +111,7 @@
         admitted.customer().id(),
         submission.service(),
         submission.prompt(),
-        estimateTokens(submission.prompt()),
+        lengths.estimate(submission.service(), submission.prompt().length()).tokens(),
         submission.maximumOutputTokens(),
         admitted.customer().priority(),
         admitted.customer().weight(),
@@ -119,10 +120,6 @@
         timing.deadlineAfter(admitted.timeLimit()));
   }
 
-  private static long estimateTokens(String prompt) {
-    return Math.max(1, prompt.length() / BYTES_PER_TOKEN);
-  }
-
   private static PrefixFingerprint fingerprint(String prompt) {
     if (prompt.length() < PREFIX_CHARACTERS) {
       return PrefixFingerprint.NONE;
--- a/node/src/main/java/dev/apricotmill/node/entry/GenerationRelay.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/GenerationRelay.java
@@ -259,7 +259,7 @@
       current = null;
     }
     span.end(outcome);
-    observer.onEnd(request, outcome);
+    observer.onEnd(request, outcome, usage);
     if (notify == Notify.CALLER) {
       caller.onEnd(new AnswerEnd(request.id(), outcome, usage, hops.build()));
     }
--- a/node/src/main/java/dev/apricotmill/node/entry/RequestMeters.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/RequestMeters.java
@@ -97,7 +97,7 @@
           .record(Duration.ofNanos(nowNanos - startNanos));
     }
 
-    void end(Outcome outcome, long nowNanos) {
+    void end(Outcome outcome) {
       ended(request.service(), outcome);
     }
   }
--- a/node/src/main/java/dev/apricotmill/node/fleet/FleetAssembler.java
+++ b/node/src/main/java/dev/apricotmill/node/fleet/FleetAssembler.java
@@ -54,7 +54,8 @@
         configuration,
         indexCustomers(configuration, previous),
         targets.buildOrThrow(),
-        byReplica.buildKeepingLast());
+        byReplica.buildKeepingLast(),
+        members.owners().size());
   }
 
   private static ReplicaTarget target(
--- a/node/src/main/java/dev/apricotmill/node/fleet/FleetView.java
+++ b/node/src/main/java/dev/apricotmill/node/fleet/FleetView.java
@@ -15,16 +15,18 @@
  * @param customersByKeyHash the customers by the SHA-256 of their key in hexadecimal
  * @param targets the replicas of each service with their stewards
  * @param targetsByReplica the same by replica
+ * @param liveEntries the daemons that are believed to take requests
  */
 public record FleetView(
     Configuration configuration,
     ImmutableMap<String, Customer> customersByKeyHash,
     ImmutableMap<ServiceName, ImmutableList<ReplicaTarget>> targets,
-    ImmutableMap<ReplicaId, ReplicaTarget> targetsByReplica) {
+    ImmutableMap<ReplicaId, ReplicaTarget> targetsByReplica,
+    int liveEntries) {
 
   /** The view of a daemon that knows nothing yet. */
   public static final FleetView EMPTY =
-      new FleetView(Configuration.NONE, ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of());
+      new FleetView(Configuration.NONE, ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of(), 0);
 
   /** Returns the customer whose key has that hash. */
   public Optional<Customer> customerByKeyHash(String keyHash) {
--- a/node/src/test/java/dev/apricotmill/node/ServingNodeTest.java
+++ b/node/src/test/java/dev/apricotmill/node/ServingNodeTest.java
@@ -5,12 +5,14 @@
 
 import dev.apricotmill.coordination.membership.MemberState;
 import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.outcome.RefusalReason;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.node.api.NodeStatus;
 import dev.apricotmill.node.testing.Asked;
 import dev.apricotmill.node.testing.Caller;
 import dev.apricotmill.node.testing.Deployment;
 import dev.apricotmill.node.testing.Ordered;
+import dev.apricotmill.node.testing.SampleConfiguration;
 import dev.apricotmill.node.testing.SimulatedDaemon;
 import dev.apricotmill.testhelpers.engine.EngineOperation;
 import dev.apricotmill.testhelpers.fault.Fault;
@@ -91,6 +93,22 @@
     }
   }
 
+  @Test
+  void aCustomerOverItsLimitIsRefusedAndToldWhenToComeBack() {
+    int allowed = SampleConfiguration.OPEN_REQUESTS / deployment.daemons().size();
+    for (int index = 0; index <= allowed + 1; index++) {
+      caller.ask(deployment.daemon(0), "question " + index, 20, LIMIT);
+    }
+    deployment.advance(Duration.ofMillis(1));
+    Outcome last = caller.asked().get(allowed + 1).outcome().orElseThrow();
+    assertThat(last)
+        .isEqualTo(new Outcome.Refused(RefusalReason.OVER_LIMIT, Duration.ofSeconds(1)));
+    deployment.advance(Duration.ofMinutes(1));
+    Asked later = caller.ask(deployment.daemon(0), "a later question", 20, LIMIT);
+    deployment.advance(LIMIT);
+    assertThat(later.outcome()).hasValue(new Outcome.Answered(200));
+  }
+
   @Test
   void aStatusReadIsAnswered() {
     Ordered read = caller.read(deployment.daemon(2), LIMIT);
--- a/node/src/test/java/dev/apricotmill/node/testing/SampleConfiguration.java
+++ b/node/src/test/java/dev/apricotmill/node/testing/SampleConfiguration.java
@@ -33,6 +33,9 @@
   /** The key of the customer. */
   public static final String CUSTOMER_KEY = "a-customer-key";
 
+  /** The requests that the customer may have open at once in the whole deployment. */
+  public static final int OPEN_REQUESTS = 120;
+
   /** What each engine can do. */
   public static final EngineProfile PROFILE = new EngineProfile(100_000, 20_000, 50, 32);
 
@@ -53,7 +56,7 @@
             AdmissionPolicy.hashOf(CUSTOMER_KEY),
             1,
             Priority.NORMAL,
-            new CustomerLimits(1_000, 10_000_000, 1_000));
+            new CustomerLimits(1_000, 10_000_000, OPEN_REQUESTS));
     Service pool = new Service.ModelPool(POOL, engines(), PROFILE, true);
     Service orders =
         new Service.PlainPool(
