--- a/benchmarks/src/main/java/dev/apricotmill/benchmarks/slopes/DaemonSlope.java
+++ b/benchmarks/src/main/java/dev/apricotmill/benchmarks/slopes/DaemonSlope.java
@@ -9,7 +9,7 @@
 
 /**
  * Control traffic, processor time and heap of one daemon in fleets of growing size, in six zones
- * and with two replicas for each daemon, and the time until a change is in force everywhere.
+ * with 60 replicas, and the time until a change is in force everywhere.
  */
 final class DaemonSlope {
 
@@ -18,11 +18,12 @@
   private static final Duration STEP = Duration.ofMillis(50);
   private static final Duration LIMIT = Duration.ofSeconds(30);
   private static final int CUSTOMERS = 10;
+  private static final int REPLICAS = 60;
 
   private DaemonSlope() {}
 
   static void print(PrintStream out, List<Integer> sizes) {
-    out.println("Daemons: cost of control for each daemon, six zones, two replicas a daemon");
+    out.println("Daemons: cost of control for each daemon, six zones, 60 replicas");
     out.printf(
         "%8s %14s %12s %12s %12s %14s %16s %12s%n",
         "daemons",
@@ -40,7 +41,7 @@
 
   private static void measure(PrintStream out, int daemons) {
     long heapBefore = Cost.usedBytes();
-    ControlFleet fleet = new ControlFleet(daemons, FleetConfiguration.of(2 * daemons, CUSTOMERS));
+    ControlFleet fleet = new ControlFleet(daemons, FleetConfiguration.of(REPLICAS, CUSTOMERS));
     fleet.time().advance(SETTLING);
     fleet.probes().forEach(CountingProbes::reset);
     long fromNanos = fleet.time().nanoTime();
@@ -74,7 +75,7 @@
 
   private static double timeInForce(ControlFleet fleet, int daemons) {
     long from = fleet.time().nanoTime();
-    long generation = fleet.accept(FleetConfiguration.of(2 * daemons, CUSTOMERS + 1));
+    long generation = fleet.accept(FleetConfiguration.of(REPLICAS, CUSTOMERS + 1));
     while (fleet.inForce(generation) < daemons
         && fleet.time().nanoTime() - from < LIMIT.toNanos()) {
       fleet.time().advance(STEP);
--- a/node/src/main/java/dev/apricotmill/node/fleet/FleetHolder.java
+++ b/node/src/main/java/dev/apricotmill/node/fleet/FleetHolder.java
@@ -5,6 +5,7 @@
 import dev.apricotmill.coordination.membership.MembershipView;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.configuration.Configuration;
+import java.time.Duration;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -16,12 +17,16 @@
  */
 public final class FleetHolder implements Supplier<FleetView> {
 
+  /** How long changes of the daemons are gathered before stewards are chosen anew. */
+  static final Duration MEMBERS_DELAY = Duration.ofMillis(20);
+
   private final Timing timing;
   private final Consumer<FleetView> onChanged;
   private final Executor serial;
   private Configuration configuration = Configuration.NONE;
   private MembershipView members;
   private ImmutableSet<String> leaving = ImmutableSet.of();
+  private boolean rebuildPending;
   private volatile FleetView current = FleetView.EMPTY;
 
   /**
@@ -59,7 +64,7 @@
     serial.execute(
         () -> {
           members = changed;
-          rebuild();
+          rebuildSoon();
         });
   }
 
@@ -84,7 +89,16 @@
         });
   }
 
+  /** A fresh daemon learns of hundreds of others at once; they share one rebuild. */
+  private void rebuildSoon() {
+    if (!rebuildPending) {
+      rebuildPending = true;
+      timing.schedule(MEMBERS_DELAY, () -> serial.execute(this::rebuild));
+    }
+  }
+
   private void rebuild() {
+    rebuildPending = false;
     current =
         FleetAssembler.assemble(configuration, members, leaving, timing.clock().instant(), current);
     onChanged.accept(current);
--- a/node/src/test/java/dev/apricotmill/node/matrix/ChosenPairs.java
+++ b/node/src/test/java/dev/apricotmill/node/matrix/ChosenPairs.java
@@ -14,6 +14,7 @@
         ImmutableList.of(Strike.STEWARD_DIES, Strike.PLATFORM_DOWN),
         ImmutableList.of(Strike.STEWARD_DIES, Strike.CANCEL_LOST),
         ImmutableList.of(Strike.ENGINE_DIES, Strike.ENTRY_DIES),
+        ImmutableList.of(Strike.ENGINE_DIES, Strike.ENGINES_REFUSE),
         ImmutableList.of(Strike.ZONE_CUT_FROM_BOTH, Strike.STEWARD_FREEZES),
         ImmutableList.of(Strike.PLATFORM_WRITES_LATE, Strike.OPERATORS_RACE),
         ImmutableList.of(Strike.PLATFORM_ANSWERS_LOST, Strike.OPERATORS_RACE),
--- a/node/src/test/java/dev/apricotmill/node/matrix/Step.java
+++ b/node/src/test/java/dev/apricotmill/node/matrix/Step.java
@@ -119,7 +119,9 @@
     @Override
     void reach(Scenario scenario) {
       SimulatedDaemon steward = scenario.steward();
-      scenario.caller().ask(steward, "a question whose daemon dies", 500, Scenario.QUESTION_LIMIT);
+      for (int index = 0; index < ORPHANS; index++) {
+        scenario.caller().ask(steward, "orphan " + index, ORPHAN_TOKENS, ORPHAN_LIMIT);
+      }
       scenario.deployment().advance(Duration.ofMillis(500));
       scenario.kill(steward);
       scenario.deployment().advance(Duration.ofSeconds(3));
@@ -196,6 +198,14 @@
     }
   };
 
+  /** Enough answers for some to run under the daemon that dies, on engines of its zone. */
+  private static final int ORPHANS = 4;
+
+  /** More tokens than an engine generates before the checker looks for memory that was left. */
+  private static final int ORPHAN_TOKENS = 10_000;
+
+  private static final Duration ORPHAN_LIMIT = Duration.ofMinutes(9);
+
   private final Kind kind;
 
   Step(Kind kind) {
--- a/node/src/test/java/dev/apricotmill/node/matrix/Strike.java
+++ b/node/src/test/java/dev/apricotmill/node/matrix/Strike.java
@@ -73,6 +73,20 @@
       return () -> engine.core().thaw();
     }
   },
+  ENGINES_REFUSE {
+    @Override
+    Runnable strike(Scenario scenario) {
+      for (FakeEngine engine : scenario.deployment().engines().values()) {
+        engine.faults().always(EngineOperation.GENERATE, Fault.REFUSED);
+      }
+      return () ->
+          scenario
+              .deployment()
+              .engines()
+              .values()
+              .forEach(engine -> engine.faults().clear(EngineOperation.GENERATE));
+    }
+  },
   ENGINE_SLOW {
     @Override
     Runnable strike(Scenario scenario) {
