Generated text that must not run twice is refused as not run

Cause: a rule of the configuration could ask for at most once on a model pool, and the daemon dispatched such requests without a claim, so that a repeat of the key would have run again. Ruled out: claiming them, since the ledger cannot keep an answer of that size for a repeat. Refused until that is settled; the test was red before.

--- a/node/src/main/java/dev/apricotmill/node/entry/GenerationEntry.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/GenerationEntry.java
@@ -72,6 +72,10 @@
     if (!(admitted.service() instanceof Service.ModelPool)) {
       return refuse(submission, span, listener, RefusalReason.UNKNOWN_SERVICE);
     }
+    if (admitted.repetition() == Rule.Repetition.AT_MOST_ONCE) {
+      // Generated text is not claimed, so that a repeat of a key would run again.
+      return refuse(submission, span, listener, RefusalReason.FORBIDDEN_BY_RULE);
+    }
     GenerationRequest request = toRequest(submission, admitted);
     Optional<Outcome.Refused> closed = gate.enter(admitted.customer(), request.promptTokens());
     if (closed.isPresent()) {
--- a/node/src/test/java/dev/apricotmill/node/ServingNodeTest.java
+++ b/node/src/test/java/dev/apricotmill/node/ServingNodeTest.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import dev.apricotmill.coordination.membership.MemberState;
+import dev.apricotmill.core.configuration.Rule;
 import dev.apricotmill.core.outcome.Outcome;
 import dev.apricotmill.core.outcome.RefusalReason;
 import dev.apricotmill.core.request.ReplicaId;
@@ -109,6 +110,15 @@
     assertThat(later.outcome()).hasValue(new Outcome.Answered(200));
   }
 
+  @Test
+  void generatedTextThatMustNotRunTwiceIsRefusedAsNotRun() {
+    deployment.apply(SampleConfiguration.withPoolRule(Rule.Repetition.AT_MOST_ONCE));
+    deployment.advance(Duration.ofSeconds(14));
+    Asked question = caller.ask(deployment.daemon(0), "how high is the post?", 20, LIMIT);
+    deployment.advance(LIMIT);
+    assertThat(question.outcome().orElseThrow().isNotRun()).isTrue();
+  }
+
   @Test
   void aStatusReadIsAnswered() {
     Ordered read = caller.read(deployment.daemon(2), LIMIT);
--- a/node/src/test/java/dev/apricotmill/node/testing/SampleConfiguration.java
+++ b/node/src/test/java/dev/apricotmill/node/testing/SampleConfiguration.java
@@ -77,6 +77,19 @@
         stops);
   }
 
+  /** Returns the configuration with one more rule, for the model pool. */
+  public static Configuration withPoolRule(Rule.Repetition repetition) {
+    Configuration base = create();
+    Rule rule = new Rule(POOL, "POST", "/", Rule.Access.ALLOW, repetition, Duration.ofSeconds(10));
+    return new Configuration(
+        base.generation(),
+        base.objective(),
+        base.customers(),
+        base.services(),
+        ImmutableList.<Rule>builder().add(rule).addAll(base.rules()).build(),
+        base.plannedStops());
+  }
+
   /** Returns the engines of the pool. */
   public static ImmutableList<Replica> engines() {
     ImmutableList.Builder<Replica> replicas = ImmutableList.builder();
