--- a/benchmarks/src/main/java/dev/apricotmill/benchmarks/slopes/SlopesMain.java
+++ b/benchmarks/src/main/java/dev/apricotmill/benchmarks/slopes/SlopesMain.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.benchmarks.slopes;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.io.PrintStream;
 
 /** Prints what control costs at growing sizes. */
@@ -14,12 +15,28 @@
 
   private SlopesMain() {}
 
-  /** Runs every measurement. */
+  /**
+   * Runs the measurements.
+   *
+   * @param arguments which ones: daemons, customers, replicas, orders; all if there is none
+   */
   public static void main(String[] arguments) {
+    ImmutableSet<String> wanted =
+        arguments.length == 0
+            ? ImmutableSet.of("daemons", "customers", "replicas", "orders")
+            : ImmutableSet.copyOf(arguments);
     PrintStream out = System.out;
-    DaemonSlope.print(out, DAEMONS);
-    CustomerSlope.print(out, CUSTOMERS);
-    ReplicaSlope.print(out, REPLICAS);
-    OrderSlope.print(out, ORDERS);
+    if (wanted.contains("customers")) {
+      CustomerSlope.print(out, CUSTOMERS);
+    }
+    if (wanted.contains("replicas")) {
+      ReplicaSlope.print(out, REPLICAS);
+    }
+    if (wanted.contains("orders")) {
+      OrderSlope.print(out, ORDERS);
+    }
+    if (wanted.contains("daemons")) {
+      DaemonSlope.print(out, DAEMONS);
+    }
   }
 }
