Node: one rule for stopped machines, and only changed parts are decoded

The node had its own copy of the decision on planned stops, and decoded every part of a configuration at each change. It now uses PlannedStops and the decoder that keeps unchanged parts.

--- a/node/src/main/java/dev/apricotmill/node/ConfigurationReader.java
+++ b/node/src/main/java/dev/apricotmill/node/ConfigurationReader.java
@@ -4,24 +4,27 @@
 import dev.apricotmill.coordination.configuration.ConfigurationBundle;
 import dev.apricotmill.coordination.configuration.PartContent;
 import dev.apricotmill.core.configuration.Configuration;
-import dev.apricotmill.core.configuration.ConfigurationCodec;
+import dev.apricotmill.core.configuration.ConfigurationDecoder;
 import dev.apricotmill.core.configuration.DecodeResult;
 import java.util.Map;
 import java.util.Optional;
 
-/** Decodes a configuration bundle; a faulty one is logged and the one in force stays. */
+/**
+ * Decodes one configuration bundle after another, only what changed; a faulty one is logged and the
+ * one in force stays.
+ */
 final class ConfigurationReader {
 
   private static final System.Logger LOGGER = System.getLogger(ConfigurationReader.class.getName());
 
-  private ConfigurationReader() {}
+  private final ConfigurationDecoder decoder = new ConfigurationDecoder();
 
-  static Optional<Configuration> read(ConfigurationBundle bundle) {
+  Optional<Configuration> read(ConfigurationBundle bundle) {
     ImmutableMap.Builder<String, byte[]> parts = ImmutableMap.builder();
     for (Map.Entry<String, PartContent> part : bundle.parts().entrySet()) {
       parts.put(part.getKey(), part.getValue().toByteArray());
     }
-    DecodeResult result = ConfigurationCodec.decode(bundle.generation(), parts.buildOrThrow());
+    DecodeResult result = decoder.decode(bundle.generation(), parts.buildOrThrow());
     if (result instanceof DecodeResult.Decoded decoded) {
       return Optional.of(decoded.configuration());
     }
--- a/node/src/main/java/dev/apricotmill/node/ServingNode.java
+++ b/node/src/main/java/dev/apricotmill/node/ServingNode.java
@@ -57,6 +57,7 @@
   private final NodeSettings settings;
   private final Membership membership;
   private final FleetHolder fleet;
+  private final ConfigurationReader configurations = new ConfigurationReader();
   private final ConfigurationFollower follower;
   private final MachineWatch machines;
   private final StewardService stewards;
@@ -246,7 +247,7 @@
   }
 
   private void onConfiguration(ConfigurationBundle bundle) {
-    ConfigurationReader.read(bundle).ifPresent(fleet::setConfiguration);
+    configurations.read(bundle).ifPresent(fleet::setConfiguration);
   }
 
   private void onFleetChanged(FleetView view) {
--- a/node/src/main/java/dev/apricotmill/node/fleet/FleetAssembler.java
+++ b/node/src/main/java/dev/apricotmill/node/fleet/FleetAssembler.java
@@ -7,15 +7,13 @@
 import dev.apricotmill.coordination.membership.MembershipView;
 import dev.apricotmill.core.configuration.Configuration;
 import dev.apricotmill.core.configuration.Customer;
-import dev.apricotmill.core.configuration.PlannedStop;
+import dev.apricotmill.core.configuration.PlannedStops;
 import dev.apricotmill.core.configuration.Replica;
 import dev.apricotmill.core.configuration.Service;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.ServiceName;
 import java.time.Instant;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 
 /** Builds a {@link FleetView} from what its parts know. */
 public final class FleetAssembler {
@@ -37,7 +35,8 @@
       ImmutableSet<String> leaving,
       Instant now,
       FleetView previous) {
-    Set<String> stopped = stoppedMachines(configuration, leaving, now);
+    ImmutableSet<String> stopped =
+        new PlannedStops(configuration.plannedStops(), leaving).stoppedAt(now);
     ImmutableMap.Builder<ServiceName, ImmutableList<ReplicaTarget>> targets =
         ImmutableMap.builder();
     ImmutableMap.Builder<ReplicaId, ReplicaTarget> byReplica = ImmutableMap.builder();
@@ -59,23 +58,12 @@
   }
 
   private static ReplicaTarget target(
-      Service service, Replica replica, MembershipView members, Set<String> stopped) {
+      Service service, Replica replica, MembershipView members, ImmutableSet<String> stopped) {
     Optional<Member> steward = members.owner(replica.zone(), replica.id().value());
     boolean usable = !stopped.contains(replica.machine());
     return new ReplicaTarget(service, replica, steward, usable);
   }
 
-  private static Set<String> stoppedMachines(
-      Configuration configuration, ImmutableSet<String> leaving, Instant now) {
-    Set<String> stopped = new HashSet<>(leaving);
-    for (PlannedStop stop : configuration.plannedStops()) {
-      if (stop.inForceAt(now)) {
-        stopped.add(stop.machine());
-      }
-    }
-    return stopped;
-  }
-
   private static ImmutableMap<String, Customer> indexCustomers(
       Configuration configuration, FleetView previous) {
     if (configuration.generation() == previous.configuration().generation()) {
