Matrix: a planned stop must let the question in flight run in one piece

Cause: the promise stood in the list of the checker and nothing could break it. Now the cells of a planned stop, a leaving server and a drain without another fault ask that the question in flight started once and came whole.

--- a/node/src/test/java/dev/apricotmill/node/matrix/Cell.java
+++ b/node/src/test/java/dev/apricotmill/node/matrix/Cell.java
@@ -26,6 +26,11 @@
     return strikes.stream().flatMap(strike -> strike.impossibleAt(step).stream()).findFirst();
   }
 
+  /** Only without a fault beside it can a planned stop be blamed for a stream that was cut. */
+  private boolean isUndisturbedStop() {
+    return step.isPlannedStop() && strikes.equals(ImmutableList.of(Strike.NOTHING));
+  }
+
   /** Runs the cell and returns the promises that were broken. */
   ImmutableList<Violation> run() {
     Scenario scenario = new Scenario(seed);
@@ -46,6 +51,10 @@
     scenario.advance(IN_FORCE_TIME);
     ImmutableList.Builder<Violation> violations = ImmutableList.builder();
     scenario.advance(QUIET_TIME);
-    return violations.addAll(new PromiseChecker(scenario).check()).build();
+    PromiseChecker checker = new PromiseChecker(scenario);
+    if (isUndisturbedStop()) {
+      checker.checkNothingWasCut();
+    }
+    return violations.addAll(checker.check()).build();
   }
 }
--- a/node/src/test/java/dev/apricotmill/node/matrix/PromiseChecker.java
+++ b/node/src/test/java/dev/apricotmill/node/matrix/PromiseChecker.java
@@ -51,6 +51,17 @@
     return ImmutableList.copyOf(violations);
   }
 
+  /**
+   * The marked question must have run in one piece: a stream that was cut starts anew elsewhere.
+   */
+  void checkNothingWasCut() {
+    Asked question = scenario.markedQuestion().orElseThrow();
+    long starts = startsOf(question.submission().id());
+    if (starts != 1 || !question.isWhole()) {
+      violate(Promise.STOPS_CUT_NOTHING, question.submission().id() + " started " + starts);
+    }
+  }
+
   private void checkQuestion(Asked question) {
     RequestId id = question.submission().id();
     checkOutcomes(
--- a/node/src/test/java/dev/apricotmill/node/matrix/Step.java
+++ b/node/src/test/java/dev/apricotmill/node/matrix/Step.java
@@ -223,6 +223,11 @@
     return kind;
   }
 
+  /** Returns whether the step stops something as planned, with the marked question in flight. */
+  boolean isPlannedStop() {
+    return this == PLANNED_STOP || this == SERVER_LEAVES || this == DRAIN;
+  }
+
   /** Lets the scenario run until the step is about to happen. */
   abstract void reach(Scenario scenario);
 
