Whole path on the users' platform, thin

Cause: the product ran only against its own stand-ins. It needs an adapter that translates the platform's requests, servers, store and settings, and a path for exchanges whose bytes pass unread. Ruled out: passing them through the token path of the daemon (its chunks would have to be parsed).

--- a/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
@@ -2,6 +2,8 @@
 
 import dev.apricotmill.coordination.membership.PeerAddress;
 import java.io.IOException;
+import java.net.URISyntaxException;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicReference;
@@ -10,13 +12,13 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
-import org.apache.hc.core5.http.nio.AsyncEntityProducer;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.RequestChannel;
-import org.apache.hc.core5.http.nio.entity.AsyncEntityProducers;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.net.URIAuthority;
@@ -30,6 +32,8 @@
  */
 abstract class ClientExchange implements AsyncClientExchangeHandler {
 
+  private static final String HOST = "host";
+
   private enum Phase {
     WAITING,
     SENT,
@@ -38,7 +42,7 @@
 
   private final PeerAddress peer;
   private final HttpCall call;
-  private final @Nullable AsyncEntityProducer body;
+  private final ByteBuffer body;
   private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.WAITING);
   private final AtomicReference<@Nullable AsyncClientEndpoint> endpoint = new AtomicReference<>();
   private volatile @Nullable Future<?> timeoutTask;
@@ -46,10 +50,7 @@
   ClientExchange(PeerAddress peer, HttpCall call) {
     this.peer = peer;
     this.call = call;
-    this.body =
-        call.body().length == 0
-            ? null
-            : AsyncEntityProducers.create(call.body(), call.contentType());
+    this.body = ByteBuffer.wrap(call.body());
   }
 
   /** Takes the head of the answer. */
@@ -121,7 +122,8 @@
     if (leased == null) {
       return;
     }
-    if (reuse) {
+    // A peer that answers before it has read the body takes what follows for the rest of it.
+    if (reuse && !body.hasRemaining()) {
       leased.releaseAndReuse();
     } else {
       leased.releaseAndDiscard();
@@ -136,20 +138,38 @@
     }
     BasicHttpRequest request = new BasicHttpRequest(call.method(), call.path());
     request.setScheme("http");
-    request.setAuthority(new URIAuthority(peer.host(), peer.port()));
+    request.setAuthority(authority());
     call.headers().forEach(request::setHeader);
-    channel.sendRequest(request, body, context);
+    channel.sendRequest(request, entity(), context);
   }
 
   @Override
   public final int available() {
-    return body == null ? 0 : body.available();
+    return body.remaining();
+  }
+
+  private @Nullable EntityDetails entity() {
+    int length = call.body().length;
+    return length == 0 ? null : new BasicEntityDetails(length, call.contentType());
+  }
+
+  private URIAuthority authority() throws HttpException {
+    String host = call.headers().get(HOST);
+    if (host == null) {
+      return new URIAuthority(peer.host(), peer.port());
+    }
+    try {
+      return URIAuthority.create(host);
+    } catch (URISyntaxException e) {
+      throw new ProtocolException("host " + host, e);
+    }
   }
 
   @Override
   public final void produce(DataStreamChannel channel) throws IOException {
-    if (body != null) {
-      body.produce(channel);
+    channel.write(body);
+    if (!body.hasRemaining()) {
+      channel.endStream();
     }
   }
 
@@ -186,9 +206,6 @@
 
   @Override
   public final void releaseResources() {
-    if (body != null) {
-      body.releaseResources();
-    }
     abort(ExchangeFailure.CONNECTION_LOST);
   }
 }
--- a/adapters/src/main/java/dev/apricotmill/adapters/ExchangeFailure.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ExchangeFailure.java
@@ -1,7 +1,7 @@
 package dev.apricotmill.adapters;
 
 /** Why an exchange ended without a whole answer. */
-enum ExchangeFailure {
+public enum ExchangeFailure {
   /** The connection could not be made, or broke. */
   CONNECTION_LOST,
   /** The time ran out. */
--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
@@ -98,7 +98,7 @@
   }
 
   /** Sends a request and gathers the whole answer, of at most {@code maximumBytes}. */
-  CompletableFuture<ExchangeResult> send(
+  public CompletableFuture<ExchangeResult> send(
       PeerAddress peer, HttpCall call, int maximumBytes, Duration timeout) {
     WholeExchange exchange = new WholeExchange(peer, call, maximumBytes);
     start(exchange, timeout);
@@ -114,11 +114,23 @@
     exchange.endWith(timing.schedule(limit, () -> exchange.abort(ExchangeFailure.TIMEOUT)));
     Duration connectTimeout =
         limit.compareTo(settings.connectTimeout()) < 0 ? limit : settings.connectTimeout();
+    connect(exchange, timeout(connectTimeout));
+  }
+
+  /** Sends a request and reports the answer as it comes; ends it when {@code limit} has passed. */
+  public StreamedExchange stream(
+      PeerAddress peer, HttpCall call, StreamedListener listener, Duration limit) {
+    StreamedExchange exchange = new StreamedExchange(peer, call, listener);
+    start(exchange, limit);
+    return exchange;
+  }
+
+  private void connect(ClientExchange exchange, Timeout connectTimeout) {
     requester.connect(
         new HttpHost("http", exchange.peer().host(), exchange.peer().port()),
-        timeout(connectTimeout),
+        connectTimeout,
         null,
-        new ExchangeStarter(exchange));
+        new ExchangeStarter(exchange, () -> connect(exchange, connectTimeout)));
   }
 
   @Override
@@ -127,12 +139,18 @@
   }
 
   /** Hands a leased connection to the exchange that waits for it. */
-  private record ExchangeStarter(ClientExchange exchange)
+  private record ExchangeStarter(ClientExchange exchange, Runnable connectAgain)
       implements FutureCallback<AsyncClientEndpoint> {
 
     @Override
     public void completed(AsyncClientEndpoint endpoint) {
-      exchange.runOn(endpoint);
+      if (endpoint.isConnected()) {
+        exchange.runOn(endpoint);
+        return;
+      }
+      // The peer closed the connection while it was idle in the pool.
+      endpoint.releaseAndDiscard();
+      connectAgain.run();
     }
 
     @Override
--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowListener.java
@@ -0,0 +1,19 @@
+package dev.apricotmill.coordination.follow;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.platform.PlatformFailure;
+import dev.apricotmill.coordination.platform.StoredObject;
+import dev.apricotmill.coordination.platform.WatchResult;
+
+/** Learns what the store holds under a prefix. */
+public interface FollowListener {
+
+  /** Takes the whole content, which replaces all that was known. */
+  void onContent(ImmutableList<StoredObject> objects, ReadMoment moment);
+
+  /** Takes changes since the last call; none, if only time has passed. */
+  void onChanges(WatchResult.Changes changes, ReadMoment moment);
+
+  /** Learns that the store gave no usable answer. */
+  void onUnavailable(PlatformFailure failure);
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolMember.java
@@ -0,0 +1,121 @@
+package dev.apricotmill.core.pool;
+
+import dev.apricotmill.core.relay.BackendServer;
+import dev.apricotmill.core.relay.EngineFigures;
+import dev.apricotmill.core.request.RequestId;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/** What a dispatcher has placed on one engine and not seen end. */
+final class PoolMember {
+
+  /** What a part counts for that should have been read by now but has not ended. */
+  private static final double OVERDUE_MILLIS = 10;
+
+  private final EngineFigures figures;
+  private final Map<RequestId, Part> parts = new HashMap<>();
+  private BackendServer server;
+  private double readUntilMillis;
+  private double distrustedUntilMillis;
+
+  PoolMember(BackendServer server, EngineFigures figures) {
+    this.server = server;
+    this.figures = figures;
+  }
+
+  /**
+   * A request's share of an engine.
+   *
+   * @param answers whether the engine writes the answer, rather than only reads a part
+   * @param reading whether the prompt is still being read
+   * @param tokens memory that the share takes
+   * @param pauseGoal the longest pause between events of the answer
+   */
+  private record Part(boolean answers, boolean reading, long tokens, Duration pauseGoal) {}
+
+  BackendServer server() {
+    return server;
+  }
+
+  void update(BackendServer newer) {
+    server = newer;
+  }
+
+  void add(
+      RequestId request,
+      boolean answers,
+      double readMillis,
+      long tokens,
+      Duration pauseGoal,
+      double nowMillis) {
+    parts.put(request, new Part(answers, true, tokens, pauseGoal));
+    readUntilMillis = Math.max(readUntilMillis, nowMillis) + readMillis;
+  }
+
+  /** Notes that a request's prompt has been read. */
+  void endReading(RequestId request, double nowMillis) {
+    parts.computeIfPresent(
+        request,
+        (id, part) ->
+            part.answers() ? new Part(true, false, part.tokens(), part.pauseGoal()) : null);
+    correctReading(nowMillis);
+  }
+
+  void remove(RequestId request, double nowMillis) {
+    parts.remove(request);
+    correctReading(nowMillis);
+  }
+
+  /** Keeps new work away for some time after a failure. */
+  void distrust(double untilMillis) {
+    distrustedUntilMillis = Math.max(distrustedUntilMillis, untilMillis);
+  }
+
+  boolean isTrusted(double nowMillis) {
+    return nowMillis >= distrustedUntilMillis;
+  }
+
+  /** Returns how long the parts placed here still take to read. */
+  double pendingReadMillis(double nowMillis) {
+    boolean reads = parts.values().stream().anyMatch(Part::reading);
+    return Math.max(readUntilMillis - nowMillis, reads ? OVERDUE_MILLIS : 0);
+  }
+
+  /** Returns the requests whose answers are or will be written here. */
+  int answering() {
+    return (int) parts.values().stream().filter(Part::answers).count();
+  }
+
+  /** Returns the requests that only read a part here. */
+  int helping() {
+    return parts.size() - answering();
+  }
+
+  long usedTokens() {
+    return parts.values().stream().mapToLong(Part::tokens).sum();
+  }
+
+  /** Returns how long a pass takes in which nothing is read; zero while nothing is written. */
+  double passMillis() {
+    int writers = answering();
+    return writers == 0 ? 0 : figures.passMillis(writers, usedTokens());
+  }
+
+  /** Returns the reading that one pass has room for before an event here would be late. */
+  double readRoomMillis(double nowMillis) {
+    double tightest =
+        parts.values().stream()
+            .filter(Part::answers)
+            .mapToDouble(part -> part.pauseGoal().toMillis())
+            .min()
+            .orElse(Double.MAX_VALUE);
+    return tightest - passMillis() - pendingReadMillis(nowMillis);
+  }
+
+  private void correctReading(double nowMillis) {
+    if (parts.values().stream().noneMatch(Part::reading)) {
+      readUntilMillis = nowMillis;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/relay/EngineFigures.java
@@ -0,0 +1,42 @@
+package dev.apricotmill.core.relay;
+
+/**
+ * How a model engine works, as its operator states it.
+ *
+ * @param slots requests that run at once
+ * @param memoryTokens tokens that its memory holds
+ * @param stepMillis time of one token step in milliseconds
+ * @param stepMillisPerSequence what each writing request adds to a step, in milliseconds
+ * @param stepMillisPerThousandContextTokens what context adds to a step, in milliseconds
+ * @param promptTokensPerMillisecond prompt tokens read in a millisecond
+ * @param pairMillisPerMillion what a million pairs of a token and an earlier one add to reading, in
+ *     milliseconds
+ * @param stepsPerPass token steps of a pass in which a request writes
+ */
+public record EngineFigures(
+    int slots,
+    long memoryTokens,
+    double stepMillis,
+    double stepMillisPerSequence,
+    double stepMillisPerThousandContextTokens,
+    double promptTokensPerMillisecond,
+    double pairMillisPerMillion,
+    int stepsPerPass) {
+
+  private static final double PAIRS_PER_MILLION = 1e6;
+
+  /** Returns how long one engine reads a prompt that it has to itself, in milliseconds. */
+  public double readMillis(long promptTokens) {
+    double pairs = 0.5 * promptTokens * promptTokens;
+    return promptTokens / promptTokensPerMillisecond
+        + pairs / PAIRS_PER_MILLION * pairMillisPerMillion;
+  }
+
+  /** Returns how long a pass takes in which requests write and none reads, in milliseconds. */
+  public double passMillis(int writers, long contextTokens) {
+    return stepsPerPass
+        * (stepMillis
+            + stepMillisPerSequence * writers
+            + stepMillisPerThousandContextTokens * contextTokens / 1000.0);
+  }
+}
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ConnectionTable.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ConnectionTable.java
@@ -71,15 +71,15 @@
   void abort(SocketAddress remote) {
     Entry entry = entries.get(remote);
     if (entry != null) {
-      LOGGER.log(Level.INFO, "http: closed {0}: its exchange did not end in time", remote);
+      LOGGER.log(Level.DEBUG, "http: closed {0}: its exchange did not end", remote);
       entry.session.close(CloseMode.IMMEDIATE);
     }
   }
 
-  /** Closes connections that have brought no request for the time limit of reading one. */
+  /** Closes connections that have brought no request for the longest idle time. */
   void closeIdle() {
     long now = timing.nanoTime();
-    long limitNanos = limits.readTimeout().toNanos();
+    long limitNanos = limits.idleTimeout().toNanos();
     for (Entry entry : entries.values()) {
       if (entry.exchange == null && now - entry.idleSinceNanos > limitNanos) {
         entry.session.close(CloseMode.IMMEDIATE);
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
@@ -86,7 +86,7 @@
     this.address = listen(address);
     sweep =
         timing.scheduleRepeatedly(
-            limits.readTimeout().dividedBy(SWEEPS_PER_TIMEOUT), connections::closeIdle);
+            limits.idleTimeout().dividedBy(SWEEPS_PER_TIMEOUT), connections::closeIdle);
   }
 
   /** Returns where the server listens. */
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ReplyStream.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ReplyStream.java
@@ -8,4 +8,7 @@
 
   /** Ends the answer after the queued pieces. */
   void end();
+
+  /** Breaks the connection, so that the answer is seen to be incomplete. */
+  void abort();
 }
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
@@ -163,6 +163,11 @@
     pieces.end();
   }
 
+  @Override
+  public void abort() {
+    environment.connections().abort(remote);
+  }
+
   @Override
   public int available() {
     return pieces.available();
--- a/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
@@ -54,7 +54,8 @@
   private static final long ANSWERS_POLL_NANOS = 5_000_000;
   private static final long GROUP_SHUTDOWN_MILLIS = 500;
   private static final ServerLimits OPERATORS_LIMITS =
-      new ServerLimits(16 << 10, 64 << 10, 1 << 20, 64, Duration.ofSeconds(10));
+      new ServerLimits(
+          16 << 10, 64 << 10, 1 << 20, 64, Duration.ofSeconds(10), Duration.ofSeconds(10));
 
   private final Closer closer = Closer.create();
   private final DaemonSettings settings;
@@ -204,6 +205,7 @@
                 limits.maximumBodyBytes(),
                 limits.maximumBufferedBytes(),
                 limits.maximumConnections(),
+                limits.readTimeout(),
                 limits.readTimeout()),
             handler,
             timing,
--- a/daemon/src/main/java/dev/apricotmill/daemon/process/SystemTiming.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/SystemTiming.java
@@ -15,10 +15,18 @@
 
   /** Returns the runtime's clocks with a scheduler of its own. */
   public static Timing start() {
+    return start(SCHEDULER_THREADS);
+  }
+
+  /** Returns the runtime's clocks with a scheduler that runs one task at a time. */
+  public static Timing startSerial() {
+    return start(1);
+  }
+
+  private static Timing start(int threads) {
     ScheduledThreadPoolExecutor scheduler =
         new ScheduledThreadPoolExecutor(
-            SCHEDULER_THREADS,
-            new ThreadFactoryBuilder().setNameFormat("timer-%d").setDaemon(true).build());
+            threads, new ThreadFactoryBuilder().setNameFormat("timer-%d").setDaemon(true).build());
     scheduler.setRemoveOnCancelPolicy(true);
     return new Timing(InstantSource.system(), Ticker.systemTicker(), scheduler);
   }
--- a/daemon/src/test/java/dev/apricotmill/daemon/testing/CallersFixture.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/testing/CallersFixture.java
@@ -22,7 +22,8 @@
 
   /** Small limits, so that tests break them with little data. */
   public static final ServerLimits LIMITS =
-      new ServerLimits(4 << 10, 64 << 10, 128 << 10, 8, Duration.ofSeconds(20));
+      new ServerLimits(
+          4 << 10, 64 << 10, 128 << 10, 8, Duration.ofSeconds(20), Duration.ofSeconds(20));
 
   private static final long SEED = 42;
 
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendPort.java
@@ -0,0 +1,72 @@
+package dev.apricotmill.node.relay;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.core.relay.BackendServer;
+import dev.apricotmill.core.request.CustomerId;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** The port to backend servers. */
+public interface BackendPort {
+
+  /** Sends a request once. Everything is reported to {@code listener}, on any thread. */
+  Exchange send(BackendSend send, Listener listener);
+
+  /**
+   * A request on its way to one server.
+   *
+   * @param request the request
+   * @param server the server, which must refuse if it is not the one that is meant
+   * @param customer the customer whose key the request has
+   * @param left the time that is left
+   * @param helpers servers that read parts of the prompt
+   * @param resumeAfter the last event that is already there of a stream to be continued
+   */
+  record BackendSend(
+      RelayRequest request,
+      BackendServer server,
+      Optional<CustomerId> customer,
+      Duration left,
+      ImmutableList<PeerAddress> helpers,
+      OptionalLong resumeAfter) {}
+
+  /** A send that has not ended. */
+  interface Exchange {
+    /** Closes the connection; nothing is reported any more. */
+    void cancel();
+  }
+
+  /**
+   * The head of an answer to this request.
+   *
+   * @param status the HTTP status
+   * @param headers the headers to pass on
+   * @param notRun whether the server says that it did not run the request
+   */
+  record Head(int status, ImmutableMap<String, String> headers, boolean notRun) {}
+
+  /**
+   * Learns of the answer. A head may follow nothing, bodies follow the head, one end comes last.
+   */
+  interface Listener {
+    /** Takes the head of the answer. */
+    void onHead(Head head);
+
+    /** Takes a piece of the body. */
+    void onBody(byte[] piece);
+
+    /** Learns that the answer is whole. */
+    void onEnd();
+
+    /**
+     * Learns that no whole answer will come.
+     *
+     * @param sent whether a byte of the request may have left
+     * @param reason why, for the log
+     */
+    void onFailure(boolean sent, String reason);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/relay/LocalPlacements.java
@@ -0,0 +1,73 @@
+package dev.apricotmill.node.relay;
+
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.pool.Placement;
+import dev.apricotmill.core.pool.PlacementAsk;
+import dev.apricotmill.core.pool.PoolLedger;
+import dev.apricotmill.core.relay.EngineFigures;
+import dev.apricotmill.core.relay.ServiceProfile;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.request.RequestId;
+import dev.apricotmill.core.request.ServiceName;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Places requests by what this node alone has placed. Runs on the relay's executor. */
+public final class LocalPlacements implements Placements {
+
+  private static final Duration COME_BACK = Duration.ofMillis(500);
+
+  private final Timing timing;
+  private final Map<ServiceName, PoolLedger> ledgers = new HashMap<>();
+
+  /** Creates placements that know no pool. */
+  public LocalPlacements(Timing timing) {
+    this.timing = timing;
+  }
+
+  /** Takes over the pools and their servers. */
+  public void update(ServingView view) {
+    view.configuration()
+        .ifPresent(known -> known.services().values().forEach(p -> update(p, view)));
+  }
+
+  private void update(ServiceProfile profile, ServingView view) {
+    Optional<EngineFigures> figures = profile.engine();
+    if (figures.isPresent() && view.servers().isPresent()) {
+      ledgers
+          .computeIfAbsent(profile.name(), name -> new PoolLedger(figures.get()))
+          .updateServers(view.serversOf(profile.name()), figures.get());
+    }
+  }
+
+  /** Returns the ledger of a pool. */
+  public Optional<PoolLedger> ledger(ServiceName service) {
+    return Optional.ofNullable(ledgers.get(service));
+  }
+
+  @Override
+  public void place(PlacementAsk ask, Consumer<Placement> then) {
+    then.accept(
+        ledger(ask.service())
+            .map(ledger -> ledger.place(ask, timing.nanoTime()))
+            .orElseGet(() -> new Placement.Full(COME_BACK)));
+  }
+
+  @Override
+  public void firstEvent(ServiceName service, RequestId request) {
+    ledger(service).ifPresent(ledger -> ledger.firstEvent(request, timing.nanoTime()));
+  }
+
+  @Override
+  public void ended(ServiceName service, RequestId request) {
+    ledger(service).ifPresent(ledger -> ledger.ended(request, timing.nanoTime()));
+  }
+
+  @Override
+  public void failed(ServiceName service, ReplicaId server) {
+    ledger(service).ifPresent(ledger -> ledger.failed(server, timing.nanoTime()));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayGate.java
@@ -0,0 +1,81 @@
+package dev.apricotmill.node.relay;
+
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.core.relay.RelayRefusal;
+import dev.apricotmill.core.relay.Route;
+import dev.apricotmill.core.relay.ServiceProfile;
+import dev.apricotmill.core.relay.ServingConfiguration;
+import dev.apricotmill.core.request.CustomerId;
+import java.time.Duration;
+import java.util.Optional;
+
+/** Decides whether a request is allowed, by what the node knows and how old that is. */
+final class RelayGate {
+
+  /** The decision. */
+  sealed interface Decision {
+    /**
+     * The request is allowed.
+     *
+     * @param route its route
+     * @param service the service that it goes to
+     * @param customer whose key it has
+     */
+    record Allowed(Route route, ServiceProfile service, Optional<CustomerId> customer)
+        implements Decision {}
+
+    /**
+     * The request is refused.
+     *
+     * @param refusal why
+     */
+    record Refused(RelayRefusal refusal) implements Decision {}
+  }
+
+  private final Duration longestProofAge;
+
+  RelayGate(Duration longestProofAge) {
+    this.longestProofAge = longestProofAge;
+  }
+
+  /**
+   * Decides on a request.
+   *
+   * @param point a number from 0 (included) to 1 (excluded) that spreads requests over services
+   */
+  Decision decide(
+      ServingView view, RelayRequest request, double point, long nowNanos, long nowMillis) {
+    if (view.configuration().isEmpty() || view.servers().isEmpty()) {
+      return new Decision.Refused(RelayRefusal.CONFIGURATION_UNKNOWN);
+    }
+    ServingConfiguration configuration = view.configuration().get();
+    boolean fresh =
+        view.proof()
+            .filter(proof -> proof.isFresh(nowNanos, nowMillis, longestProofAge))
+            .isPresent();
+    Optional<Route> route = configuration.routes().find(request.host(), request.path());
+    if (route.isEmpty()) {
+      return new Decision.Refused(
+          fresh ? RelayRefusal.NO_ROUTE : RelayRefusal.CONFIGURATION_UNKNOWN);
+    }
+    boolean needsKey = configuration.keysRequired() && !route.get().open();
+    if (needsKey && !fresh) {
+      return new Decision.Refused(RelayRefusal.CONFIGURATION_UNKNOWN);
+    }
+    Optional<CustomerId> customer = customerOf(configuration.customers(), request);
+    if (needsKey && customer.isEmpty()) {
+      return new Decision.Refused(RelayRefusal.UNKNOWN_KEY);
+    }
+    return route
+        .get()
+        .serviceAt(point)
+        .flatMap(name -> Optional.ofNullable(configuration.services().get(name)))
+        .<Decision>map(service -> new Decision.Allowed(route.get(), service, customer))
+        .orElseGet(() -> new Decision.Refused(RelayRefusal.NO_SERVER));
+  }
+
+  private static Optional<CustomerId> customerOf(
+      ImmutableMap<String, CustomerId> customers, RelayRequest request) {
+    return request.customerKey().flatMap(key -> Optional.ofNullable(customers.get(key)));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayMeters.java
@@ -0,0 +1,67 @@
+package dev.apricotmill.node.relay;
+
+import dev.apricotmill.core.relay.RelayRefusal;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Counters and latency histograms of the relay. */
+final class RelayMeters {
+
+  private static final String REFUSED = "apricotmill.relay.refused";
+
+  private final MeterRegistry registry;
+  private final Timer firstEvents;
+  private final Timer wholeAnswers;
+  private final Counter retries;
+  private final Counter resumed;
+  private final Counter callersGone;
+
+  RelayMeters(MeterRegistry registry, AtomicInteger open) {
+    this.registry = registry;
+    firstEvents = timer("apricotmill.relay.first_event");
+    wholeAnswers = timer("apricotmill.relay.answer");
+    retries = registry.counter("apricotmill.relay.retries");
+    resumed = registry.counter("apricotmill.relay.resumed");
+    callersGone = registry.counter("apricotmill.relay.callers_gone");
+    Gauge.builder("apricotmill.relay.open", open, AtomicInteger::get).register(registry);
+  }
+
+  private Timer timer(String name) {
+    return Timer.builder(name)
+        .serviceLevelObjectives(
+            Duration.ofMillis(100),
+            Duration.ofMillis(300),
+            Duration.ofSeconds(1),
+            Duration.ofSeconds(3),
+            Duration.ofSeconds(10))
+        .register(registry);
+  }
+
+  void firstEvent(long nanos) {
+    firstEvents.record(Duration.ofNanos(nanos));
+  }
+
+  void answered(long nanos) {
+    wholeAnswers.record(Duration.ofNanos(nanos));
+  }
+
+  void refused(RelayRefusal refusal) {
+    registry.counter(REFUSED, "reason", refusal.name()).increment();
+  }
+
+  void retried() {
+    retries.increment();
+  }
+
+  void resumed() {
+    resumed.increment();
+  }
+
+  void callerGone() {
+    callersGone.increment();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayRequest.java
@@ -0,0 +1,35 @@
+package dev.apricotmill.node.relay;
+
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.core.relay.GenerationSize;
+import dev.apricotmill.core.request.RequestId;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * A request whose path, headers and body pass unread.
+ *
+ * @param id the caller's identifier of this attempt
+ * @param host the host that it names
+ * @param method the HTTP method
+ * @param path the path and query
+ * @param headers the headers to pass on
+ * @param body the body; not to be modified
+ * @param customerKey the customer's key
+ * @param patience how long the caller waits
+ * @param size the size of a request for generated text
+ * @param resumeAfter the last event that the caller has of a stream to be continued
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record RelayRequest(
+    RequestId id,
+    String host,
+    String method,
+    String path,
+    ImmutableMap<String, String> headers,
+    byte[] body,
+    Optional<String> customerKey,
+    Optional<Duration> patience,
+    Optional<GenerationSize> size,
+    OptionalLong resumeAfter) {}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServingState.java
@@ -0,0 +1,84 @@
+package dev.apricotmill.node.relay;
+
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.follow.ReadMoment;
+import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.PlatformFailure;
+import dev.apricotmill.core.relay.BackendServer;
+import dev.apricotmill.core.relay.ConfigurationProof;
+import dev.apricotmill.core.relay.ServingConfiguration;
+import dev.apricotmill.core.request.ReplicaId;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Keeps what a node knows up to date and never goes back to an older configuration.
+ *
+ * <p>Called on the relay's executor.
+ */
+public final class ServingState {
+
+  private final RelayNode relay;
+  private final EventLog log;
+  private final Consumer<ServingView> onChange;
+  private final Set<String> unavailable = new HashSet<>();
+
+  /**
+   * Creates a state that knows nothing.
+   *
+   * @param onChange learns of each change of configuration or servers
+   */
+  public ServingState(RelayNode relay, EventLog log, Consumer<ServingView> onChange) {
+    this.relay = relay;
+    this.log = log;
+    this.onChange = onChange;
+  }
+
+  /** Takes a configuration that the store or another node holds. */
+  public void configurationRead(ServingConfiguration read) {
+    long known = relay.view().configuration().map(ServingConfiguration::version).orElse(-1L);
+    if (read.version() <= known) {
+      return;
+    }
+    log.write(
+        "configuration.taken",
+        ImmutableMap.of(
+            "version", read.version(), "before", known, "routes", read.routes().routes().size()));
+    onChange.accept(relay.update(view -> view.withConfiguration(read, view.proof())));
+  }
+
+  /** Notes that the configuration was the newest at a moment. */
+  public void configurationProven(ReadMoment moment) {
+    regained("config");
+    ConfigurationProof proof = new ConfigurationProof(moment.steadyNanos(), moment.wallMillis());
+    relay.update(view -> view.withProof(Optional.of(proof)));
+  }
+
+  /** Takes the list of backend servers. */
+  public void serversRead(ImmutableMap<ReplicaId, BackendServer> servers) {
+    regained("servers");
+    long ready = servers.values().stream().filter(BackendServer::ready).count();
+    log.write("servers.taken", ImmutableMap.of("servers", servers.size(), "ready", ready));
+    onChange.accept(relay.update(view -> view.withServers(servers)));
+  }
+
+  /** Notes that the store gave no usable answer. */
+  public void storeUnavailable(String what, PlatformFailure failure) {
+    if (unavailable.add(what)) {
+      log.write("store.lost", ImmutableMap.of("what", what, "failure", failure));
+    }
+  }
+
+  /** Notes an object that cannot be read; what was known before stays. */
+  public void unreadable(ObjectKey key, String reason) {
+    log.write("store.unreadable", ImmutableMap.of("object", key.path(), "reason", reason));
+  }
+
+  private void regained(String what) {
+    if (unavailable.remove(what)) {
+      log.write("store.regained", ImmutableMap.of("what", what));
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServingView.java
@@ -0,0 +1,65 @@
+package dev.apricotmill.node.relay;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.core.relay.BackendServer;
+import dev.apricotmill.core.relay.ConfigurationProof;
+import dev.apricotmill.core.relay.ServingConfiguration;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.request.ServiceName;
+import java.util.Optional;
+
+/**
+ * What a node knows at one moment.
+ *
+ * @param configuration the newest configuration, empty before the first
+ * @param proof when that was known to be the newest; empty if it is not known
+ * @param servers the backend servers, empty before the first list
+ * @param nodes how many nodes serve, itself included
+ */
+public record ServingView(
+    Optional<ServingConfiguration> configuration,
+    Optional<ConfigurationProof> proof,
+    Optional<ImmutableMap<ReplicaId, BackendServer>> servers,
+    int nodes) {
+
+  /** A view that knows nothing. */
+  public static final ServingView NOTHING =
+      new ServingView(Optional.empty(), Optional.empty(), Optional.empty(), 1);
+
+  /** Returns the view with a newer configuration and proof; an older version is not taken. */
+  public ServingView withConfiguration(
+      ServingConfiguration newer, Optional<ConfigurationProof> newerProof) {
+    return new ServingView(Optional.of(newer), newerProof, servers, nodes);
+  }
+
+  /** Returns the view with another proof. */
+  public ServingView withProof(Optional<ConfigurationProof> newer) {
+    return new ServingView(configuration, newer, servers, nodes);
+  }
+
+  /** Returns the view with another list of servers. */
+  public ServingView withServers(ImmutableMap<ReplicaId, BackendServer> newer) {
+    return new ServingView(configuration, proof, Optional.of(newer), nodes);
+  }
+
+  /** Returns the view with another number of nodes. */
+  public ServingView withNodes(int newer) {
+    return new ServingView(configuration, proof, servers, newer);
+  }
+
+  /** Returns the servers of a service, those that are leaving included. */
+  public ImmutableList<BackendServer> serversOf(ServiceName service) {
+    return servers.stream()
+        .flatMap(all -> all.values().stream())
+        .filter(server -> server.service().equals(service))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns the servers of a service that take new requests. */
+  public ImmutableList<BackendServer> readyServers(ServiceName service) {
+    return serversOf(service).stream()
+        .filter(BackendServer::ready)
+        .collect(ImmutableList.toImmutableList());
+  }
+}
