One dispatcher for each pool, which grants engines to entry nodes

Ruled out: broadcasting loads from each node to each (grows with the square of the nodes); the steward for each replica (a stream would cross two nodes). A node whose dispatcher is silent places by its own ledger.

--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerEndpoint.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerEndpoint.java
@@ -75,6 +75,8 @@
       case PROBE_THROUGH -> onProbeThrough(request.getProbeThrough(), stream);
       case FETCH -> onFetch(request.getFetch().getPartName(), stream);
       case ASK_LEDGER -> onAskLedger(request.getAskLedger(), stream);
+      case PLACE_WORK, REPORT_WORK ->
+          throw new MalformedMessageException("a daemon with stewards dispatches no pools");
       case BODY_NOT_SET -> throw new MalformedMessageException("request without a body");
     }
     return StreamHandler.SINGLE_RESPONSE;
--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/PlacementMessages.java
@@ -0,0 +1,124 @@
+package dev.apricotmill.daemon.inner;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.core.pool.Placement;
+import dev.apricotmill.core.pool.PlacementAsk;
+import dev.apricotmill.core.pool.WorkReport;
+import dev.apricotmill.core.relay.GenerationSize;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.request.RequestId;
+import dev.apricotmill.core.request.ServiceName;
+import dev.apricotmill.protocol.generated.GrantedWork;
+import dev.apricotmill.protocol.generated.PlaceWork;
+import dev.apricotmill.protocol.generated.RunningWork;
+import dev.apricotmill.protocol.generated.WorkEvent;
+import dev.apricotmill.protocol.generated.WorkPlaced;
+import java.time.Duration;
+import java.util.Optional;
+
+/** Messages about placements, to and from the types of the product. */
+final class PlacementMessages {
+
+  private PlacementMessages() {}
+
+  static PlaceWork message(PlacementAsk ask) {
+    PlaceWork.Builder message =
+        PlaceWork.newBuilder()
+            .setRequest(ask.request().value())
+            .setService(ask.service().value())
+            .setPromptTokens(ask.size().promptTokens())
+            .setMaximumOutputTokens(ask.size().maximumOutputTokens())
+            .setGoalMillis(ask.goal().toMillis())
+            .setPauseGoalMillis(ask.pauseGoal().toMillis())
+            .setRemainingMillis(Math.max(0, ask.remaining().toMillis()));
+    ask.avoid().forEach(server -> message.addAvoid(server.value()));
+    return message.build();
+  }
+
+  static PlacementAsk ask(PlaceWork message) {
+    return new PlacementAsk(
+        new RequestId(message.getRequest()),
+        new ServiceName(message.getService()),
+        new GenerationSize(message.getPromptTokens(), message.getMaximumOutputTokens()),
+        Duration.ofMillis(message.getGoalMillis()),
+        Duration.ofMillis(message.getPauseGoalMillis()),
+        Duration.ofMillis(message.getRemainingMillis()),
+        message.getAvoidList().stream().map(ReplicaId::new).collect(ImmutableSet.toImmutableSet()));
+  }
+
+  static WorkPlaced message(Optional<Placement> decision) {
+    WorkPlaced.Builder message = WorkPlaced.newBuilder();
+    if (decision.isEmpty()) {
+      message.setDeclined(true);
+    } else if (decision.get() instanceof Placement.Granted granted) {
+      message.setGranted(message(granted));
+    } else if (decision.get() instanceof Placement.Full full) {
+      message.setComeBackMillis(full.comeBack().toMillis());
+    }
+    return message.build();
+  }
+
+  static Optional<Placement> decision(WorkPlaced message) {
+    return switch (message.getDecisionCase()) {
+      case GRANTED -> Optional.of(granted(message.getGranted()));
+      case COME_BACK_MILLIS ->
+          Optional.of(new Placement.Full(Duration.ofMillis(message.getComeBackMillis())));
+      case DECLINED, DECISION_NOT_SET -> Optional.empty();
+    };
+  }
+
+  static WorkEvent message(WorkReport report) {
+    WorkEvent.Builder message = WorkEvent.newBuilder().setService(report.service().value());
+    if (report instanceof WorkReport.FirstEvent first) {
+      message.setRequest(first.request().value()).setFirstEvent(true);
+    } else if (report instanceof WorkReport.Ended ended) {
+      message.setRequest(ended.request().value()).setEnded(true);
+    } else if (report instanceof WorkReport.Failed failed) {
+      message.setFailedServer(failed.server().value());
+    } else if (report instanceof WorkReport.Running running) {
+      message.setRunning(
+          RunningWork.newBuilder()
+              .setAsk(message(running.ask()))
+              .setGranted(message(running.granted()))
+              .setReading(running.reading()));
+    }
+    return message.build();
+  }
+
+  static Optional<WorkReport> report(WorkEvent message) {
+    ServiceName service = new ServiceName(message.getService());
+    RequestId request = new RequestId(message.getRequest());
+    return switch (message.getEventCase()) {
+      case FIRST_EVENT -> Optional.of(new WorkReport.FirstEvent(service, request));
+      case ENDED -> Optional.of(new WorkReport.Ended(service, request));
+      case FAILED_SERVER ->
+          Optional.of(new WorkReport.Failed(service, new ReplicaId(message.getFailedServer())));
+      case RUNNING -> Optional.of(running(message.getRunning()));
+      case EVENT_NOT_SET -> Optional.empty();
+    };
+  }
+
+  private static WorkReport running(RunningWork message) {
+    return new WorkReport.Running(
+        ask(message.getAsk()), granted(message.getGranted()), message.getReading());
+  }
+
+  private static GrantedWork message(Placement.Granted granted) {
+    GrantedWork.Builder message =
+        GrantedWork.newBuilder()
+            .setServer(granted.server().value())
+            .setExpectedMillis(granted.expected().toMillis());
+    granted.helpers().forEach(helper -> message.addHelpers(helper.value()));
+    return message.build();
+  }
+
+  private static Placement.Granted granted(GrantedWork message) {
+    return new Placement.Granted(
+        new ReplicaId(message.getServer()),
+        message.getHelpersList().stream()
+            .map(ReplicaId::new)
+            .collect(ImmutableList.toImmutableList()),
+        Duration.ofMillis(message.getExpectedMillis()));
+  }
+}
--- a/node/src/main/java/dev/apricotmill/node/relay/LocalPlacements.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/LocalPlacements.java
@@ -4,6 +4,7 @@
 import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementAsk;
 import dev.apricotmill.core.pool.PoolLedger;
+import dev.apricotmill.core.pool.WorkReport;
 import dev.apricotmill.core.relay.EngineFigures;
 import dev.apricotmill.core.relay.ServiceProfile;
 import dev.apricotmill.core.request.ReplicaId;
@@ -56,18 +57,23 @@
             .orElseGet(() -> new Placement.Full(COME_BACK)));
   }
 
+  /** Notes what became of work, wherever it was placed. */
+  public void note(WorkReport report) {
+    ledger(report.service()).ifPresent(ledger -> report.noteIn(ledger, timing.nanoTime()));
+  }
+
   @Override
   public void firstEvent(ServiceName service, RequestId request) {
-    ledger(service).ifPresent(ledger -> ledger.firstEvent(request, timing.nanoTime()));
+    note(new WorkReport.FirstEvent(service, request));
   }
 
   @Override
   public void ended(ServiceName service, RequestId request) {
-    ledger(service).ifPresent(ledger -> ledger.ended(request, timing.nanoTime()));
+    note(new WorkReport.Ended(service, request));
   }
 
   @Override
   public void failed(ServiceName service, ReplicaId server) {
-    ledger(service).ifPresent(ledger -> ledger.failed(server, timing.nanoTime()));
+    note(new WorkReport.Failed(service, server));
   }
 }
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/relay/PlacementEndpoint.java
@@ -0,0 +1,48 @@
+package dev.apricotmill.node.relay;
+
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.pool.Placement;
+import dev.apricotmill.core.pool.PlacementAsk;
+import dev.apricotmill.core.pool.WorkReport;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/** The dispatcher's side of placements: decides for other nodes and hears of their work. */
+public final class PlacementEndpoint {
+
+  private final Timing timing;
+  private final LocalPlacements local;
+  private final BooleanSupplier leaving;
+
+  /**
+   * Creates an endpoint over the ledger of this node.
+   *
+   * @param leaving whether the node is about to stop and hands its pools on
+   */
+  public PlacementEndpoint(Timing timing, LocalPlacements local, BooleanSupplier leaving) {
+    this.timing = timing;
+    this.local = local;
+    this.leaving = leaving;
+  }
+
+  /** Decides on a request of another node; empty if another dispatcher must be asked. */
+  public void place(PlacementAsk ask, Consumer<Optional<Placement>> then) {
+    timing
+        .scheduler()
+        .execute(
+            () -> {
+              if (leaving.getAsBoolean() || local.ledger(ask.service()).isEmpty()) {
+                then.accept(Optional.empty());
+              } else {
+                local.place(ask, placement -> then.accept(Optional.of(placement)));
+              }
+            });
+  }
+
+  /** Takes what became of work of another node. */
+  public void report(List<WorkReport> reports) {
+    timing.scheduler().execute(() -> reports.forEach(local::note));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/relay/PlacementPeers.java
@@ -0,0 +1,26 @@
+package dev.apricotmill.node.relay;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.core.pool.Placement;
+import dev.apricotmill.core.pool.PlacementAsk;
+import dev.apricotmill.core.pool.WorkReport;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** The port to the dispatchers of other nodes. */
+public interface PlacementPeers {
+
+  /**
+   * Asks a dispatcher to place a request.
+   *
+   * @param then takes the decision, on any thread; empty if none came in time or the peer decides
+   *     no more
+   */
+  void ask(
+      PeerAddress peer, PlacementAsk ask, Duration timeout, Consumer<Optional<Placement>> then);
+
+  /** Tells a dispatcher what became of work. Lost reports are not sent again. */
+  void report(PeerAddress peer, ImmutableList<WorkReport> reports);
+}
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/relay/SharedPlacements.java
@@ -0,0 +1,217 @@
+package dev.apricotmill.node.relay;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.coordination.membership.RendezvousHash;
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.pool.Placement;
+import dev.apricotmill.core.pool.PlacementAsk;
+import dev.apricotmill.core.pool.WorkReport;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.request.RequestId;
+import dev.apricotmill.core.request.ServiceName;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Places requests at the one node that dispatches a pool, or by this node's own ledger while that
+ * node does not answer.
+ *
+ * <p>Answers the load pattern in which each of many nodes sees a small part of a pool's work: one
+ * ledger for each pool knows all of it. Nodes may disagree on who dispatches; then two ledgers
+ * place work on the same engines, which is a worse choice and breaks no promise. Runs on the
+ * relay's executor.
+ */
+public final class SharedPlacements implements Placements {
+
+  /** A dispatcher in another zone answers within a few milliseconds when it is not overloaded. */
+  private static final Duration ASK_TIMEOUT = Duration.ofMillis(60);
+
+  /** Reports that come within this time travel in one message. */
+  private static final Duration REPORT_DELAY = Duration.ofMillis(8);
+
+  private static final Duration FIRST_SUSPICION = Duration.ofMillis(500);
+  private static final Duration LONGEST_SUSPICION = Duration.ofSeconds(8);
+
+  private final Timing timing;
+  private final LocalPlacements local;
+  private final PlacementPeers peers;
+  private final Member self;
+  private final EventLog log;
+  private final Map<RequestId, WorkReport.Running> running = new LinkedHashMap<>();
+  private final Map<Member, Suspicion> suspicions = new HashMap<>();
+  private final Map<ServiceName, Member> dispatchers = new HashMap<>();
+  private final Map<ServiceName, List<WorkReport>> pending = new HashMap<>();
+  private ImmutableList<Member> members = ImmutableList.of();
+  private boolean flushing;
+
+  /** Creates placements of a node that knows no other. */
+  public SharedPlacements(
+      Timing timing, LocalPlacements local, PlacementPeers peers, Member self, EventLog log) {
+    this.timing = timing;
+    this.local = local;
+    this.peers = peers;
+    this.self = self;
+    this.log = log;
+  }
+
+  /**
+   * How long a dispatcher that did not answer is not asked again.
+   *
+   * @param untilNanos when it is asked again
+   * @param length how long this suspicion is; the next one is twice as long
+   */
+  private record Suspicion(long untilNanos, Duration length) {}
+
+  /** Takes over the nodes that may dispatch. */
+  public void updateMembers(ImmutableList<Member> newMembers) {
+    members = newMembers;
+    suspicions.keySet().retainAll(newMembers);
+  }
+
+  @Override
+  public void place(PlacementAsk ask, Consumer<Placement> then) {
+    Member dispatcher = dispatcher(ask.service());
+    if (dispatcher.equals(self)) {
+      local.place(ask, placement -> placed(ask, placement, then));
+      return;
+    }
+    peers.ask(
+        dispatcher.address(),
+        ask,
+        ASK_TIMEOUT,
+        answer -> timing.scheduler().execute(() -> answered(dispatcher, ask, answer, then)));
+  }
+
+  private void answered(
+      Member dispatcher, PlacementAsk ask, Optional<Placement> answer, Consumer<Placement> then) {
+    if (answer.isPresent()) {
+      suspicions.remove(dispatcher);
+      if (answer.get() instanceof Placement.Granted granted) {
+        local.note(new WorkReport.Running(ask, granted, true));
+      }
+      placed(ask, answer.get(), then);
+      return;
+    }
+    suspect(dispatcher);
+    local.place(
+        ask,
+        placement -> {
+          if (placement instanceof Placement.Granted granted) {
+            report(new WorkReport.Running(ask, granted, true));
+          }
+          placed(ask, placement, then);
+        });
+  }
+
+  private void placed(PlacementAsk ask, Placement placement, Consumer<Placement> then) {
+    if (placement instanceof Placement.Granted granted) {
+      running.put(ask.request(), new WorkReport.Running(ask, granted, true));
+    }
+    then.accept(placement);
+  }
+
+  @Override
+  public void firstEvent(ServiceName service, RequestId request) {
+    running.computeIfPresent(
+        request, (id, work) -> new WorkReport.Running(work.ask(), work.granted(), false));
+    reportEverywhere(new WorkReport.FirstEvent(service, request));
+  }
+
+  @Override
+  public void ended(ServiceName service, RequestId request) {
+    running.remove(request);
+    reportEverywhere(new WorkReport.Ended(service, request));
+  }
+
+  @Override
+  public void failed(ServiceName service, ReplicaId server) {
+    reportEverywhere(new WorkReport.Failed(service, server));
+  }
+
+  private void reportEverywhere(WorkReport report) {
+    local.note(report);
+    report(report);
+  }
+
+  private void report(WorkReport report) {
+    if (dispatcher(report.service()).equals(self)) {
+      return;
+    }
+    pending.computeIfAbsent(report.service(), service -> new ArrayList<>()).add(report);
+    if (!flushing) {
+      flushing = true;
+      timing.schedule(REPORT_DELAY, this::flush);
+    }
+  }
+
+  private void flush() {
+    flushing = false;
+    pending.forEach(
+        (service, reports) -> {
+          Member dispatcher = dispatcher(service);
+          if (!dispatcher.equals(self)) {
+            peers.report(dispatcher.address(), ImmutableList.copyOf(reports));
+          }
+        });
+    pending.clear();
+  }
+
+  /** Returns who dispatches a pool; one that takes over hears of the work that runs there. */
+  private Member dispatcher(ServiceName service) {
+    long now = timing.nanoTime();
+    Member dispatcher =
+        RendezvousHash.ranked(members, service.value())
+            .filter(member -> !isSuspected(member, now))
+            .findFirst()
+            .orElse(self);
+    @Nullable Member before = dispatchers.put(service, dispatcher);
+    if (before != null && !before.equals(dispatcher)) {
+      handOver(service, before, dispatcher);
+    }
+    return dispatcher;
+  }
+
+  private void handOver(ServiceName service, Member before, Member dispatcher) {
+    ImmutableList<WorkReport> work =
+        running.values().stream()
+            .filter(entry -> entry.service().equals(service))
+            .collect(ImmutableList.toImmutableList());
+    log.write(
+        "dispatcher.changed",
+        ImmutableMap.of(
+            "service", service.value(),
+            "before", before.incarnation().toString(),
+            "now", dispatcher.incarnation().toString(),
+            "running", work.size()));
+    if (!dispatcher.equals(self) && !work.isEmpty()) {
+      peers.report(dispatcher.address(), work);
+    }
+  }
+
+  private boolean isSuspected(Member member, long nowNanos) {
+    Suspicion suspicion = suspicions.get(member);
+    return suspicion != null && suspicion.untilNanos() - nowNanos > 0;
+  }
+
+  private void suspect(Member member) {
+    Suspicion before = suspicions.get(member);
+    Duration length = before == null ? FIRST_SUSPICION : before.length().multipliedBy(2);
+    if (length.compareTo(LONGEST_SUSPICION) > 0) {
+      length = LONGEST_SUSPICION;
+    }
+    suspicions.put(member, new Suspicion(timing.nanoTime() + length.toNanos(), length));
+    log.write(
+        "dispatcher.silent",
+        ImmutableMap.of(
+            "node", member.incarnation().toString(), "not_asked_for_ms", length.toMillis()));
+  }
+}
