--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
@@ -15,7 +15,8 @@
  * second. Writing beside other writers costs little, reading beside writers delays their events.
  * Short questions are therefore packed on few engines, as long as none is late by it, and long
  * prompts are read in parts on the engines with the fewest writers. The border between the two
- * moves with each request.
+ * moves with each request. Where costs are equal, short questions begin at one end of the list and
+ * long prompts at the other, so that dispatchers that do not know of each other agree.
  */
 final class PlacementChoice {
 
@@ -85,14 +86,15 @@
   }
 
   private Placement placeLong(ImmutableList<PoolMember> free) {
-    ImmutableList<PoolMember> answering = cheapest(free, this::longCost);
+    ImmutableList<PoolMember> answering = cheapest(free.reverse(), this::longCost);
     PoolMember first = answering.get(0);
     ImmutableList<PoolMember> helpers =
         cheapest(
             usable.stream()
                 .filter(member -> member != first && member.isTrusted(nowMillis))
                 .filter(member -> member.helping() < member.server().slots())
-                .collect(ImmutableList.toImmutableList()),
+                .collect(ImmutableList.toImmutableList())
+                .reverse(),
             this::longCost);
     int best = 1;
     double bestMillis = Double.MAX_VALUE;
--- a/node/src/main/java/dev/apricotmill/node/relay/SharedPlacements.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/SharedPlacements.java
@@ -33,7 +33,7 @@
 public final class SharedPlacements implements Placements {
 
   /** A dispatcher in another zone answers within a few milliseconds when it is not overloaded. */
-  private static final Duration ASK_TIMEOUT = Duration.ofMillis(60);
+  private static final Duration ASK_TIMEOUT = Duration.ofMillis(80);
 
   /** Reports that come within this time travel in one message. */
   private static final Duration REPORT_DELAY = Duration.ofMillis(8);
@@ -75,6 +75,10 @@
   public void updateMembers(ImmutableList<Member> newMembers) {
     members = newMembers;
     suspicions.keySet().retainAll(newMembers);
+    // Connects now, so that the first request does not wait for it.
+    newMembers.stream()
+        .filter(member -> !member.equals(self))
+        .forEach(member -> peers.report(member.address(), ImmutableList.of()));
   }
 
   @Override
@@ -204,6 +208,10 @@
 
   private void suspect(Member member) {
     Suspicion before = suspicions.get(member);
+    if (before != null && before.untilNanos() - timing.nanoTime() > 0) {
+      // Several questions that were open at once say no more than one.
+      return;
+    }
     Duration length = before == null ? FIRST_SUSPICION : before.length().multipliedBy(2);
     if (length.compareTo(LONGEST_SUSPICION) > 0) {
       length = LONGEST_SUSPICION;
