Long prompts weigh what they make late against their own lateness

Cause: a long prompt was read in up to 17 parts wherever reading ended first; each part over the room of a pass made the answers beside it late, up to 150 short ones for one long one. Ruled out: a fixed part length (fits one mix only); engines set apart (starves long prompts when their rate triples).

--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
@@ -26,8 +26,17 @@
   /** A prompt that one engine reads in this time is not shared: about one pass of writers. */
   private static final double SHORT_READ_MILLIS = 60;
 
-  /** What one more part must save to be worth a share of another engine, in milliseconds. */
-  private static final double PART_COST_MILLIS = 4;
+  /** What one more part must save to be worth a share of another engine, in values of requests. */
+  private static final double PART_VALUE = 0.003;
+
+  /** The part of its value that an answer loses when it is late. */
+  private static final double LATE_SHARE = 0.75;
+
+  /** The part of its value that an answer would lose on the way to its goal. */
+  private static final double SPEED_SHARE = 0.2;
+
+  /** What a value of one counts for beside waiting, in milliseconds. */
+  private static final double VALUE_MILLIS = 2_000;
 
   /** How much an engine with one more writer is avoided by long prompts, in milliseconds. */
   private static final double WRITER_COST_MILLIS = 20;
@@ -86,55 +95,79 @@
   }
 
   private Placement placeLong(ImmutableList<PoolMember> free) {
-    ImmutableList<PoolMember> answering = cheapest(free.reverse(), this::longCost);
-    PoolMember first = answering.get(0);
-    ImmutableList<PoolMember> helpers =
-        cheapest(
-            usable.stream()
-                .filter(member -> member != first && member.isTrusted(nowMillis))
-                .filter(member -> member.helping() < member.server().slots())
-                .collect(ImmutableList.toImmutableList())
-                .reverse(),
-            this::longCost);
-    int best = 1;
-    double bestMillis = Double.MAX_VALUE;
-    for (int parts = 1; parts <= Math.min(MOST_HELPERS, helpers.size()) + 1; parts++) {
-      double millis = finishMillis(first, helpers.subList(0, parts - 1));
-      if (millis + PART_COST_MILLIS * parts < bestMillis) {
-        bestMillis = millis + PART_COST_MILLIS * parts;
-        best = parts;
+    ImmutableList<PoolMember> helping =
+        usable.stream()
+            .filter(member -> member.isTrusted(nowMillis))
+            .filter(member -> member.helping() < member.server().slots())
+            .collect(ImmutableList.toImmutableList())
+            .reverse();
+    Plan best = plan(1, free.reverse(), helping);
+    int most = Math.min(MOST_HELPERS, helping.size() - 1) + 1;
+    for (int parts = 2; parts <= most; parts++) {
+      Plan plan = plan(parts, free.reverse(), helping);
+      if (plan.cost() < best.cost()) {
+        best = plan;
       }
     }
-    ImmutableList<PoolMember> chosen =
-        ImmutableList.<PoolMember>builder().add(first).addAll(helpers.subList(0, best - 1)).build();
-    return grant(chosen, finishMillis(first, helpers.subList(0, best - 1)));
+    return grant(best.members(), best.finishMillis());
   }
 
-  /** Returns when the last of equal parts has been read, with the delay to writers beside it. */
-  private double finishMillis(PoolMember first, ImmutableList<PoolMember> helpers) {
-    double part = readMillis / (1 + helpers.size());
-    double last = partMillis(first, part);
-    for (PoolMember helper : helpers) {
-      last = Math.max(last, partMillis(helper, part));
+  /**
+   * A way to read the prompt.
+   *
+   * @param members the engine that answers, then those that help
+   * @param finishMillis when the last part has been read
+   * @param cost what the plan makes late, in values of requests
+   */
+  private record Plan(ImmutableList<PoolMember> members, double finishMillis, double cost) {}
+
+  /** Returns the cheapest way to read the prompt in that many equal parts. */
+  private Plan plan(int parts, ImmutableList<PoolMember> free, ImmutableList<PoolMember> helping) {
+    double part = readMillis / parts;
+    ToDoubleFunction<PoolMember> cost = member -> harm(member, part) + longCost(member);
+    PoolMember first = cheapest(free, cost).get(0);
+    ImmutableList<PoolMember> members =
+        ImmutableList.<PoolMember>builder()
+            .add(first)
+            .addAll(
+                cheapest(helping, cost).stream()
+                    .filter(member -> member != first)
+                    .limit(parts - 1)
+                    .iterator())
+            .build();
+    double finish = 0;
+    double value = 0;
+    for (PoolMember member : members) {
+      finish = Math.max(finish, finishMillis(member, part));
+      value += harmValue(member, part);
+    }
+    double own = figures.value(ask.size().promptTokens());
+    double goal = Math.max(1, ask.goal().toMillis() * GOAL_SHARE);
+    if (finish > goal) {
+      value += own * LATE_SHARE;
     }
-    return last;
+    value += own * SPEED_SHARE * finish / goal + PART_VALUE * parts;
+    return new Plan(members, finish, value);
   }
 
-  private double partMillis(PoolMember member, double part) {
-    double excess = Math.max(0, part - member.readRoomMillis(nowMillis));
-    return member.pendingReadMillis(nowMillis)
-        + member.passMillis()
-        + part
-        + longHarm(member)
-        + excess * member.answering();
+  private double finishMillis(PoolMember member, double part) {
+    return member.pendingReadMillis(nowMillis) + member.passMillis() + part;
   }
 
-  private double longCost(PoolMember member) {
-    return member.pendingReadMillis(nowMillis) + longHarm(member) + distrustCost(member);
+  /** Returns the worth of the answers that a part makes late on an engine. */
+  private double harmValue(PoolMember member, double part) {
+    return part > member.readRoomMillis(nowMillis) ? LATE_SHARE * member.valueOnTime() : 0;
+  }
+
+  /** Returns the same as a delay, so that it can be compared with waiting. */
+  private double harm(PoolMember member, double part) {
+    return harmValue(member, part) * VALUE_MILLIS;
   }
 
-  private static double longHarm(PoolMember member) {
-    return WRITER_COST_MILLIS * member.answering();
+  private double longCost(PoolMember member) {
+    return member.pendingReadMillis(nowMillis)
+        + WRITER_COST_MILLIS * member.answering()
+        + distrustCost(member);
   }
 
   private double firstEventMillis(PoolMember member) {
--- a/core/src/main/java/dev/apricotmill/core/pool/PoolMember.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolMember.java
@@ -31,8 +31,25 @@
    * @param reading whether the prompt is still being read
    * @param tokens memory that the share takes
    * @param pauseGoal the longest pause between events of the answer
+   * @param value what the request is worth
+   * @param late whether reading that was placed here has made the answer late
    */
-  private record Part(boolean answers, boolean reading, long tokens, Duration pauseGoal) {}
+  private record Part(
+      boolean answers,
+      boolean reading,
+      long tokens,
+      Duration pauseGoal,
+      double value,
+      boolean late) {
+
+    Part afterReading() {
+      return new Part(answers, false, tokens, pauseGoal, value, late);
+    }
+
+    Part madeLate() {
+      return new Part(answers, reading, tokens, pauseGoal, value, true);
+    }
+  }
 
   BackendServer server() {
     return server;
@@ -49,16 +66,17 @@
       long tokens,
       Duration pauseGoal,
       double nowMillis) {
-    parts.put(request, new Part(answers, true, tokens, pauseGoal));
+    if (readMillis > readRoomMillis(nowMillis)) {
+      parts.replaceAll((id, part) -> part.madeLate());
+    }
+    double value = figures.value(answers ? tokens : 0);
+    parts.put(request, new Part(answers, true, tokens, pauseGoal, value, false));
     readUntilMillis = Math.max(readUntilMillis, nowMillis) + readMillis;
   }
 
   /** Notes that a request's prompt has been read. */
   void endReading(RequestId request, double nowMillis) {
-    parts.computeIfPresent(
-        request,
-        (id, part) ->
-            part.answers() ? new Part(true, false, part.tokens(), part.pauseGoal()) : null);
+    parts.computeIfPresent(request, (id, part) -> part.answers() ? part.afterReading() : null);
     correctReading(nowMillis);
   }
 
@@ -102,11 +120,19 @@
     return writers == 0 ? 0 : figures.passMillis(writers, usedTokens());
   }
 
+  /** Returns the worth of the answers here that more reading than there is room for makes late. */
+  double valueOnTime() {
+    return parts.values().stream()
+        .filter(part -> part.answers() && !part.late())
+        .mapToDouble(Part::value)
+        .sum();
+  }
+
   /** Returns the reading that one pass has room for before an event here would be late. */
   double readRoomMillis(double nowMillis) {
     double tightest =
         parts.values().stream()
-            .filter(Part::answers)
+            .filter(part -> part.answers() && !part.late())
             .mapToDouble(part -> part.pauseGoal().toMillis())
             .min()
             .orElse(Double.MAX_VALUE);
--- a/core/src/main/java/dev/apricotmill/core/relay/EngineFigures.java
+++ b/core/src/main/java/dev/apricotmill/core/relay/EngineFigures.java
@@ -12,6 +12,7 @@
  * @param pairMillisPerMillion what a million pairs of a token and an earlier one add to reading, in
  *     milliseconds
  * @param stepsPerPass token steps of a pass in which a request writes
+ * @param usualPromptTokens the mean length of prompts
  */
 public record EngineFigures(
     int slots,
@@ -21,10 +22,14 @@
     double stepMillisPerThousandContextTokens,
     double promptTokensPerMillisecond,
     double pairMillisPerMillion,
-    int stepsPerPass) {
+    int stepsPerPass,
+    long usualPromptTokens) {
 
   private static final double PAIRS_PER_MILLION = 1e6;
 
+  /** The part of a request's value that does not grow with its prompt. */
+  private static final double FIXED_VALUE = 0.3;
+
   /** Returns how long one engine reads a prompt that it has to itself, in milliseconds. */
   public double readMillis(long promptTokens) {
     double pairs = 0.5 * promptTokens * promptTokens;
@@ -32,6 +37,14 @@
         + pairs / PAIRS_PER_MILLION * pairMillisPerMillion;
   }
 
+  /**
+   * Returns what a request is worth beside one of usual length. The fixed part keeps the shortest
+   * ones from counting for nothing.
+   */
+  public double value(long promptTokens) {
+    return FIXED_VALUE + (1 - FIXED_VALUE) * promptTokens / usualPromptTokens;
+  }
+
   /** Returns how long a pass takes in which requests write and none reads, in milliseconds. */
   public double passMillis(int writers, long contextTokens) {
     return stepsPerPass
