Parts of long prompts cost for each writer beside them; speed counts by its square

Ruled out: two dispatchers (one decided in the window looked at); slow engines (pauses equal to parts).

--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
@@ -29,6 +29,12 @@
   /** What one more part must save to be worth a share of another engine, in values of requests. */
   private static final double PART_VALUE = 0.003;
 
+  /**
+   * What a part costs for each writer beside it, in values of requests: it takes room that short
+   * questions would fill, and spreads them over more engines.
+   */
+  private static final double CROWD_VALUE = 0.002;
+
   /** The part of its value that an answer loses when it is late. */
   private static final double LATE_SHARE = 0.75;
 
@@ -139,14 +145,15 @@
     double value = 0;
     for (PoolMember member : members) {
       finish = Math.max(finish, finishMillis(member, part));
-      value += harmValue(member, part);
+      value += harmValue(member, part) + CROWD_VALUE * member.answering();
     }
     double own = figures.value(ask.size().promptTokens());
     double goal = Math.max(1, ask.goal().toMillis() * GOAL_SHARE);
     if (finish > goal) {
       value += own * LATE_SHARE;
     }
-    value += own * SPEED_SHARE * finish / goal + PART_VALUE * parts;
+    double urgency = finish / goal;
+    value += own * SPEED_SHARE * urgency * urgency + PART_VALUE * parts;
     return new Plan(members, finish, value);
   }
 
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayAnswer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayAnswer.java
@@ -28,6 +28,8 @@
   private boolean begun;
   private boolean first;
   private long firstEventNanos = -1;
+  private long lastEventNanos = -1;
+  private long longestPauseNanos;
 
   RelayAnswer(Route route, OptionalLong resumeAfter, RelayCaller caller) {
     this.route = route;
@@ -55,7 +57,10 @@
       begun = true;
       firstEventNanos = nowNanos;
       caller.begin(status(), headers());
+    } else {
+      longestPauseNanos = Math.max(longestPauseNanos, nowNanos - lastEventNanos);
     }
+    lastEventNanos = nowNanos;
     caller.write(whole);
     return whole.length;
   }
@@ -94,6 +99,10 @@
     return firstEventNanos < 0 ? -1 : Duration.ofNanos(firstEventNanos - sinceNanos).toMillis();
   }
 
+  long longestPauseMillis() {
+    return Duration.ofNanos(longestPauseNanos).toMillis();
+  }
+
   /** Drops what came of an answer that broke off, less what the caller has. */
   void onBreak() {
     events.dropPartial();
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -288,6 +288,8 @@
             mayHaveRun,
             "first_event_ms",
             answer.firstEventMillis(arrivedNanos),
+            "longest_pause_ms",
+            answer.longestPauseMillis(),
             "took_ms",
             Duration.ofNanos(tookNanos).toMillis()));
     node.meters().answered(tookNanos);
