--- /dev/null
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/PrefixFollowerTest.java
@@ -0,0 +1,127 @@
+package dev.apricotmill.coordination.follow;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.Platform;
+import dev.apricotmill.coordination.platform.PlatformFailure;
+import dev.apricotmill.coordination.platform.Precondition;
+import dev.apricotmill.coordination.platform.StoredObject;
+import dev.apricotmill.coordination.platform.WatchResult;
+import dev.apricotmill.coordination.testing.FakePlatform;
+import dev.apricotmill.coordination.testing.PlatformFault;
+import dev.apricotmill.coordination.testing.VirtualScheduler;
+import dev.apricotmill.coordination.testing.VirtualTime;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+final class PrefixFollowerTest {
+
+  private static final FollowSettings SETTINGS =
+      new FollowSettings(
+          Duration.ofSeconds(2),
+          Duration.ofSeconds(1),
+          Duration.ofMillis(100),
+          Duration.ofMillis(800));
+
+  private final VirtualTime time = new VirtualTime();
+  private final FakePlatform store = new FakePlatform(time);
+  private final VirtualScheduler scheduler = time.newScheduler();
+  private final Platform client = store.clientFor("n1", new Zone("a"), scheduler);
+  private final Platform operator =
+      store.clientFor("operator", new Zone("a"), time.newScheduler());
+  private final Recorder recorder = new Recorder();
+  private final PrefixFollower follower =
+      new PrefixFollower(client, time.timingOf(scheduler), "things/", SETTINGS, recorder);
+
+  @Test
+  void theContentComesFirstAndThenEachChange() {
+    put("things/a", "1");
+    follower.start();
+    time.advance(Duration.ofMillis(100));
+
+    put("things/b", "2");
+
+    assertThat(recorder.seen).containsExactly("content a=1", "changed b=2").inOrder();
+  }
+
+  @Test
+  void lostHistoryIsMadeUpByAList() {
+    follower.start();
+    time.advance(Duration.ofMillis(100));
+    store.failProcess("n1", PlatformFault.UNREACHABLE);
+    time.advance(Duration.ofSeconds(3));
+    put("things/a", "1");
+    store.compact();
+    store.heal();
+
+    time.advance(Duration.ofSeconds(4));
+
+    assertThat(recorder.seen).contains("content a=1");
+  }
+
+  @Test
+  void anOutageIsReportedAndAskedOfLessAndLessOften() {
+    store.fail(PlatformFault.UNREACHABLE, request -> true);
+    follower.start();
+
+    time.advance(Duration.ofSeconds(10));
+
+    assertThat(recorder.failures.size()).isAtLeast(10);
+    assertThat(recorder.failures.size()).isAtMost(40);
+  }
+
+  @Test
+  void theMomentOfAReadIsThatBeforeItWasSent() {
+    follower.start();
+    time.advance(Duration.ofSeconds(5));
+
+    assertThat(recorder.moments.get(0).steadyNanos()).isEqualTo(0);
+    assertThat(recorder.moments).isInOrder((a, b) -> Long.compare(
+        ((ReadMoment) a).steadyNanos(), ((ReadMoment) b).steadyNanos()));
+    long last = recorder.moments.get(recorder.moments.size() - 1).steadyNanos();
+    assertThat(Duration.ofNanos(time.nanoTime() - last)).isAtMost(Duration.ofMillis(4_100));
+  }
+
+  private void put(String path, String value) {
+    operator.put(
+        new ObjectKey(path),
+        value.getBytes(StandardCharsets.UTF_8),
+        Precondition.absent(),
+        Duration.ofSeconds(1));
+    time.advance(Duration.ofMillis(50));
+  }
+
+  private static final class Recorder implements FollowListener {
+
+    private final List<String> seen = new ArrayList<>();
+    private final List<PlatformFailure> failures = new ArrayList<>();
+    private final List<ReadMoment> moments = new ArrayList<>();
+
+    @Override
+    public void onContent(ImmutableList<StoredObject> objects, ReadMoment moment) {
+      moments.add(moment);
+      objects.forEach(object -> seen.add("content " + text(object)));
+    }
+
+    @Override
+    public void onChanges(WatchResult.Changes changes, ReadMoment moment) {
+      moments.add(moment);
+      changes.changed().forEach(object -> seen.add("changed " + text(object)));
+    }
+
+    @Override
+    public void onUnavailable(PlatformFailure failure) {
+      failures.add(failure);
+    }
+
+    private static String text(StoredObject object) {
+      return object.key().path().substring("things/".length()) + "=" + object.text();
+    }
+  }
+}
--- /dev/null
+++ b/node/src/test/java/dev/apricotmill/node/relay/EventCutterTest.java
@@ -0,0 +1,81 @@
+package dev.apricotmill.node.relay;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.OptionalLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+final class EventCutterTest {
+
+  private static final String STREAM =
+      "id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\nid: 3\ndata: a\ndata: b\n\n";
+
+  private final EventCutter cutter = new EventCutter(OptionalLong.empty());
+
+  @Test
+  void onlyWholeEventsPass() {
+    assertThat(text(cutter.add(bytes("id: 1\ndata: o")))).isEmpty();
+    assertThat(cutter.hasPartial()).isTrue();
+    assertThat(text(cutter.add(bytes("ne\n\nid: 2\n")))).isEqualTo("id: 1\ndata: one\n\n");
+    assertThat(cutter.lastId()).isEqualTo(OptionalLong.of(1));
+  }
+
+  @Test
+  void aPartialEventOfABrokenStreamIsDropped() {
+    cutter.add(bytes("id: 1\ndata: one\n\nid: 2\ndata: tw"));
+
+    cutter.dropPartial();
+
+    assertThat(text(cutter.add(bytes("id: 2\ndata: two\n\n")))).isEqualTo("id: 2\ndata: two\n\n");
+    assertThat(cutter.isOutOfOrder()).isFalse();
+  }
+
+  @Test
+  void anEventThatCameBeforeIsOutOfOrder() {
+    cutter.add(bytes("id: 1\n\nid: 2\n\n"));
+
+    cutter.add(bytes("id: 2\n\n"));
+
+    assertThat(cutter.isOutOfOrder()).isTrue();
+  }
+
+  @Test
+  void aResumedStreamGoesOnAfterTheEventThatTheCallerHas() {
+    EventCutter resumed = new EventCutter(OptionalLong.of(7));
+
+    resumed.add(bytes("id: 7\n\n"));
+
+    assertThat(resumed.isOutOfOrder()).isTrue();
+  }
+
+  @Property(tries = 300)
+  void theBytesThatPassDoNotDependOnHowTheyAreCut(
+      @ForAll @IntRange(min = 0, max = 60) int first, @ForAll @IntRange(min = 0, max = 60) int second) {
+    EventCutter pieces = new EventCutter(OptionalLong.empty());
+    byte[] all = bytes(STREAM);
+    int low = Math.min(Math.min(first, second), all.length);
+    int high = Math.min(Math.max(first, second), all.length);
+
+    String passed =
+        text(pieces.add(Arrays.copyOfRange(all, 0, low)))
+            + text(pieces.add(Arrays.copyOfRange(all, low, high)))
+            + text(pieces.add(Arrays.copyOfRange(all, high, all.length)));
+
+    assertThat(passed).isEqualTo(STREAM);
+    assertThat(pieces.lastId()).isEqualTo(OptionalLong.of(3));
+    assertThat(pieces.isOutOfOrder()).isFalse();
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static String text(byte[] bytes) {
+    return new String(bytes, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -0,0 +1,242 @@
+package dev.apricotmill.node.relay;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.testing.VirtualTime;
+import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.relay.BackendServer;
+import dev.apricotmill.core.relay.CallerLimits;
+import dev.apricotmill.core.relay.ConfigurationProof;
+import dev.apricotmill.core.relay.EngineFigures;
+import dev.apricotmill.core.relay.GenerationSize;
+import dev.apricotmill.core.relay.RelayRefusal;
+import dev.apricotmill.core.relay.RepeatPolicy;
+import dev.apricotmill.core.relay.Route;
+import dev.apricotmill.core.relay.RouteTable;
+import dev.apricotmill.core.relay.ServiceProfile;
+import dev.apricotmill.core.relay.ServingConfiguration;
+import dev.apricotmill.core.relay.WeightedService;
+import dev.apricotmill.core.request.CustomerId;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.request.RequestId;
+import dev.apricotmill.core.request.ServiceName;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.jspecify.annotations.Nullable;
+
+/** A relay on virtual time, between a recorded caller and scripted backend servers. */
+final class RelayFixture {
+
+  static final ServiceName POOL = new ServiceName("pool");
+  static final ServiceName DESK = new ServiceName("desk");
+  private static final Duration PROOF_AGE = Duration.ofMillis(4600);
+
+  final VirtualTime time = new VirtualTime();
+  final Timing timing = time.newTiming();
+  final List<SentExchange> sent = new ArrayList<>();
+  final List<String> log = new ArrayList<>();
+  final RelayNode node;
+
+  RelayFixture(int retryReserve) {
+    LocalPlacements placements = new LocalPlacements(timing);
+    node =
+        new RelayNode(
+            timing,
+            new RelaySettings(PROOF_AGE, Duration.ofSeconds(10), 0, retryReserve),
+            this::send,
+            placements,
+            (event, fields) -> log.add(event + " " + fields),
+            new SimpleMeterRegistry());
+    node.update(view -> view.withConfiguration(configuration(1), Optional.of(proof())));
+    placements.update(node.update(view -> view.withServers(servers())));
+  }
+
+  private BackendPort.Exchange send(BackendPort.BackendSend send, BackendPort.Listener listener) {
+    SentExchange exchange = new SentExchange(send, listener);
+    sent.add(exchange);
+    return () -> exchange.cancelled = true;
+  }
+
+  ConfigurationProof proof() {
+    return new ConfigurationProof(timing.nanoTime(), timing.clock().millis());
+  }
+
+  /** Takes a request to {@code path} and runs what is due. */
+  RecordedCaller accept(String path) {
+    return accept(path, OptionalLong.empty());
+  }
+
+  RecordedCaller accept(String path, OptionalLong resumeAfter) {
+    RecordedCaller caller = new RecordedCaller();
+    node.accept(
+        new RelayRequest(
+            new RequestId("r1"),
+            "host",
+            "POST",
+            path,
+            ImmutableMap.of(),
+            new byte[0],
+            Optional.of("key"),
+            Optional.of(Duration.ofSeconds(5)),
+            path.startsWith("/stream/")
+                ? Optional.of(new GenerationSize(5_000, 100))
+                : Optional.empty(),
+            resumeAfter),
+        caller);
+    time.runDue();
+    return caller;
+  }
+
+  SentExchange last() {
+    return sent.get(sent.size() - 1);
+  }
+
+  private static ImmutableMap<ReplicaId, BackendServer> servers() {
+    ImmutableMap.Builder<ReplicaId, BackendServer> servers = ImmutableMap.builder();
+    for (ServiceName service : List.of(POOL, DESK)) {
+      for (int i = 0; i < 3; i++) {
+        ReplicaId id = new ReplicaId(service.value() + i);
+        servers.put(
+            id,
+            new BackendServer(
+                id, service, new PeerAddress("10.0.0.1", 80), new Zone("a"), 4, true, 1));
+      }
+    }
+    return servers.buildOrThrow();
+  }
+
+  static ServingConfiguration configuration(long version) {
+    return new ServingConfiguration(
+        version,
+        new RouteTable(
+            List.of(
+                route("order", Route.AnswerKind.WHOLE, RepeatPolicy.AT_MOST_ONCE, 1, DESK),
+                route("read", Route.AnswerKind.WHOLE, RepeatPolicy.REPEATABLE, 2, DESK),
+                route("stream", Route.AnswerKind.STREAM, RepeatPolicy.REPEATABLE, 2, POOL),
+                route("once", Route.AnswerKind.STREAM, RepeatPolicy.AT_MOST_ONCE, 2, POOL))),
+        ImmutableMap.of(
+            POOL,
+            new ServiceProfile(
+                POOL,
+                100,
+                Optional.of(new EngineFigures(4, 450_000, 1, 0.01, 0.003, 256, 0.1, 46, 13_000))),
+            DESK,
+            new ServiceProfile(DESK, 100, Optional.empty())),
+        ImmutableMap.of("key", new CustomerId("customer")),
+        true,
+        new CallerLimits(16 << 10, 4 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
+  }
+
+  private static Route route(
+      String name, Route.AnswerKind kind, RepeatPolicy repeats, int sends, ServiceName service) {
+    return new Route(
+        name,
+        "host",
+        "/" + name + "/",
+        kind,
+        repeats,
+        Duration.ofSeconds(3),
+        Duration.ofMillis(300),
+        Optional.of(Duration.ofMillis(200)),
+        1,
+        sends,
+        false,
+        ImmutableList.of(new WeightedService(service, 1)));
+  }
+
+  /** A send that the test answers. */
+  final class SentExchange {
+
+    final BackendPort.BackendSend send;
+    private final BackendPort.Listener listener;
+    boolean cancelled;
+
+    SentExchange(BackendPort.BackendSend send, BackendPort.Listener listener) {
+      this.send = send;
+      this.listener = listener;
+    }
+
+    void head(int status, boolean notRun) {
+      listener.onHead(
+          new BackendPort.Head(
+              status, ImmutableMap.of("from", send.server().id().value()), notRun));
+      time.runDue();
+    }
+
+    void body(String text) {
+      listener.onBody(text.getBytes(StandardCharsets.UTF_8));
+      time.runDue();
+    }
+
+    void end() {
+      listener.onEnd();
+      time.runDue();
+    }
+
+    void fail(boolean mayHaveLeft) {
+      listener.onFailure(mayHaveLeft, "test");
+      time.runDue();
+    }
+  }
+
+  /** What a caller saw. */
+  static final class RecordedCaller implements RelayCaller {
+
+    final StringBuilder body = new StringBuilder();
+    @Nullable RelayRefusal refusal;
+    int status;
+    ImmutableMap<String, String> headers = ImmutableMap.of();
+    boolean ended;
+    boolean aborted;
+    private Runnable gone = () -> {};
+
+    void leave() {
+      gone.run();
+    }
+
+    @Override
+    public void refuse(RelayRefusal reason, Duration comeBack) {
+      refusal = reason;
+    }
+
+    @Override
+    public void answer(int newStatus, ImmutableMap<String, String> newHeaders, byte[] newBody) {
+      begin(newStatus, newHeaders);
+      write(newBody);
+      end();
+    }
+
+    @Override
+    public void begin(int newStatus, ImmutableMap<String, String> newHeaders) {
+      status = newStatus;
+      headers = newHeaders;
+    }
+
+    @Override
+    public void write(byte[] piece) {
+      body.append(new String(piece, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void end() {
+      ended = true;
+    }
+
+    @Override
+    public void abort() {
+      aborted = true;
+    }
+
+    @Override
+    public void whenGone(Runnable task) {
+      gone = task;
+    }
+  }
+}
--- /dev/null
+++ b/node/src/test/java/dev/apricotmill/node/relay/SharedPlacementsTest.java
@@ -0,0 +1,168 @@
+package dev.apricotmill.node.relay;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.coordination.identity.DaemonId;
+import dev.apricotmill.coordination.identity.Incarnation;
+import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.coordination.membership.MemberState;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.membership.RendezvousHash;
+import dev.apricotmill.core.pool.Placement;
+import dev.apricotmill.core.pool.PlacementAsk;
+import dev.apricotmill.core.pool.WorkReport;
+import dev.apricotmill.core.relay.GenerationSize;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.request.RequestId;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+final class SharedPlacementsTest {
+
+  private final RelayFixture relay = new RelayFixture(1);
+  private final LocalPlacements local = new LocalPlacements(relay.timing);
+  private final ScriptedPeers peers = new ScriptedPeers();
+  private final List<String> events = new ArrayList<>();
+  private final ImmutableList<Member> ranked = rankedMembers();
+  private final SharedPlacements placements =
+      new SharedPlacements(
+          relay.timing, local, peers, ranked.get(2), (event, fields) -> events.add(event));
+  private final List<Placement> decisions = new ArrayList<>();
+
+  SharedPlacementsTest() {
+    local.update(relay.node.view());
+    placements.updateMembers(ranked);
+    peers.reports.clear();
+  }
+
+  @Test
+  void theDispatcherOfThePoolDecides() {
+    placements.place(ask("r1"), decisions::add);
+    peers.answer(Optional.of(granted("pool2")));
+
+    assertThat(peers.asked).containsExactly(ranked.get(0).address());
+    assertThat(decisions).containsExactly(granted("pool2"));
+  }
+
+  @Test
+  void aSilentDispatcherIsReplacedByTheNextAndThatOneHearsOfRunningWork() {
+    placements.place(ask("r1"), decisions::add);
+    peers.answer(Optional.of(granted("pool2")));
+    placements.place(ask("r2"), decisions::add);
+    peers.answer(Optional.empty());
+    assertThat(decisions).hasSize(2);
+
+    placements.place(ask("r3"), decisions::add);
+
+    assertThat(peers.asked).containsExactly(
+        ranked.get(0).address(), ranked.get(0).address(), ranked.get(1).address());
+    assertThat(peers.reports).contains(new WorkReport.Running(ask("r1"), granted("pool2"), true));
+    assertThat(events).containsAtLeast("dispatcher.silent", "dispatcher.changed");
+  }
+
+  @Test
+  void questionsThatWereOpenTogetherCountAsOneSilence() {
+    placements.place(ask("r1"), decisions::add);
+    Consumer<Optional<Placement>> first = peers.then;
+    placements.place(ask("r2"), decisions::add);
+    Consumer<Optional<Placement>> second = peers.then;
+    first.accept(Optional.empty());
+    second.accept(Optional.empty());
+    relay.time.runDue();
+
+    relay.time.advance(Duration.ofMillis(501));
+    placements.place(ask("r3"), decisions::add);
+
+    assertThat(peers.asked.get(2)).isEqualTo(ranked.get(0).address());
+  }
+
+  @Test
+  void aNodeAloneDecidesByItsOwnLedger() {
+    placements.updateMembers(ImmutableList.of());
+
+    placements.place(ask("r1"), decisions::add);
+
+    assertThat(decisions).hasSize(1);
+    assertThat(decisions.get(0)).isInstanceOf(Placement.Granted.class);
+    assertThat(peers.asked).isEmpty();
+  }
+
+  @Test
+  void theDispatcherHearsOfTheEndOfWork() {
+    placements.place(ask("r1"), decisions::add);
+    peers.answer(Optional.of(granted("pool2")));
+
+    placements.firstEvent(RelayFixture.POOL, new RequestId("r1"));
+    placements.ended(RelayFixture.POOL, new RequestId("r1"));
+    relay.time.advance(Duration.ofMillis(20));
+
+    assertThat(peers.reports)
+        .containsExactly(
+            new WorkReport.FirstEvent(RelayFixture.POOL, new RequestId("r1")),
+            new WorkReport.Ended(RelayFixture.POOL, new RequestId("r1")))
+        .inOrder();
+  }
+
+  private static Placement.Granted granted(String server) {
+    return new Placement.Granted(new ReplicaId(server), ImmutableList.of(), Duration.ofMillis(50));
+  }
+
+  private static PlacementAsk ask(String request) {
+    return new PlacementAsk(
+        new RequestId(request),
+        RelayFixture.POOL,
+        new GenerationSize(5_000, 100),
+        Duration.ofMillis(300),
+        Duration.ofMillis(200),
+        Duration.ofSeconds(5),
+        ImmutableSet.of());
+  }
+
+  private static ImmutableList<Member> rankedMembers() {
+    ImmutableList.Builder<Member> members = ImmutableList.builder();
+    for (int i = 0; i < 3; i++) {
+      members.add(
+          new Member(
+              new Incarnation(new DaemonId("n" + i), 1),
+              new Zone("a"),
+              new PeerAddress("10.0.1." + i, 90),
+              MemberState.ALIVE));
+    }
+    return RendezvousHash.ranked(members.build(), RelayFixture.POOL.value())
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private final class ScriptedPeers implements PlacementPeers {
+
+    private final List<PeerAddress> asked = new ArrayList<>();
+    private final List<WorkReport> reports = new ArrayList<>();
+    private Consumer<Optional<Placement>> then = decision -> {};
+
+    @Override
+    public void ask(
+        PeerAddress peer,
+        PlacementAsk ask,
+        Duration timeout,
+        Consumer<Optional<Placement>> newThen) {
+      asked.add(peer);
+      then = newThen;
+    }
+
+    @Override
+    public void report(PeerAddress peer, ImmutableList<WorkReport> newReports) {
+      reports.addAll(newReports);
+    }
+
+    private void answer(Optional<Placement> decision) {
+      then.accept(decision);
+      relay.time.runDue();
+    }
+  }
+}
