--- a/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
@@ -57,7 +57,8 @@
 
   @Test
   void anEntryWhoseWriteWasLostIsWrittenAgain() {
-    store.failNext(1, PlatformFault.UNREACHABLE, request -> request.operation() == PlatformOperation.PUT);
+    store.failNext(
+        1, PlatformFault.UNREACHABLE, request -> request.operation() == PlatformOperation.PUT);
     start("n1", 1);
 
     time.advance(Duration.ofSeconds(4));
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/PrefixFollowerTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/PrefixFollowerTest.java
@@ -33,8 +33,7 @@
   private final FakePlatform store = new FakePlatform(time);
   private final VirtualScheduler scheduler = time.newScheduler();
   private final Platform client = store.clientFor("n1", new Zone("a"), scheduler);
-  private final Platform operator =
-      store.clientFor("operator", new Zone("a"), time.newScheduler());
+  private final Platform operator = store.clientFor("operator", new Zone("a"), time.newScheduler());
   private final Recorder recorder = new Recorder();
   private final PrefixFollower follower =
       new PrefixFollower(client, time.timingOf(scheduler), "things/", SETTINGS, recorder);
@@ -82,8 +81,9 @@
     time.advance(Duration.ofSeconds(5));
 
     assertThat(recorder.moments.get(0).steadyNanos()).isEqualTo(0);
-    assertThat(recorder.moments).isInOrder((a, b) -> Long.compare(
-        ((ReadMoment) a).steadyNanos(), ((ReadMoment) b).steadyNanos()));
+    assertThat(recorder.moments)
+        .isInOrder(
+            (a, b) -> Long.compare(((ReadMoment) a).steadyNanos(), ((ReadMoment) b).steadyNanos()));
     long last = recorder.moments.get(recorder.moments.size() - 1).steadyNanos();
     assertThat(Duration.ofNanos(time.nanoTime() - last)).isAtMost(Duration.ofMillis(4_100));
   }
--- /dev/null
+++ b/daemon/src/test/java/dev/apricotmill/daemon/inner/PlacementMessagesTest.java
@@ -0,0 +1,70 @@
+package dev.apricotmill.daemon.inner;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.core.pool.Placement;
+import dev.apricotmill.core.pool.PlacementAsk;
+import dev.apricotmill.core.pool.WorkReport;
+import dev.apricotmill.core.relay.GenerationSize;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.request.RequestId;
+import dev.apricotmill.core.request.ServiceName;
+import dev.apricotmill.protocol.generated.WorkEvent;
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+final class PlacementMessagesTest {
+
+  private static final ServiceName POOL = new ServiceName("pool");
+  private static final RequestId REQUEST = new RequestId("r1");
+  private static final PlacementAsk ASK =
+      new PlacementAsk(
+          REQUEST,
+          POOL,
+          new GenerationSize(210_000, 800),
+          Duration.ofMillis(-20),
+          Duration.ofMillis(800),
+          Duration.ofMillis(12_000),
+          ImmutableSet.of(new ReplicaId("a")));
+  private static final Placement.Granted GRANTED =
+      new Placement.Granted(
+          new ReplicaId("b"), ImmutableList.of(new ReplicaId("c")), Duration.ofMillis(300));
+
+  @Test
+  void aQuestionSurvivesTheWire() {
+    assertThat(PlacementMessages.ask(PlacementMessages.message(ASK))).isEqualTo(ASK);
+  }
+
+  @Test
+  void everyDecisionSurvivesTheWire() {
+    for (Optional<Placement> decision :
+        ImmutableList.of(
+            Optional.<Placement>of(GRANTED),
+            Optional.<Placement>of(new Placement.Full(Duration.ofMillis(500))),
+            Optional.<Placement>empty())) {
+      assertThat(PlacementMessages.decision(PlacementMessages.message(decision)))
+          .isEqualTo(decision);
+    }
+  }
+
+  @Test
+  void everyReportSurvivesTheWire() {
+    for (WorkReport report :
+        ImmutableList.of(
+            new WorkReport.FirstEvent(POOL, REQUEST),
+            new WorkReport.Ended(POOL, REQUEST),
+            new WorkReport.Failed(POOL, new ReplicaId("a")),
+            new WorkReport.Running(ASK, GRANTED, true))) {
+      assertThat(PlacementMessages.report(PlacementMessages.message(report)))
+          .isEqualTo(Optional.of(report));
+    }
+  }
+
+  @Test
+  void aReportOfAnUnknownKindIsPassedOver() {
+    assertThat(PlacementMessages.report(WorkEvent.getDefaultInstance())).isEmpty();
+  }
+}
--- a/node/src/test/java/dev/apricotmill/node/relay/EventCutterTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/EventCutterTest.java
@@ -55,7 +55,8 @@
 
   @Property(tries = 300)
   void theBytesThatPassDoNotDependOnHowTheyAreCut(
-      @ForAll @IntRange(min = 0, max = 60) int first, @ForAll @IntRange(min = 0, max = 60) int second) {
+      @ForAll @IntRange(min = 0, max = 60) int first,
+      @ForAll @IntRange(min = 0, max = 60) int second) {
     EventCutter pieces = new EventCutter(OptionalLong.empty());
     byte[] all = bytes(STREAM);
     int low = Math.min(Math.min(first, second), all.length);
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayGateTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayGateTest.java
@@ -26,8 +26,7 @@
 
   @Test
   void aKeyThatWasTakenAwayIsUnknown() {
-    relay.node.update(
-        view -> view.withConfiguration(withoutKeys(2), Optional.of(relay.proof())));
+    relay.node.update(view -> view.withConfiguration(withoutKeys(2), Optional.of(relay.proof())));
 
     assertThat(relay.accept("/order/1").refusal).isEqualTo(RelayRefusal.UNKNOWN_KEY);
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/SharedPlacementsTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/SharedPlacementsTest.java
@@ -61,8 +61,8 @@
 
     placements.place(ask("r3"), decisions::add);
 
-    assertThat(peers.asked).containsExactly(
-        ranked.get(0).address(), ranked.get(0).address(), ranked.get(1).address());
+    assertThat(peers.asked)
+        .containsExactly(ranked.get(0).address(), ranked.get(0).address(), ranked.get(1).address());
     assertThat(peers.reports).contains(new WorkReport.Running(ask("r1"), granted("pool2"), true));
     assertThat(events).containsAtLeast("dispatcher.silent", "dispatcher.changed");
   }
