--- a/core/src/main/java/dev/apricotmill/core/pool/Placement.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/Placement.java
@@ -13,8 +13,11 @@
    * @param server the server that answers
    * @param helpers servers that read equal parts of the prompt beside it
    * @param expected the time in which the first event is expected
+   * @param reservedTokens memory that must be reserved at each helper, since the server cannot hold
+   *     the whole prompt; zero if it can
    */
-  record Granted(ReplicaId server, ImmutableList<ReplicaId> helpers, Duration expected)
+  record Granted(
+      ReplicaId server, ImmutableList<ReplicaId> helpers, Duration expected, long reservedTokens)
       implements Placement {}
 
   /**
--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses engines for one request.
@@ -56,6 +57,9 @@
   /** What a distrusted engine counts as being behind, in milliseconds. */
   private static final double DISTRUST_COST_MILLIS = 5_000;
 
+  /** Engines give memory out in blocks of this many tokens. */
+  private static final long MEMORY_BLOCK_TOKENS = 16;
+
   /** When a caller finds room again, if every slot is taken. */
   private static final Duration COME_BACK = Duration.ofMillis(500);
 
@@ -83,7 +87,7 @@
             .filter(member -> tokens <= figures.memoryTokens() - member.usedTokens())
             .collect(ImmutableList.toImmutableList());
     if (free.isEmpty()) {
-      return new Placement.Full(COME_BACK);
+      return placeReserved();
     }
     return readMillis <= SHORT_READ_MILLIS ? placeShort(free) : placeLong(free);
   }
@@ -97,7 +101,7 @@
             .filter(member -> member.readRoomMillis(nowMillis) >= readMillis)
             .max(Comparator.comparingInt(PoolMember::answering));
     PoolMember chosen = packed.orElseGet(() -> cheapest(free, this::firstEventMillis).get(0));
-    return grant(ImmutableList.of(chosen), firstEventMillis(chosen));
+    return grant(ImmutableList.of(chosen), firstEventMillis(chosen), 0);
   }
 
   private Placement placeLong(ImmutableList<PoolMember> free) {
@@ -115,7 +119,48 @@
         best = plan;
       }
     }
-    return grant(best.members(), best.finishMillis());
+    return grant(best.members(), best.finishMillis(), 0);
+  }
+
+  /** Places a prompt that no engine can hold: its helpers keep their parts in reserved memory. */
+  private Placement placeReserved() {
+    ImmutableList<PoolMember> open =
+        usable.stream()
+            .filter(member -> member.isTrusted(nowMillis))
+            .filter(member -> member.helping() < member.server().slots())
+            .collect(ImmutableList.toImmutableList())
+            .reverse();
+    @Nullable Plan best = null;
+    for (int parts = 2; parts <= Math.min(MOST_HELPERS + 1, open.size()); parts++) {
+      long partTokens = reservedTokens(parts);
+      ImmutableList<PoolMember> first =
+          withMemory(open, partTokens + ask.size().maximumOutputTokens()).stream()
+              .filter(member -> member.answering() < member.server().slots())
+              .collect(ImmutableList.toImmutableList());
+      ImmutableList<PoolMember> helping = withMemory(open, partTokens);
+      if (first.isEmpty() || helping.size() < parts) {
+        continue;
+      }
+      Plan plan = plan(parts, first, helping);
+      if (best == null || plan.cost() < best.cost()) {
+        best = plan;
+      }
+    }
+    return best == null
+        ? new Placement.Full(COME_BACK)
+        : grant(best.members(), best.finishMillis(), reservedTokens(best.members().size()));
+  }
+
+  /** Returns the memory that one of equal parts takes, in whole blocks with one to spare. */
+  private long reservedTokens(int parts) {
+    long part = (ask.size().promptTokens() + parts - 1) / parts;
+    return (part / MEMORY_BLOCK_TOKENS + 2) * MEMORY_BLOCK_TOKENS;
+  }
+
+  private ImmutableList<PoolMember> withMemory(ImmutableList<PoolMember> members, long needed) {
+    return members.stream()
+        .filter(member -> needed <= figures.memoryTokens() - member.usedTokens())
+        .collect(ImmutableList.toImmutableList());
   }
 
   /**
@@ -191,12 +236,16 @@
     return ImmutableList.sortedCopyOf(Comparator.comparingDouble(cost), members);
   }
 
-  private static Placement grant(ImmutableList<PoolMember> chosen, double expectedMillis) {
+  private static Placement grant(
+      ImmutableList<PoolMember> chosen, double expectedMillis, long reservedTokens) {
     ImmutableList<ReplicaId> ids =
         chosen.stream()
             .map(member -> member.server().id())
             .collect(ImmutableList.toImmutableList());
     return new Placement.Granted(
-        ids.get(0), ids.subList(1, ids.size()), Duration.ofMillis((long) expectedMillis));
+        ids.get(0),
+        ids.subList(1, ids.size()),
+        Duration.ofMillis((long) expectedMillis),
+        reservedTokens);
   }
 }
--- a/core/src/main/java/dev/apricotmill/core/pool/PoolLedger.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolLedger.java
@@ -82,13 +82,17 @@
         figures.readMillis(ask.size().promptTokens()) / (1 + granted.helpers().size());
     PoolMember first = members.get(granted.server());
     if (first != null) {
-      long tokens = ask.size().promptTokens() + ask.size().maximumOutputTokens();
+      long tokens =
+          ask.size().promptTokens()
+              + ask.size().maximumOutputTokens()
+              - granted.reservedTokens() * granted.helpers().size();
       first.add(ask.request(), true, partMillis, tokens, ask.pauseGoal(), nowMillis);
     }
     for (ReplicaId helper : granted.helpers()) {
       PoolMember member = members.get(helper);
       if (member != null) {
-        member.add(ask.request(), false, partMillis, 0, ask.pauseGoal(), nowMillis);
+        member.add(
+            ask.request(), false, partMillis, granted.reservedTokens(), ask.pauseGoal(), nowMillis);
       }
     }
     placed.put(ask.request(), new Placed(granted, nowMillis + ask.remaining().toMillis()));
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/PlacementMessages.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/PlacementMessages.java
@@ -108,7 +108,8 @@
     GrantedWork.Builder message =
         GrantedWork.newBuilder()
             .setServer(granted.server().value())
-            .setExpectedMillis(granted.expected().toMillis());
+            .setExpectedMillis(granted.expected().toMillis())
+            .setReservedTokens(granted.reservedTokens());
     granted.helpers().forEach(helper -> message.addHelpers(helper.value()));
     return message.build();
   }
@@ -119,6 +120,7 @@
         message.getHelpersList().stream()
             .map(ReplicaId::new)
             .collect(ImmutableList.toImmutableList()),
-        Duration.ofMillis(message.getExpectedMillis()));
+        Duration.ofMillis(message.getExpectedMillis()),
+        message.getReservedTokens());
   }
 }
--- a/daemon/src/test/java/dev/apricotmill/daemon/inner/PlacementMessagesTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/inner/PlacementMessagesTest.java
@@ -31,7 +31,7 @@
           ImmutableSet.of(new ReplicaId("a")));
   private static final Placement.Granted GRANTED =
       new Placement.Granted(
-          new ReplicaId("b"), ImmutableList.of(new ReplicaId("c")), Duration.ofMillis(300));
+          new ReplicaId("b"), ImmutableList.of(new ReplicaId("c")), Duration.ofMillis(300), 480);
 
   @Test
   void aQuestionSurvivesTheWire() {
--- a/node/src/main/java/dev/apricotmill/node/relay/BackendPort.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendPort.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 
 /** The port to backend servers. */
 public interface BackendPort {
@@ -15,6 +16,31 @@
   /** Sends a request once. Everything is reported to {@code listener}, on any thread. */
   Exchange send(BackendSend send, Listener listener);
 
+  /**
+   * Reserves memory at a server for a time that runs from its arrival there, or prolongs it.
+   *
+   * @param then takes the result, on any thread
+   */
+  void reserve(
+      BackendServer server,
+      String reservation,
+      long tokens,
+      Duration hold,
+      Consumer<ReserveResult> then);
+
+  /** Gives reserved memory back. */
+  void release(BackendServer server, String reservation);
+
+  /** What became of a reservation. */
+  enum ReserveResult {
+    /** The memory is reserved. */
+    RESERVED,
+    /** The server refused; nothing is reserved. */
+    REFUSED,
+    /** No answer came; the memory may be reserved, or may be so later. */
+    UNKNOWN
+  }
+
   /**
    * A request on its way to one server.
    *
@@ -30,9 +56,17 @@
       BackendServer server,
       Optional<CustomerId> customer,
       Duration left,
-      ImmutableList<PeerAddress> helpers,
+      ImmutableList<Helper> helpers,
       OptionalLong resumeAfter) {}
 
+  /**
+   * A server that reads a part of a prompt.
+   *
+   * @param address where it listens
+   * @param reservation names memory that is reserved there for the part
+   */
+  record Helper(PeerAddress address, Optional<String> reservation) {}
+
   /** A send that has not ended. */
   interface Exchange {
     /** Closes the connection; nothing is reported any more. */
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementAsk;
 import dev.apricotmill.core.relay.BackendServer;
@@ -53,6 +52,7 @@
   private @Nullable Future<?> deadlineTimer;
   private @Nullable Future<?> silenceTimer;
   private @Nullable Send current;
+  private @Nullable PartReservations reservations;
   private int sends;
   private int failedConnections;
   private boolean mayHaveRun;
@@ -146,17 +146,53 @@
       again(RelayRefusal.NO_SERVER);
       return;
     }
-    ImmutableList<PeerAddress> helpers =
+    ImmutableList<BackendServer> helpers =
         granted.helpers().stream()
             .map(servers::get)
             .filter(Objects::nonNull)
             .filter(BackendServer::ready)
-            .map(BackendServer::address)
             .collect(ImmutableList.toImmutableList());
-    send(server, helpers, granted.expected());
+    if (granted.reservedTokens() == 0) {
+      send(server, withoutReservation(helpers), granted.expected());
+    } else if (helpers.size() < granted.helpers().size()) {
+      again(RelayRefusal.NO_SERVER);
+    } else {
+      reserveAndSend(server, helpers, granted);
+    }
+  }
+
+  private static ImmutableList<BackendPort.Helper> withoutReservation(
+      ImmutableList<BackendServer> helpers) {
+    return helpers.stream()
+        .map(helper -> new BackendPort.Helper(helper.address(), Optional.empty()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private void reserveAndSend(
+      BackendServer server, ImmutableList<BackendServer> helpers, Placement.Granted granted) {
+    PartReservations parts = node.newReservations(request.id(), helpers, granted.reservedTokens());
+    reservations = parts;
+    parts.reserve(
+        all -> {
+          if (ended) {
+            return;
+          }
+          if (!all) {
+            again(RelayRefusal.OVERLOADED);
+            return;
+          }
+          send(
+              server,
+              helpers.stream()
+                  .map(
+                      helper -> new BackendPort.Helper(helper.address(), Optional.of(parts.name())))
+                  .collect(ImmutableList.toImmutableList()),
+              granted.expected());
+        });
   }
 
-  private void send(BackendServer server, ImmutableList<PeerAddress> helpers, Duration expected) {
+  private void send(
+      BackendServer server, ImmutableList<BackendPort.Helper> helpers, Duration expected) {
     if (left().compareTo(Duration.ofMillis(1)) < 0) {
       expire();
       return;
@@ -297,6 +333,11 @@
   }
 
   private void releasePlacement() {
+    PartReservations held = reservations;
+    if (held != null) {
+      reservations = null;
+      held.release();
+    }
     if (placed) {
       placed = false;
       node.placements().ended(service(), request.id());
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -1,8 +1,10 @@
 package dev.apricotmill.node.relay;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.coordination.retry.RetryBudget;
 import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.RelayRefusal;
 import dev.apricotmill.core.request.RequestId;
 import dev.apricotmill.core.request.ServiceName;
@@ -165,6 +167,11 @@
     log.write(event, ImmutableMap.copyOf(line));
   }
 
+  PartReservations newReservations(
+      RequestId request, ImmutableList<BackendServer> servers, long tokens) {
+    return new PartReservations(timing, backends, log, request, servers, tokens);
+  }
+
   Timing timing() {
     return timing;
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -29,6 +29,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /** A relay on virtual time, between a recorded caller and scripted backend servers. */
@@ -42,6 +43,9 @@
   final Timing timing = time.newTiming();
   final List<SentExchange> sent = new ArrayList<>();
   final List<String> log = new ArrayList<>();
+  final List<String> orders = new ArrayList<>();
+  BackendPort.ReserveResult reserveResult = BackendPort.ReserveResult.RESERVED;
+  long promptTokens = 5_000;
   final RelayNode node;
 
   RelayFixture(int retryReserve) {
@@ -50,7 +54,7 @@
         new RelayNode(
             timing,
             new RelaySettings(PROOF_AGE, Duration.ofSeconds(10), 0, retryReserve),
-            this::send,
+            new ScriptedBackends(),
             placements,
             (event, fields) -> log.add(event + " " + fields),
             new SimpleMeterRegistry());
@@ -58,10 +62,31 @@
     placements.update(node.update(view -> view.withServers(servers())));
   }
 
-  private BackendPort.Exchange send(BackendPort.BackendSend send, BackendPort.Listener listener) {
-    SentExchange exchange = new SentExchange(send, listener);
-    sent.add(exchange);
-    return () -> exchange.cancelled = true;
+  /** Records what is sent; reservations get the scripted result. */
+  private final class ScriptedBackends implements BackendPort {
+
+    @Override
+    public Exchange send(BackendSend send, Listener listener) {
+      SentExchange exchange = new SentExchange(send, listener);
+      sent.add(exchange);
+      return () -> exchange.cancelled = true;
+    }
+
+    @Override
+    public void reserve(
+        BackendServer server,
+        String reservation,
+        long tokens,
+        Duration hold,
+        Consumer<ReserveResult> then) {
+      orders.add("reserve " + server.id().value());
+      then.accept(reserveResult);
+    }
+
+    @Override
+    public void release(BackendServer server, String reservation) {
+      orders.add("release " + server.id().value());
+    }
   }
 
   ConfigurationProof proof() {
@@ -86,7 +111,7 @@
             Optional.of("key"),
             Optional.of(Duration.ofSeconds(5)),
             path.startsWith("/stream/")
-                ? Optional.of(new GenerationSize(5_000, 100))
+                ? Optional.of(new GenerationSize(promptTokens, 100))
                 : Optional.empty(),
             resumeAfter),
         caller);
--- a/node/src/test/java/dev/apricotmill/node/relay/SharedPlacementsTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/SharedPlacementsTest.java
@@ -111,7 +111,8 @@
   }
 
   private static Placement.Granted granted(String server) {
-    return new Placement.Granted(new ReplicaId(server), ImmutableList.of(), Duration.ofMillis(50));
+    return new Placement.Granted(
+        new ReplicaId(server), ImmutableList.of(), Duration.ofMillis(50), 0);
   }
 
   private static PlacementAsk ask(String request) {
