--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
@@ -142,7 +142,7 @@
         continue;
       }
       Plan plan = plan(parts, first, helping);
-      if (best == null || plan.cost() < best.cost()) {
+      if (delaysNobody(plan, parts) && (best == null || plan.cost() < best.cost())) {
         best = plan;
       }
     }
@@ -151,6 +151,17 @@
         : grant(best.members(), best.finishMillis(), reservedTokens(best.members().size()));
   }
 
+  /**
+   * Returns whether a plan makes no answer late, its own included. Reading grows with the square of
+   * the prompt: the largest prompts are worth the least for the time that they take, so they run
+   * only where engines are free.
+   */
+  private boolean delaysNobody(Plan plan, int parts) {
+    double part = readMillis / parts;
+    return plan.finishMillis() <= ask.goal().toMillis()
+        && plan.members().stream().allMatch(member -> harmValue(member, part) == 0);
+  }
+
   /** Returns the memory that one of equal parts takes, in whole blocks with one to spare. */
   private long reservedTokens(int parts) {
     long part = (ask.size().promptTokens() + parts - 1) / parts;
