--- a/core/src/main/java/dev/apricotmill/core/pool/PoolLedger.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolLedger.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.core.pool;
 
 import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.identity.Zone;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.EngineFigures;
 import dev.apricotmill.core.request.ReplicaId;
@@ -23,6 +24,16 @@
   private static final Duration DISTRUST = Duration.ofSeconds(3);
 
   private final Map<ReplicaId, PoolMember> members = new LinkedHashMap<>();
+
+  /** Servers of one zone that are lost within this time may have been lost together. */
+  private static final Duration ZONE_WINDOW = Duration.ofMillis(1500);
+
+  private static final int SERVERS_THAT_STAND_FOR_A_ZONE = 3;
+
+  /** A zone that was believed lost is tried again after this time. */
+  private static final Duration ZONE_DISTRUST = Duration.ofSeconds(2);
+
+  private final Map<Zone, Map<ReplicaId, Double>> unreachableMillis = new HashMap<>();
   private final Map<RequestId, Placed> placed = new HashMap<>();
   private EngineFigures figures;
 
@@ -109,11 +120,28 @@
     placed.remove(request);
   }
 
-  /** Notes that a server failed a request, so that it gets no new work for some time. */
-  public void failed(ReplicaId server, long nowNanos) {
+  /**
+   * Notes that a server failed a request, so that it gets no new work for some time. Servers of a
+   * zone that cannot be reached one after the other stand for their whole zone.
+   */
+  public void failed(ReplicaId server, boolean unreachable, long nowNanos) {
     PoolMember member = members.get(server);
-    if (member != null) {
-      member.distrust(millis(nowNanos) + DISTRUST.toMillis());
+    if (member == null) {
+      return;
+    }
+    double nowMillis = millis(nowNanos);
+    member.distrust(nowMillis + DISTRUST.toMillis());
+    if (!unreachable) {
+      return;
+    }
+    Zone zone = member.server().zone();
+    Map<ReplicaId, Double> lost = unreachableMillis.computeIfAbsent(zone, z -> new HashMap<>());
+    lost.values().removeIf(when -> nowMillis - when > ZONE_WINDOW.toMillis());
+    lost.put(server, nowMillis);
+    if (lost.size() >= SERVERS_THAT_STAND_FOR_A_ZONE) {
+      members.values().stream()
+          .filter(other -> other.server().zone().equals(zone))
+          .forEach(other -> other.distrust(nowMillis + ZONE_DISTRUST.toMillis()));
     }
   }
 
--- a/core/src/main/java/dev/apricotmill/core/pool/WorkReport.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/WorkReport.java
@@ -44,11 +44,12 @@
    *
    * @param service the pool
    * @param server the server
+   * @param unreachable whether the server could not be reached, rather than refused or broke off
    */
-  record Failed(ServiceName service, ReplicaId server) implements WorkReport {
+  record Failed(ServiceName service, ReplicaId server, boolean unreachable) implements WorkReport {
     @Override
     public void noteIn(PoolLedger ledger, long nowNanos) {
-      ledger.failed(server, nowNanos);
+      ledger.failed(server, unreachable, nowNanos);
     }
   }
 
--- a/node/src/main/java/dev/apricotmill/node/relay/BackendPort.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendPort.java
@@ -79,8 +79,11 @@
    * @param status the HTTP status
    * @param headers the headers to pass on
    * @param notRun whether the server says that it did not run the request
+   * @param atFault the server that a refusal blames, by its identifier or its address; empty if it
+   *     blames none
    */
-  record Head(int status, ImmutableMap<String, String> headers, boolean notRun) {}
+  record Head(
+      int status, ImmutableMap<String, String> headers, boolean notRun, Optional<String> atFault) {}
 
   /**
    * Learns of the answer. A head may follow nothing, bodies follow the head, one end comes last.
--- a/node/src/main/java/dev/apricotmill/node/relay/Placements.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/Placements.java
@@ -20,5 +20,5 @@
   void ended(ServiceName service, RequestId request);
 
   /** Tells that a server failed a request. */
-  void failed(ServiceName service, ReplicaId server);
+  void failed(ServiceName service, ReplicaId server, boolean unreachable);
 }
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayCallTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayCallTest.java
@@ -204,6 +204,18 @@
     assertThat(relay.node.openRequests()).isEqualTo(0);
   }
 
+  @Test
+  void aRefusalThatBlamesAHelperLeavesTheServerThatRefusedInUse() {
+    relay.accept("/stream/1");
+    SentExchange first = relay.last();
+    first.blamed = first.send.server().id().value().equals("pool1") ? "pool2" : "pool1";
+
+    first.head(503, true);
+
+    assertThat(relay.last().send.server()).isEqualTo(first.send.server());
+    assertThat(relay.sent).hasSize(2);
+  }
+
   @Test
   void theTimeThatIsLeftShrinksFromSendToSend() {
     relay.accept("/read/1");
