--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementAsk;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.GenerationSize;
@@ -13,7 +12,6 @@
 import dev.apricotmill.core.request.ServiceName;
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Future;
@@ -25,7 +23,7 @@
  *
  * <p>Runs on the relay's executor; so do the reports of its sends.
  */
-final class RelayCall {
+final class RelayCall implements RelaySend.Reports, EngineChoice.Result {
 
   /** Connections that may fail before a byte is sent; each failure takes a connect timeout. */
   private static final int MOST_FAILED_CONNECTIONS = 3;
@@ -33,12 +31,6 @@
   /** With less time than this left, a further send cannot be answered. */
   private static final Duration LEAST_TIME_FOR_RETRY = Duration.ofMillis(50);
 
-  /** What a first event may be later than expected before its server is given up. */
-  private static final Duration FIRST_EVENT_GRACE = Duration.ofMillis(1200);
-
-  /** What a pause may be at most before the server is given up; callers wait two seconds. */
-  private static final Duration LEAST_PAUSE_LIMIT = Duration.ofMillis(1500);
-
   private static final Duration COME_BACK = Duration.ofMillis(500);
 
   private final RelayNode node;
@@ -49,15 +41,14 @@
   private final long deadlineNanos;
   private final Set<ReplicaId> avoid = new HashSet<>();
   private final RelayAnswer answer;
+  private final EngineChoice engines;
   private @Nullable Future<?> deadlineTimer;
   private @Nullable Future<?> silenceTimer;
-  private @Nullable Send current;
-  private @Nullable PartReservations reservations;
+  private @Nullable RelaySend current;
   private int sends;
   private int failedConnections;
   private boolean mayHaveRun;
   private boolean ended;
-  private boolean placed;
 
   RelayCall(
       RelayNode node,
@@ -75,6 +66,7 @@
         patience.compareTo(allowed.route().timeout()) < 0 ? patience : allowed.route().timeout();
     deadlineNanos = arrivedNanos + limit.toNanos();
     answer = new RelayAnswer(allowed.route(), request.resumeAfter(), caller);
+    engines = new EngineChoice(node, this);
   }
 
   void start() {
@@ -97,7 +89,7 @@
 
   private void attempt() {
     if (request.size().isPresent() && allowed.service().engine().isPresent()) {
-      node.placements().place(ask(request.size().get()), this::onPlaced);
+      engines.find(ask(request.size().get()));
       return;
     }
     Optional<BackendServer> server =
@@ -125,70 +117,21 @@
         ImmutableSet.copyOf(avoid));
   }
 
-  private void onPlaced(Placement placement) {
-    if (ended) {
-      node.placements().ended(service(), request.id());
-    } else if (placement instanceof Placement.Granted granted) {
-      placed = true;
-      sendTo(granted);
-    } else if (placement instanceof Placement.Full full) {
-      giveUp(RelayRefusal.OVERLOADED, full.comeBack());
-    }
-  }
-
-  private void sendTo(Placement.Granted granted) {
-    ImmutableMap<ReplicaId, BackendServer> servers =
-        node.view().servers().orElse(ImmutableMap.of());
-    BackendServer server = servers.get(granted.server());
-    if (server == null || !server.ready()) {
-      // The dispatcher has not seen yet that the server is leaving.
-      avoid.add(granted.server());
-      again(RelayRefusal.NO_SERVER);
-      return;
-    }
-    ImmutableList<BackendServer> helpers =
-        granted.helpers().stream()
-            .map(servers::get)
-            .filter(Objects::nonNull)
-            .filter(BackendServer::ready)
-            .collect(ImmutableList.toImmutableList());
-    if (granted.reservedTokens() == 0) {
-      send(server, withoutReservation(helpers), granted.expected());
-    } else if (helpers.size() < granted.helpers().size()) {
-      again(RelayRefusal.NO_SERVER);
-    } else {
-      reserveAndSend(server, helpers, granted);
-    }
+  @Override
+  public void onEngines(
+      BackendServer server, ImmutableList<BackendPort.Helper> helpers, Duration expected) {
+    send(server, helpers, expected);
   }
 
-  private static ImmutableList<BackendPort.Helper> withoutReservation(
-      ImmutableList<BackendServer> helpers) {
-    return helpers.stream()
-        .map(helper -> new BackendPort.Helper(helper.address(), Optional.empty()))
-        .collect(ImmutableList.toImmutableList());
+  @Override
+  public void onUnusable(Optional<ReplicaId> server, RelayRefusal reason) {
+    server.ifPresent(avoid::add);
+    again(reason);
   }
 
-  private void reserveAndSend(
-      BackendServer server, ImmutableList<BackendServer> helpers, Placement.Granted granted) {
-    PartReservations parts = node.newReservations(request.id(), helpers, granted.reservedTokens());
-    reservations = parts;
-    parts.reserve(
-        all -> {
-          if (ended) {
-            return;
-          }
-          if (!all) {
-            again(RelayRefusal.OVERLOADED);
-            return;
-          }
-          send(
-              server,
-              helpers.stream()
-                  .map(
-                      helper -> new BackendPort.Helper(helper.address(), Optional.of(parts.name())))
-                  .collect(ImmutableList.toImmutableList()),
-              granted.expected());
-        });
+  @Override
+  public void onFull(Duration comeBack) {
+    giveUp(RelayRefusal.OVERLOADED, comeBack);
   }
 
   private void send(
@@ -198,7 +141,7 @@
       return;
     }
     sends++;
-    Send send = new Send(server);
+    RelaySend send = new RelaySend(server, node.timing().scheduler(), this);
     current = send;
     node.plainServers().begun(server.id());
     node.log(
@@ -212,36 +155,24 @@
             "left_ms", left().toMillis(),
             "expected_ms", expected.toMillis(),
             "configuration", node.view().configuration().map(known -> known.version()).orElse(0L)));
-    send.exchange =
-        node.backends()
-            .send(
-                new BackendPort.BackendSend(
-                    request, server, allowed.customer(), left(), helpers, answer.lastEvent()),
-                send);
+    send.start(
+        node.backends(),
+        new BackendPort.BackendSend(
+            request, server, allowed.customer(), left(), helpers, answer.lastEvent()));
     if (route().resumable()) {
-      watchSilence(firstEventLimit(expected));
+      watchSilence(SilenceLimits.firstEvent(route(), expected));
     }
   }
 
-  /**
-   * Returns when a server counts as silent that has sent no event. A prompt that is given up too
-   * early is read again, which makes a busy pool busier; so long ones get more time.
-   */
-  private Duration firstEventLimit(Duration expected) {
-    Duration grace =
-        FIRST_EVENT_GRACE.compareTo(route().goal()) < 0 ? route().goal() : FIRST_EVENT_GRACE;
-    return expected.multipliedBy(3).dividedBy(2).plus(grace);
-  }
-
   private void watchSilence(Duration limit) {
     stop(silenceTimer);
     silenceTimer = node.timing().schedule(limit, this::onSilence);
   }
 
   private void onSilence() {
-    Send silent = current;
+    RelaySend silent = current;
     if (silent != null && !ended && canSendAgain()) {
-      silent.fail(true, "silent", true);
+      fail(silent, true, "silent", true);
     }
   }
 
@@ -259,7 +190,7 @@
 
   /** Tries another server without a retry: nothing was sent to the one before. */
   private void again(RelayRefusal otherwise) {
-    releasePlacement();
+    engines.release();
     if (++failedConnections < MOST_FAILED_CONNECTIONS
         && left().compareTo(LEAST_TIME_FOR_RETRY) > 0) {
       attempt();
@@ -269,7 +200,7 @@
   }
 
   private void retryOr(RelayRefusal otherwise) {
-    releasePlacement();
+    engines.release();
     if (route().repeats().allowsSecondSend(mayHaveRun) && takeRetry()) {
       if (answer.hasBegun()) {
         node.meters().resumed();
@@ -314,11 +245,11 @@
     ended = true;
     stop(deadlineTimer);
     stop(silenceTimer);
-    Send last = current;
+    RelaySend last = current;
     if (last != null) {
-      last.cancel();
+      cancel(last);
     }
-    releasePlacement();
+    engines.end();
     long tookNanos = node.timing().nanoTime() - arrivedNanos;
     node.log(
         "relay.ended",
@@ -342,180 +273,113 @@
     node.ended();
   }
 
-  private void releasePlacement() {
-    PartReservations held = reservations;
-    if (held != null) {
-      reservations = null;
-      held.release();
-    }
-    if (placed) {
-      placed = false;
-      node.placements().ended(service(), request.id());
+  @Override
+  public void onHead(RelaySend send, BackendPort.Head head) {
+    if (head.notRun()) {
+      logFailure(send, "not_run " + head.status());
+      // The rest of a refusal is short; its exchange ends by itself and keeps the connection.
+      close(send);
+      blame(send, head.atFault());
+      retryOr(RelayRefusal.REFUSED_BY_SERVER);
+      return;
     }
+    mayHaveRun = true;
+    answer.onHead(head);
   }
 
-  private static void stop(@Nullable Future<?> timer) {
-    if (timer != null) {
-      timer.cancel(false);
-    }
+  /** Avoids the server that a refusal blames: one that could not help, or the one that refused. */
+  private void blame(RelaySend send, Optional<String> atFault) {
+    ReplicaId refusing = send.server().id();
+    ReplicaId blamed =
+        atFault.flatMap(name -> node.view().serverNamed(service(), name)).orElse(refusing);
+    avoid.add(blamed);
+    node.placements().failed(service(), blamed, !blamed.equals(refusing));
   }
 
-  /** One send to one server. Reports of a send that is over count no more. */
-  private final class Send implements BackendPort.Listener {
-
-    private final BackendServer server;
-    private BackendPort.@Nullable Exchange exchange;
-    private boolean over;
-
-    Send(BackendServer server) {
-      this.server = server;
-    }
-
-    @Override
-    public void onHead(BackendPort.Head head) {
-      run(() -> takeHead(head));
-    }
-
-    @Override
-    public void onBody(byte[] piece) {
-      run(() -> takeBody(piece));
-    }
-
-    @Override
-    public void onEnd() {
-      run(this::takeEnd);
-    }
-
-    @Override
-    public void onFailure(boolean sent, String reason) {
-      run(() -> fail(sent, reason, !sent));
-    }
-
-    private void run(Runnable task) {
-      node.timing()
-          .scheduler()
-          .execute(
-              () -> {
-                if (!over && !ended) {
-                  task.run();
-                }
-              });
-    }
-
-    void cancel() {
-      close();
-      BackendPort.Exchange open = exchange;
-      if (open != null) {
-        open.cancel();
+  @Override
+  public void onBody(RelaySend send, byte[] piece) {
+    int passed = answer.onBody(piece, node.timing().nanoTime());
+    if (answer.isOutOfOrder()) {
+      fail(send, true, "events out of order", false);
+    } else if (passed > 0 && answer.streams()) {
+      if (send.markStarted()) {
+        engines.firstEvent();
       }
-    }
-
-    private void close() {
-      if (!over) {
-        over = true;
-        current = null;
-        node.plainServers().ended(server.id());
+      if (answer.isFirst()) {
+        node.meters().firstEvent(node.timing().nanoTime() - arrivedNanos);
       }
+      watchSilence(SilenceLimits.pause(route()));
     }
+  }
 
-    private void takeHead(BackendPort.Head head) {
-      if (head.notRun()) {
-        logEnd("not_run " + head.status());
-        cancelKeepingConnection();
-        blame(head.atFault());
-        retryOr(RelayRefusal.REFUSED_BY_SERVER);
-        return;
-      }
-      mayHaveRun = true;
-      answer.onHead(head);
+  @Override
+  public void onEnd(RelaySend send) {
+    if (answer.isIncomplete()) {
+      fail(send, true, "ended within an event", false);
+      return;
     }
-
-    /**
-     * Avoids the server that a refusal blames: one that could not help, or the one that refused.
-     */
-    private void blame(Optional<String> atFault) {
-      ReplicaId blamed =
-          node.view().serversOf(service()).stream()
-              .filter(
-                  other ->
-                      atFault.isPresent()
-                          && (other.id().value().equals(atFault.get())
-                              || other.address().toString().equals(atFault.get())))
-              .findFirst()
-              .map(BackendServer::id)
-              .orElse(server.id());
-      avoid.add(blamed);
-      node.placements().failed(service(), blamed, !blamed.equals(server.id()));
+    close(send);
+    if (answer.isFailure() && route().repeats().allowsSecondSend(true) && takeRetry()) {
+      logFailure(send, "server error");
+      answer.keepAsFallback();
+      avoid.add(send.server().id());
+      engines.release();
+      attempt();
+      return;
     }
+    finish("ANSWERED");
+    answer.end();
+  }
 
-    private void cancelKeepingConnection() {
-      // The rest of a refusal is short; its exchange ends by itself and keeps the connection.
-      close();
-    }
+  @Override
+  public void onFailure(RelaySend send, boolean sent, String reason) {
+    fail(send, sent, reason, !sent);
+  }
 
-    private void takeBody(byte[] piece) {
-      int events = answer.onBody(piece, node.timing().nanoTime());
-      if (answer.isOutOfOrder()) {
-        fail(true, "events out of order", false);
-      } else if (events > 0 && answer.streams()) {
-        if (answer.isFirst()) {
-          node.placements().firstEvent(service(), request.id());
-          node.meters().firstEvent(node.timing().nanoTime() - arrivedNanos);
-        }
-        watchSilence(pauseLimit());
-      }
+  private void fail(RelaySend send, boolean sent, String reason, boolean unreachable) {
+    logFailure(send, reason);
+    cancel(send);
+    stop(silenceTimer);
+    ReplicaId server = send.server().id();
+    avoid.add(server);
+    node.placements().failed(service(), server, unreachable);
+    node.plainServers().failed(server, node.timing().nanoTime());
+    if (!sent) {
+      sends--;
+      again(RelayRefusal.NO_SERVER);
+      return;
     }
+    mayHaveRun = true;
+    answer.onBreak();
+    retryOr(RelayRefusal.BROKEN);
+  }
 
-    private Duration pauseLimit() {
-      Duration pause = route().pauseGoal().orElse(LEAST_PAUSE_LIMIT).multipliedBy(3);
-      return pause.compareTo(LEAST_PAUSE_LIMIT) < 0 ? LEAST_PAUSE_LIMIT : pause;
-    }
+  private void cancel(RelaySend send) {
+    close(send);
+    send.cancel();
+  }
 
-    private void takeEnd() {
-      if (answer.isIncomplete()) {
-        fail(true, "ended within an event", false);
-        return;
-      }
-      close();
-      if (answer.isFailure()
-          && route().repeats().allowsSecondSend(true)
-          && canSendAgain()
-          && node.budget(service()).tryTake()) {
-        node.meters().retried();
-        logEnd("server error");
-        answer.keepAsFallback();
-        avoid.add(server.id());
-        releasePlacement();
-        attempt();
-        return;
-      }
-      finish("ANSWERED");
-      answer.end();
+  private void close(RelaySend send) {
+    if (!send.isOver()) {
+      send.close();
+      current = null;
+      node.plainServers().ended(send.server().id());
     }
+  }
 
-    private void fail(boolean sent, String reason, boolean unreachable) {
-      logEnd(reason);
-      cancel();
-      stop(silenceTimer);
-      avoid.add(server.id());
-      node.placements().failed(service(), server.id(), unreachable);
-      node.plainServers().failed(server.id(), node.timing().nanoTime());
-      if (!sent) {
-        sends--;
-        again(RelayRefusal.NO_SERVER);
-        return;
-      }
-      mayHaveRun = true;
-      answer.onBreak();
-      retryOr(RelayRefusal.BROKEN);
-    }
+  private void logFailure(RelaySend send, String reason) {
+    node.log(
+        "relay.send_failed",
+        request.id(),
+        ImmutableMap.of(
+            "server", send.server().id().value(),
+            "reason", reason,
+            "left_ms", left().toMillis()));
+  }
 
-    private void logEnd(String reason) {
-      node.log(
-          "relay.send_failed",
-          request.id(),
-          ImmutableMap.of(
-              "server", server.id().value(), "reason", reason, "left_ms", left().toMillis()));
+  private static void stop(@Nullable Future<?> timer) {
+    if (timer != null) {
+      timer.cancel(false);
     }
   }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/ServingView.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServingView.java
@@ -56,6 +56,15 @@
         .collect(ImmutableList.toImmutableList());
   }
 
+  /** Returns the server of a service that has this identifier or this address. */
+  public Optional<ReplicaId> serverNamed(ServiceName service, String name) {
+    return serversOf(service).stream()
+        .filter(
+            server -> server.id().value().equals(name) || server.address().toString().equals(name))
+        .findFirst()
+        .map(BackendServer::id);
+  }
+
   /** Returns the servers of a service that take new requests. */
   public ImmutableList<BackendServer> readyServers(ServiceName service) {
     return serversOf(service).stream()
--- a/node/src/test/java/dev/apricotmill/node/relay/PartReservationsTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/PartReservationsTest.java
@@ -13,58 +13,58 @@
   private final RelayFixture relay = new RelayFixture(2);
 
   PartReservationsTest() {
-    relay.promptTokens = MORE_THAN_ONE_ENGINE_HOLDS;
+    relay.setPromptTokens(MORE_THAN_ONE_ENGINE_HOLDS);
   }
 
   @Test
   void aPromptLargerThanAnEngineIsSentOnceItsPartsAreReserved() {
     RecordedCaller caller = relay.accept("/stream/1");
 
-    assertThat(relay.sent).hasSize(1);
-    assertThat(relay.last().send.helpers()).isNotEmpty();
-    assertThat(relay.last().send.helpers().get(0).reservation()).hasValue("r1");
+    assertThat(relay.sent()).hasSize(1);
+    assertThat(relay.last().send().helpers()).isNotEmpty();
+    assertThat(relay.last().send().helpers().get(0).reservation()).hasValue("r1");
     relay.last().head(200, false);
     relay.last().body("id: 1\n\n");
     relay.last().end();
-    assertThat(caller.ended).isTrue();
+    assertThat(caller.ended()).isTrue();
     assertThat(reservedAndNotReleased()).isEqualTo(0);
   }
 
   @Test
   void aReservationIsProlongedWhileItsRequestRuns() {
     relay.accept("/stream/1");
-    int first = relay.orders.size();
+    int first = relay.orders().size();
 
-    relay.time.advance(Duration.ofMillis(1_100));
+    relay.time().advance(Duration.ofMillis(1_100));
 
-    assertThat(relay.orders.size()).isEqualTo(2 * first);
+    assertThat(relay.orders().size()).isEqualTo(2 * first);
   }
 
   @Test
   void aRefusedReservationGivesAllPartsBackAndNothingIsSent() {
-    relay.reserveResult = BackendPort.ReserveResult.REFUSED;
+    relay.setReserveResult(BackendPort.ReserveResult.REFUSED);
 
     RecordedCaller caller = relay.accept("/stream/1");
 
-    assertThat(relay.sent).isEmpty();
-    assertThat(caller.refusal).isEqualTo(RelayRefusal.OVERLOADED);
+    assertThat(relay.sent()).isEmpty();
+    assertThat(caller.refusal()).isEqualTo(RelayRefusal.OVERLOADED);
     assertThat(reservedAndNotReleased()).isEqualTo(0);
   }
 
   @Test
   void aReservationThatMayBeMadeLateIsReleasedUntilItCannotBe() {
-    relay.reserveResult = BackendPort.ReserveResult.UNKNOWN;
+    relay.setReserveResult(BackendPort.ReserveResult.UNKNOWN);
     relay.accept("/stream/1");
-    relay.time.advance(Duration.ofSeconds(12));
-    int before = relay.orders.size();
+    relay.time().advance(Duration.ofSeconds(12));
+    int before = relay.orders().size();
 
-    relay.time.advance(Duration.ofSeconds(1));
-    assertThat(relay.orders.size()).isGreaterThan(before);
-    relay.time.advance(Duration.ofSeconds(5));
-    int after = relay.orders.size();
-    relay.time.advance(Duration.ofSeconds(5));
+    relay.time().advance(Duration.ofSeconds(1));
+    assertThat(relay.orders().size()).isGreaterThan(before);
+    relay.time().advance(Duration.ofSeconds(5));
+    int after = relay.orders().size();
+    relay.time().advance(Duration.ofSeconds(5));
 
-    assertThat(relay.orders).hasSize(after);
+    assertThat(relay.orders()).hasSize(after);
   }
 
   @Test
@@ -72,13 +72,13 @@
     RecordedCaller caller = relay.accept("/stream/1");
 
     caller.leave();
-    relay.time.runDue();
+    relay.time().runDue();
 
     assertThat(reservedAndNotReleased()).isEqualTo(0);
   }
 
   private long reservedAndNotReleased() {
-    return relay.orders.stream().filter(order -> order.startsWith("reserve")).count()
-        - relay.orders.stream().filter(order -> order.startsWith("release")).count();
+    return relay.orders().stream().filter(order -> order.startsWith("reserve")).count()
+        - relay.orders().stream().filter(order -> order.startsWith("release")).count();
   }
 }
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayCallTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayCallTest.java
@@ -20,13 +20,13 @@
 
     relay.last().head(200, false);
     relay.last().body("done");
-    assertThat(caller.status).isEqualTo(0);
+    assertThat(caller.status()).isEqualTo(0);
     relay.last().end();
 
-    assertThat(caller.status).isEqualTo(200);
-    assertThat(caller.body.toString()).isEqualTo("done");
-    assertThat(caller.headers).containsEntry("from", relay.last().send.server().id().value());
-    assertThat(relay.node.openRequests()).isEqualTo(0);
+    assertThat(caller.status()).isEqualTo(200);
+    assertThat(caller.body()).isEqualTo("done");
+    assertThat(caller.headers()).containsEntry("from", relay.last().send().server().id().value());
+    assertThat(relay.node().openRequests()).isEqualTo(0);
   }
 
   @Test
@@ -35,21 +35,21 @@
 
     relay.last().fail(true);
 
-    assertThat(relay.sent).hasSize(1);
-    assertThat(caller.refusal).isEqualTo(RelayRefusal.BROKEN);
+    assertThat(relay.sent()).hasSize(1);
+    assertThat(caller.refusal()).isEqualTo(RelayRefusal.BROKEN);
     assertThat(RelayRefusal.BROKEN.promisesNotRun()).isFalse();
   }
 
   @Test
   void anOrderThatNeverLeftGoesToAnotherServer() {
     RecordedCaller caller = relay.accept("/order/1");
-    String first = relay.last().send.server().id().value();
+    String first = relay.last().send().server().id().value();
 
     relay.last().fail(false);
 
-    assertThat(relay.sent).hasSize(2);
-    assertThat(relay.last().send.server().id().value()).isNotEqualTo(first);
-    assertThat(caller.refusal).isNull();
+    assertThat(relay.sent()).hasSize(2);
+    assertThat(relay.last().send().server().id().value()).isNotEqualTo(first);
+    assertThat(caller.refusal()).isNull();
   }
 
   @Test
@@ -58,37 +58,37 @@
 
     relay.last().head(503, true);
 
-    assertThat(relay.sent).hasSize(1);
-    assertThat(caller.refusal).isEqualTo(RelayRefusal.REFUSED_BY_SERVER);
+    assertThat(relay.sent()).hasSize(1);
+    assertThat(caller.refusal()).isEqualTo(RelayRefusal.REFUSED_BY_SERVER);
   }
 
   @Test
   void anOrderThatIsNotAnsweredInTimeMayHaveRun() {
     RecordedCaller caller = relay.accept("/order/1");
 
-    relay.time.advance(Duration.ofMillis(3_001));
+    relay.time().advance(Duration.ofMillis(3_001));
 
-    assertThat(caller.refusal).isEqualTo(RelayRefusal.EXPIRED);
-    assertThat(relay.last().cancelled).isTrue();
+    assertThat(caller.refusal()).isEqualTo(RelayRefusal.EXPIRED);
+    assertThat(relay.last().cancelled()).isTrue();
   }
 
   @Test
   void aReadIsSentAgainAfterABreakAndAfterAServersError() {
     RecordedCaller caller = relay.accept("/read/1");
     relay.last().fail(true);
-    assertThat(relay.sent).hasSize(2);
+    assertThat(relay.sent()).hasSize(2);
     relay.last().head(200, false);
     relay.last().end();
-    assertThat(caller.status).isEqualTo(200);
+    assertThat(caller.status()).isEqualTo(200);
 
     RecordedCaller second = relay.accept("/read/2");
     relay.last().head(500, false);
     relay.last().body("error");
     relay.last().end();
-    assertThat(relay.sent).hasSize(4);
+    assertThat(relay.sent()).hasSize(4);
     relay.last().head(200, false);
     relay.last().end();
-    assertThat(second.status).isEqualTo(200);
+    assertThat(second.status()).isEqualTo(200);
   }
 
   @Test
@@ -100,8 +100,8 @@
 
     relay.last().fail(true);
 
-    assertThat(caller.status).isEqualTo(500);
-    assertThat(caller.body.toString()).isEqualTo("error");
+    assertThat(caller.status()).isEqualTo(500);
+    assertThat(caller.body()).isEqualTo("error");
   }
 
   @Test
@@ -111,7 +111,7 @@
       relay.last().fail(true);
     }
 
-    assertThat(relay.sent).hasSize(RETRIES + 1 + RETRIES);
+    assertThat(relay.sent()).hasSize(RETRIES + 1 + RETRIES);
   }
 
   @Test
@@ -121,8 +121,8 @@
 
     relay.last().fail(true);
 
-    assertThat(relay.sent).hasSize(2);
-    assertThat(caller.refusal).isEqualTo(RelayRefusal.BROKEN);
+    assertThat(relay.sent()).hasSize(2);
+    assertThat(caller.refusal()).isEqualTo(RelayRefusal.BROKEN);
   }
 
   @Test
@@ -135,14 +135,14 @@
     first.fail(true);
 
     SentExchange second = relay.last();
-    assertThat(second.send.resumeAfter()).isEqualTo(OptionalLong.of(1));
-    assertThat(second.send.server()).isNotEqualTo(first.send.server());
+    assertThat(second.send().resumeAfter()).isEqualTo(OptionalLong.of(1));
+    assertThat(second.send().server()).isNotEqualTo(first.send().server());
     second.head(200, false);
     second.body("id: 2\ndata: b\n\n");
     second.end();
-    assertThat(caller.body.toString()).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
-    assertThat(caller.headers).containsEntry("from", first.send.server().id().value());
-    assertThat(caller.ended).isTrue();
+    assertThat(caller.body()).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assertThat(caller.headers()).containsEntry("from", first.send().server().id().value());
+    assertThat(caller.ended()).isTrue();
   }
 
   @Test
@@ -153,9 +153,9 @@
 
     relay.last().fail(true);
 
-    assertThat(relay.sent).hasSize(1);
-    assertThat(caller.aborted).isTrue();
-    assertThat(caller.ended).isFalse();
+    assertThat(relay.sent()).hasSize(1);
+    assertThat(caller.aborted()).isTrue();
+    assertThat(caller.ended()).isFalse();
   }
 
   @Test
@@ -166,31 +166,31 @@
 
     relay.last().end();
 
-    assertThat(caller.aborted).isTrue();
-    assertThat(caller.ended).isFalse();
+    assertThat(caller.aborted()).isTrue();
+    assertThat(caller.ended()).isFalse();
   }
 
   @Test
   void aSilentServerLosesAStreamToAnotherOne() {
     relay.accept("/stream/1");
 
-    relay.time.advance(Duration.ofMillis(1_800));
+    relay.time().advance(Duration.ofMillis(1_800));
 
-    assertThat(relay.sent).hasSize(2);
-    assertThat(relay.sent.get(0).cancelled).isTrue();
+    assertThat(relay.sent()).hasSize(2);
+    assertThat(relay.sent().get(0).cancelled()).isTrue();
   }
 
   @Test
   void reportsOfASendThatWasGivenUpCountNoMore() {
     RecordedCaller caller = relay.accept("/stream/1");
     SentExchange first = relay.last();
-    relay.time.advance(Duration.ofMillis(1_800));
+    relay.time().advance(Duration.ofMillis(1_800));
 
     first.head(200, false);
     first.body("id: 1\n\n");
     first.end();
 
-    assertThat(caller.status).isEqualTo(0);
+    assertThat(caller.status()).isEqualTo(0);
   }
 
   @Test
@@ -198,31 +198,31 @@
     RecordedCaller caller = relay.accept("/stream/1");
 
     caller.leave();
-    relay.time.runDue();
+    relay.time().runDue();
 
-    assertThat(relay.last().cancelled).isTrue();
-    assertThat(relay.node.openRequests()).isEqualTo(0);
+    assertThat(relay.last().cancelled()).isTrue();
+    assertThat(relay.node().openRequests()).isEqualTo(0);
   }
 
   @Test
   void aRefusalThatBlamesAHelperLeavesTheServerThatRefusedInUse() {
     relay.accept("/stream/1");
     SentExchange first = relay.last();
-    first.blamed = first.send.server().id().value().equals("pool1") ? "pool2" : "pool1";
+    first.blame(first.send().server().id().value().equals("pool1") ? "pool2" : "pool1");
 
     first.head(503, true);
 
-    assertThat(relay.last().send.server()).isEqualTo(first.send.server());
-    assertThat(relay.sent).hasSize(2);
+    assertThat(relay.last().send().server()).isEqualTo(first.send().server());
+    assertThat(relay.sent()).hasSize(2);
   }
 
   @Test
   void theTimeThatIsLeftShrinksFromSendToSend() {
     relay.accept("/read/1");
-    relay.time.advance(Duration.ofMillis(500));
+    relay.time().advance(Duration.ofMillis(500));
     relay.last().fail(true);
 
-    assertThat(relay.last().send.left()).isEqualTo(Duration.ofMillis(2_500));
+    assertThat(relay.last().send().left()).isEqualTo(Duration.ofMillis(2_500));
   }
 
   @Test
@@ -233,7 +233,7 @@
 
     relay.last().fail(true);
 
-    assertThat(caller.refusal).isEqualTo(RelayRefusal.BROKEN);
-    assertThat(caller.body.toString()).isEmpty();
+    assertThat(caller.refusal()).isEqualTo(RelayRefusal.BROKEN);
+    assertThat(caller.body()).isEmpty();
   }
 }
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -39,14 +39,14 @@
   static final ServiceName DESK = new ServiceName("desk");
   private static final Duration PROOF_AGE = Duration.ofMillis(4600);
 
-  final VirtualTime time = new VirtualTime();
-  final Timing timing = time.newTiming();
-  final List<SentExchange> sent = new ArrayList<>();
-  final List<String> log = new ArrayList<>();
-  final List<String> orders = new ArrayList<>();
-  BackendPort.ReserveResult reserveResult = BackendPort.ReserveResult.RESERVED;
-  long promptTokens = 5_000;
-  final RelayNode node;
+  private final VirtualTime time = new VirtualTime();
+  private final Timing timing = time.newTiming();
+  private final List<SentExchange> sent = new ArrayList<>();
+  private final List<String> log = new ArrayList<>();
+  private final List<String> orders = new ArrayList<>();
+  private BackendPort.ReserveResult reserveResult = BackendPort.ReserveResult.RESERVED;
+  private long promptTokens = 5_000;
+  private final RelayNode node;
 
   RelayFixture(int retryReserve) {
     LocalPlacements placements = new LocalPlacements(timing);
@@ -89,6 +89,36 @@
     }
   }
 
+  VirtualTime time() {
+    return time;
+  }
+
+  Timing timing() {
+    return timing;
+  }
+
+  RelayNode node() {
+    return node;
+  }
+
+  /** Returns all sends so far. */
+  List<SentExchange> sent() {
+    return sent;
+  }
+
+  /** Returns the orders to reserve and release memory so far. */
+  List<String> orders() {
+    return orders;
+  }
+
+  void setReserveResult(BackendPort.ReserveResult result) {
+    reserveResult = result;
+  }
+
+  void setPromptTokens(long tokens) {
+    promptTokens = tokens;
+  }
+
   ConfigurationProof proof() {
     return new ConfigurationProof(timing.nanoTime(), timing.clock().millis());
   }
@@ -180,16 +210,28 @@
   /** A send that the test answers. */
   final class SentExchange {
 
-    final BackendPort.BackendSend send;
+    private final BackendPort.BackendSend send;
     private final BackendPort.Listener listener;
-    boolean cancelled;
-    @Nullable String blamed;
+    private boolean cancelled;
+    private @Nullable String blamed;
 
     SentExchange(BackendPort.BackendSend send, BackendPort.Listener listener) {
       this.send = send;
       this.listener = listener;
     }
 
+    BackendPort.BackendSend send() {
+      return send;
+    }
+
+    boolean cancelled() {
+      return cancelled;
+    }
+
+    void blame(String server) {
+      blamed = server;
+    }
+
     void head(int status, boolean notRun) {
       listener.onHead(
           new BackendPort.Head(
@@ -219,14 +261,38 @@
   /** What a caller saw. */
   static final class RecordedCaller implements RelayCaller {
 
-    final StringBuilder body = new StringBuilder();
-    @Nullable RelayRefusal refusal;
-    int status;
-    ImmutableMap<String, String> headers = ImmutableMap.of();
-    boolean ended;
-    boolean aborted;
+    private final StringBuilder body = new StringBuilder();
+    private @Nullable RelayRefusal refusal;
+    private int status;
+    private ImmutableMap<String, String> headers = ImmutableMap.of();
+    private boolean ended;
+    private boolean aborted;
     private Runnable gone = () -> {};
 
+    String body() {
+      return body.toString();
+    }
+
+    @Nullable RelayRefusal refusal() {
+      return refusal;
+    }
+
+    int status() {
+      return status;
+    }
+
+    ImmutableMap<String, String> headers() {
+      return headers;
+    }
+
+    boolean ended() {
+      return ended;
+    }
+
+    boolean aborted() {
+      return aborted;
+    }
+
     void leave() {
       gone.run();
     }
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayGateTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayGateTest.java
@@ -21,68 +21,68 @@
 
   @Test
   void aPathWithoutARouteIsNotFound() {
-    assertThat(relay.accept("/none/1").refusal).isEqualTo(RelayRefusal.NO_ROUTE);
+    assertThat(relay.accept("/none/1").refusal()).isEqualTo(RelayRefusal.NO_ROUTE);
   }
 
   @Test
   void aKeyThatWasTakenAwayIsUnknown() {
-    relay.node.update(view -> view.withConfiguration(withoutKeys(2), Optional.of(relay.proof())));
+    relay.node().update(view -> view.withConfiguration(withoutKeys(2), Optional.of(relay.proof())));
 
-    assertThat(relay.accept("/order/1").refusal).isEqualTo(RelayRefusal.UNKNOWN_KEY);
+    assertThat(relay.accept("/order/1").refusal()).isEqualTo(RelayRefusal.UNKNOWN_KEY);
   }
 
   @Test
   void noKeyIsTrustedOnceTheProofIsOlderThanItsBound() {
-    relay.time.advance(Duration.ofMillis(4_601));
+    relay.time().advance(Duration.ofMillis(4_601));
 
     RecordedCaller caller = relay.accept("/order/1");
 
-    assertThat(caller.refusal).isEqualTo(RelayRefusal.CONFIGURATION_UNKNOWN);
-    assertThat(caller.refusal.promisesNotRun()).isTrue();
-    assertThat(relay.sent).isEmpty();
-    assertThat(relay.node.isReady()).isFalse();
+    assertThat(caller.refusal()).isEqualTo(RelayRefusal.CONFIGURATION_UNKNOWN);
+    assertThat(caller.refusal().promisesNotRun()).isTrue();
+    assertThat(relay.sent()).isEmpty();
+    assertThat(relay.node().isReady()).isFalse();
   }
 
   @Test
   void aNodeThatKnowsNoConfigurationDeniesNothing() {
-    relay.node.update(view -> ServingView.NOTHING);
+    relay.node().update(view -> ServingView.NOTHING);
 
-    assertThat(relay.accept("/none/1").refusal).isEqualTo(RelayRefusal.CONFIGURATION_UNKNOWN);
+    assertThat(relay.accept("/none/1").refusal()).isEqualTo(RelayRefusal.CONFIGURATION_UNKNOWN);
   }
 
   @Test
   void aNodeThatIsAboutToStopRefusesWhatComesAndEndsWhatIsOpen() {
     RecordedCaller open = relay.accept("/order/1");
-    relay.node.stopTaking();
+    relay.node().stopTaking();
 
     RecordedCaller late = relay.accept("/order/2");
 
-    assertThat(late.refusal).isEqualTo(RelayRefusal.STOPPING);
+    assertThat(late.refusal()).isEqualTo(RelayRefusal.STOPPING);
     relay.last().head(200, false);
     relay.last().end();
-    assertThat(open.status).isEqualTo(200);
-    assertThat(relay.sent).hasSize(1);
+    assertThat(open.status()).isEqualTo(200);
+    assertThat(relay.sent()).hasSize(1);
   }
 
   @Test
   void anOlderConfigurationIsNeverTaken() {
-    ServingState state = new ServingState(relay.node, EventLog.NONE, view -> {});
+    ServingState state = new ServingState(relay.node(), EventLog.NONE, view -> {});
     state.configurationRead(RelayFixture.configuration(7));
 
     state.configurationRead(withoutKeys(6));
 
-    assertThat(relay.node.view().configuration().map(ServingConfiguration::version))
+    assertThat(relay.node().view().configuration().map(ServingConfiguration::version))
         .isEqualTo(Optional.of(7L));
   }
 
   @Test
   void anObjectThatCannotBeReadChangesNothing() {
-    ServingState state = new ServingState(relay.node, EventLog.NONE, view -> {});
+    ServingState state = new ServingState(relay.node(), EventLog.NONE, view -> {});
 
     state.unreadable(new ObjectKey("config/main"), "test");
     state.configurationProven(new ReadMoment(0, 0));
 
-    assertThat(relay.node.view().configuration()).isPresent();
+    assertThat(relay.node().view().configuration()).isPresent();
   }
 
   private static ServingConfiguration withoutKeys(long version) {
--- a/node/src/test/java/dev/apricotmill/node/relay/SharedPlacementsTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/SharedPlacementsTest.java
@@ -27,17 +27,17 @@
 final class SharedPlacementsTest {
 
   private final RelayFixture relay = new RelayFixture(1);
-  private final LocalPlacements local = new LocalPlacements(relay.timing);
+  private final LocalPlacements local = new LocalPlacements(relay.timing());
   private final ScriptedPeers peers = new ScriptedPeers();
   private final List<String> events = new ArrayList<>();
   private final ImmutableList<Member> ranked = rankedMembers();
   private final SharedPlacements placements =
       new SharedPlacements(
-          relay.timing, local, peers, ranked.get(2), (event, fields) -> events.add(event));
+          relay.timing(), local, peers, ranked.get(2), (event, fields) -> events.add(event));
   private final List<Placement> decisions = new ArrayList<>();
 
   SharedPlacementsTest() {
-    local.update(relay.node.view());
+    local.update(relay.node().view());
     placements.updateMembers(ranked);
     peers.reports.clear();
   }
@@ -75,9 +75,9 @@
     Consumer<Optional<Placement>> second = peers.then;
     first.accept(Optional.empty());
     second.accept(Optional.empty());
-    relay.time.runDue();
+    relay.time().runDue();
 
-    relay.time.advance(Duration.ofMillis(501));
+    relay.time().advance(Duration.ofMillis(501));
     placements.place(ask("r3"), decisions::add);
 
     assertThat(peers.asked.get(2)).isEqualTo(ranked.get(0).address());
@@ -101,7 +101,7 @@
 
     placements.firstEvent(RelayFixture.POOL, new RequestId("r1"));
     placements.ended(RelayFixture.POOL, new RequestId("r1"));
-    relay.time.advance(Duration.ofMillis(20));
+    relay.time().advance(Duration.ofMillis(20));
 
     assertThat(peers.reports)
         .containsExactly(
@@ -163,7 +163,7 @@
 
     private void answer(Optional<Placement> decision) {
       then.accept(decision);
-      relay.time.runDue();
+      relay.time().runDue();
     }
   }
 }
