Streams are read no faster than their callers read

Cause: the exchange with a backend server granted the connection an unlimited window, so that an answer whose caller read slowly was kept whole in the node's memory. Answers that are not streamed had no bound either. A whole answer over 8 MB counts as broken. Log lines of a request moved to CallLog.

--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
@@ -28,7 +28,9 @@
  */
 public final class HttpClients implements AutoCloseable {
 
-  private static final int STREAM_WINDOW_BYTES = 16 * 1024;
+  /** What is read of a streamed answer before more must be asked for: some hundred events. */
+  static final int STREAM_WINDOW_BYTES = 16 * 1024;
+
   private static final int MAXIMUM_LINE_BYTES = 16 * 1024;
   private static final int MAXIMUM_HEADERS = 100;
 
--- a/node/src/main/java/dev/apricotmill/node/relay/BackendPort.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendPort.java
@@ -71,6 +71,12 @@
   interface Exchange {
     /** Closes the connection; nothing is reported any more. */
     void cancel();
+
+    /** Reads no more of the answer than a window, until {@link #resume}. */
+    void hold();
+
+    /** Reads on after {@link #hold}. */
+    void resume();
   }
 
   /**
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/relay/CallLog.java
@@ -0,0 +1,72 @@
+package dev.apricotmill.node.relay;
+
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.core.relay.BackendServer;
+import dev.apricotmill.core.relay.Route;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.request.RequestId;
+import dev.apricotmill.core.request.ServiceName;
+import java.time.Duration;
+
+/** Writes one line for each decision on one request. */
+final class CallLog {
+
+  private final RelayNode node;
+  private final RequestId request;
+
+  CallLog(RelayNode node, RequestId request) {
+    this.node = node;
+    this.request = request;
+  }
+
+  /** The request goes to a server. */
+  void sent(
+      BackendServer server,
+      ServiceName service,
+      int helpers,
+      int send,
+      Duration left,
+      Duration expected) {
+    node.log(
+        "relay.sent",
+        request,
+        ImmutableMap.of(
+            "server", server.id().value(),
+            "service", service.value(),
+            "helpers", helpers,
+            "send", send,
+            "left_ms", left.toMillis(),
+            "expected_ms", expected.toMillis(),
+            "configuration", node.view().configuration().map(known -> known.version()).orElse(0L)));
+  }
+
+  /** A send has failed. */
+  void sendFailed(ReplicaId server, String reason, Duration left) {
+    node.log(
+        "relay.send_failed",
+        request,
+        ImmutableMap.of("server", server.value(), "reason", reason, "left_ms", left.toMillis()));
+  }
+
+  /** The request has its final answer, or its caller has gone. */
+  void ended(
+      String outcome,
+      Route route,
+      int sends,
+      boolean mayHaveRun,
+      RelayAnswer answer,
+      long arrivedNanos,
+      long tookNanos) {
+    node.log(
+        "relay.ended",
+        request,
+        ImmutableMap.of(
+            "outcome", outcome,
+            "route", route.name(),
+            "sends", sends,
+            "may_have_run", mayHaveRun,
+            "first_event_ms", answer.firstEventMillis(arrivedNanos),
+            "longest_pause_ms", answer.longestPauseMillis(),
+            "took_ms", Duration.ofNanos(tookNanos).toMillis()));
+  }
+}
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayAnswer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayAnswer.java
@@ -15,6 +15,9 @@
  */
 final class RelayAnswer {
 
+  /** An answer that is not streamed is kept until it is whole; a node has some hundred MB. */
+  private static final int MOST_WHOLE_BYTES = 8 << 20;
+
   private static final int SUCCESS_CLASS = 2;
   private static final int SERVER_ERROR_CLASS = 5;
 
@@ -83,6 +86,10 @@
     return events.isOutOfOrder();
   }
 
+  boolean isTooLong() {
+    return body.size() > MOST_WHOLE_BYTES;
+  }
+
   boolean isIncomplete() {
     return streams() && (events.hasPartial() || !begun);
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -1,7 +1,6 @@
 package dev.apricotmill.node.relay;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import dev.apricotmill.core.pool.PlacementAsk;
 import dev.apricotmill.core.relay.BackendServer;
@@ -23,7 +22,7 @@
  *
  * <p>Runs on the relay's executor; so do the reports of its sends.
  */
-final class RelayCall implements RelaySend.Reports, EngineChoice.Result {
+final class RelayCall implements RelaySend.Reports, EngineChoice.Result, RelayCaller.Watcher {
 
   /** Connections that may fail before a byte is sent; each failure takes a connect timeout. */
   private static final int MOST_FAILED_CONNECTIONS = 3;
@@ -41,7 +40,9 @@
   private final long deadlineNanos;
   private final Set<ReplicaId> avoid = new HashSet<>();
   private final RelayAnswer answer;
+  private final CallLog log;
   private final EngineChoice engines;
+  private final CallerWindow window = new CallerWindow();
   private @Nullable Future<?> deadlineTimer;
   private @Nullable Future<?> silenceTimer;
   private @Nullable RelaySend current;
@@ -67,10 +68,11 @@
     deadlineNanos = arrivedNanos + limit.toNanos();
     answer = new RelayAnswer(allowed.route(), request.resumeAfter(), caller);
     engines = new EngineChoice(node, this);
+    log = new CallLog(node, request.id());
   }
 
   void start() {
-    caller.whenGone(() -> node.timing().scheduler().execute(this::callerGone));
+    caller.watch(this);
     deadlineTimer = node.timing().schedule(left(), this::expire);
     attempt();
   }
@@ -144,17 +146,7 @@
     RelaySend send = new RelaySend(server, node.timing().scheduler(), this);
     current = send;
     node.plainServers().begun(server.id());
-    node.log(
-        "relay.sent",
-        request.id(),
-        ImmutableMap.of(
-            "server", server.id().value(),
-            "service", service().value(),
-            "helpers", helpers.size(),
-            "send", sends,
-            "left_ms", left().toMillis(),
-            "expected_ms", expected.toMillis(),
-            "configuration", node.view().configuration().map(known -> known.version()).orElse(0L)));
+    log.sent(server, service(), helpers.size(), sends, left(), expected);
     send.start(
         node.backends(),
         new BackendPort.BackendSend(
@@ -234,6 +226,26 @@
     }
   }
 
+  @Override
+  public void onTaken(int pieces) {
+    node.timing().scheduler().execute(() -> taken(pieces));
+  }
+
+  private void taken(int pieces) {
+    boolean held = window.isFull();
+    window.taken(pieces);
+    RelaySend reading = current;
+    if (held && !window.isFull() && reading != null) {
+      reading.resume();
+      watchSilence(SilenceLimits.pause(route()));
+    }
+  }
+
+  @Override
+  public void onGone() {
+    node.timing().scheduler().execute(this::callerGone);
+  }
+
   private void callerGone() {
     if (!ended) {
       node.meters().callerGone();
@@ -251,24 +263,7 @@
     }
     engines.end();
     long tookNanos = node.timing().nanoTime() - arrivedNanos;
-    node.log(
-        "relay.ended",
-        request.id(),
-        ImmutableMap.of(
-            "outcome",
-            outcome,
-            "route",
-            route().name(),
-            "sends",
-            sends,
-            "may_have_run",
-            mayHaveRun,
-            "first_event_ms",
-            answer.firstEventMillis(arrivedNanos),
-            "longest_pause_ms",
-            answer.longestPauseMillis(),
-            "took_ms",
-            Duration.ofNanos(tookNanos).toMillis()));
+    log.ended(outcome, route(), sends, mayHaveRun, answer, arrivedNanos, tookNanos);
     node.meters().answered(tookNanos);
     node.ended();
   }
@@ -299,7 +294,9 @@
   @Override
   public void onBody(RelaySend send, byte[] piece) {
     int passed = answer.onBody(piece, node.timing().nanoTime());
-    if (answer.isOutOfOrder()) {
+    if (answer.isTooLong()) {
+      fail(send, true, "answer too long", false);
+    } else if (answer.isOutOfOrder()) {
       fail(send, true, "events out of order", false);
     } else if (passed > 0 && answer.streams()) {
       if (send.markStarted()) {
@@ -308,7 +305,13 @@
       if (answer.isFirst()) {
         node.meters().firstEvent(node.timing().nanoTime() - arrivedNanos);
       }
-      watchSilence(SilenceLimits.pause(route()));
+      window.written(passed);
+      if (window.isFull()) {
+        stop(silenceTimer);
+        send.hold();
+      } else {
+        watchSilence(SilenceLimits.pause(route()));
+      }
     }
   }
 
@@ -368,13 +371,7 @@
   }
 
   private void logFailure(RelaySend send, String reason) {
-    node.log(
-        "relay.send_failed",
-        request.id(),
-        ImmutableMap.of(
-            "server", send.server().id().value(),
-            "reason", reason,
-            "left_ms", left().toMillis()));
+    log.sendFailed(send.server().id(), reason, left());
   }
 
   private static void stop(@Nullable Future<?> timer) {
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCaller.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCaller.java
@@ -25,6 +25,15 @@
   /** Breaks the connection, so that the answer is seen to be incomplete. */
   void abort();
 
-  /** Runs {@code task} when the caller has gone before its answer ended. */
-  void whenGone(Runnable task);
+  /** Names who learns of the caller's reading and going, on any thread. */
+  void watch(Watcher watcher);
+
+  /** Learns what becomes of an answer. */
+  interface Watcher {
+    /** Learns that the connection took that many pieces of a streamed answer. */
+    void onTaken(int pieces);
+
+    /** Learns that the caller has gone before its answer ended. */
+    void onGone();
+  }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelaySend.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelaySend.java
@@ -61,6 +61,22 @@
     }
   }
 
+  /** Reads no more of the answer until {@link #resume}. */
+  void hold() {
+    BackendPort.Exchange open = exchange;
+    if (open != null) {
+      open.hold();
+    }
+  }
+
+  /** Reads on. */
+  void resume() {
+    BackendPort.Exchange open = exchange;
+    if (open != null) {
+      open.resume();
+    }
+  }
+
   /** Returns true once: when the first event of the answer has come. */
   boolean markStarted() {
     boolean first = !started;
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayCallTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayCallTest.java
@@ -236,4 +236,50 @@
     assertThat(caller.refusal()).isEqualTo(RelayRefusal.BROKEN);
     assertThat(caller.body()).isEmpty();
   }
+
+  @Test
+  void aServerIsNotReadFasterThanItsCallerReads() {
+    RecordedCaller caller = relay.accept("/stream/1");
+    relay.last().head(200, false);
+    String event = "id: %d\ndata: " + "x".repeat(CallerWindow.MOST_UNREAD_BYTES / 2) + "\n\n";
+
+    relay.last().body(String.format(event, 1));
+    assertThat(relay.last().held()).isFalse();
+    relay.last().body(String.format(event, 2));
+    assertThat(relay.last().held()).isTrue();
+
+    caller.take(1);
+    relay.time().runDue();
+    assertThat(relay.last().held()).isFalse();
+  }
+
+  @Test
+  void aServerThatIsHeldBackIsNotTakenForSilent() {
+    RecordedCaller caller = relay.accept("/stream/1");
+    relay.last().head(200, false);
+    relay.last().body("id: 1\ndata: " + "x".repeat(CallerWindow.MOST_UNREAD_BYTES) + "\n\n");
+
+    relay.time().advance(Duration.ofMillis(2_500));
+    assertThat(relay.sent()).hasSize(1);
+
+    caller.take(1);
+    relay.time().runDue();
+    relay.last().body("id: 2\ndata: y\n\n");
+    relay.last().end();
+    assertThat(caller.ended()).isTrue();
+  }
+
+  @Test
+  void aWholeAnswerThatNoNodeCanKeepIsABrokenOne() {
+    RecordedCaller caller = relay.accept("/order/1");
+    relay.last().head(200, false);
+    String piece = "x".repeat(1 << 20);
+
+    for (int i = 0; i < 9; i++) {
+      relay.last().body(piece);
+    }
+
+    assertThat(caller.refusal()).isEqualTo(RelayRefusal.BROKEN);
+    assertThat(relay.last().cancelled()).isTrue();
+  }
 }
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -27,6 +27,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -69,7 +70,7 @@
     public Exchange send(BackendSend send, Listener listener) {
       SentExchange exchange = new SentExchange(send, listener);
       sent.add(exchange);
-      return () -> exchange.cancelled = true;
+      return exchange;
     }
 
     @Override
@@ -208,11 +209,12 @@
   }
 
   /** A send that the test answers. */
-  final class SentExchange {
+  final class SentExchange implements BackendPort.Exchange {
 
     private final BackendPort.BackendSend send;
     private final BackendPort.Listener listener;
     private boolean cancelled;
+    private boolean held;
     private @Nullable String blamed;
 
     SentExchange(BackendPort.BackendSend send, BackendPort.Listener listener) {
@@ -228,6 +230,25 @@
       return cancelled;
     }
 
+    boolean held() {
+      return held;
+    }
+
+    @Override
+    public void cancel() {
+      cancelled = true;
+    }
+
+    @Override
+    public void hold() {
+      held = true;
+    }
+
+    @Override
+    public void resume() {
+      held = false;
+    }
+
     void blame(String server) {
       blamed = server;
     }
@@ -267,7 +288,7 @@
     private ImmutableMap<String, String> headers = ImmutableMap.of();
     private boolean ended;
     private boolean aborted;
-    private Runnable gone = () -> {};
+    private @Nullable Watcher watcher;
 
     String body() {
       return body.toString();
@@ -294,7 +315,12 @@
     }
 
     void leave() {
-      gone.run();
+      Objects.requireNonNull(watcher).onGone();
+    }
+
+    /** Reads pieces of the answer. */
+    void take(int pieces) {
+      Objects.requireNonNull(watcher).onTaken(pieces);
     }
 
     @Override
@@ -331,8 +357,8 @@
     }
 
     @Override
-    public void whenGone(Runnable task) {
-      gone = task;
+    public void watch(Watcher newWatcher) {
+      watcher = newWatcher;
     }
   }
 }
