Log lines about requests are bounded in rate

Cause: the log was bounded in queue length only; a storm of refused requests wrote as many lines as the writer could take. Change: 1,000 lines about requests a second; lines of start, stop and dependencies always pass. What is dropped is counted in the next line.

--- a/daemon/src/main/java/dev/apricotmill/daemon/process/JsonEventLog.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/JsonEventLog.java
@@ -19,20 +19,26 @@
 /**
  * Writes each event as one line of JSON from a thread of its own.
  *
- * <p>A full queue drops lines rather than hold a request up; the next line that is written tells
- * how many.
+ * <p>A full queue drops lines rather than hold a request up, and so does a rate of lines about
+ * requests that a node at its usual load does not reach. The next line that is written tells how
+ * many were dropped.
  */
 public final class JsonEventLog implements EventLog {
 
   /** Lines that wait for the writer: some seconds of a busy node. */
   private static final int QUEUED_LINES = 4096;
 
+  /** About five lines for each of 200 requests a second, several times the share of one node. */
+  static final int REQUEST_LINES_PER_SECOND = 1_000;
+
+  private static final String REQUEST = "request";
   private static final long FLUSH_POLL_MILLIS = 5;
   private static final long FLUSH_LIMIT_MILLIS = 200;
 
   private final ObjectMapper json = new ObjectMapper();
   private final BlockingQueue<Map<String, Object>> queue = new ArrayBlockingQueue<>(QUEUED_LINES);
   private final AtomicLong dropped = new AtomicLong();
+  private final LineRate rate = new LineRate(REQUEST_LINES_PER_SECOND);
   private final PrintStream output;
   private final Timing timing;
 
@@ -55,6 +61,10 @@
 
   @Override
   public void write(String event, ImmutableMap<String, Object> fields) {
+    if (fields.containsKey(REQUEST) && !rate.tryTake(timing.nanoTime())) {
+      dropped.incrementAndGet();
+      return;
+    }
     Map<String, Object> line = new LinkedHashMap<>();
     line.put("time", Instant.ofEpochMilli(timing.clock().millis()).toString());
     line.put("event", event);
--- a/daemon/src/test/java/dev/apricotmill/daemon/process/JsonEventLogTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/process/JsonEventLogTest.java
@@ -65,4 +65,21 @@
     assertThat(log.droppedLines()).isGreaterThan(0);
     blocked.countDown();
   }
+
+  @Test
+  void linesAboutRequestsAreBoundedInRateAndOthersStillComeThrough() throws IOException {
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    JsonEventLog log = JsonEventLog.start(new PrintStream(output), SystemTiming.startSerial());
+
+    for (int i = 0; i < 3 * JsonEventLog.REQUEST_LINES_PER_SECOND; i++) {
+      log.write("relay.refused", ImmutableMap.of("request", "r" + i));
+    }
+    log.write("node.stopping", ImmutableMap.of());
+    log.flush();
+
+    String text = output.toString(StandardCharsets.UTF_8);
+    assertThat(text.lines().count()).isLessThan(2L * JsonEventLog.REQUEST_LINES_PER_SECOND);
+    assertThat(text).contains("node.stopping");
+    assertThat(text).contains("dropped_lines");
+  }
 }
