One retry budget; a change of membership gives no retries for free

Cause: the relay cleared its budgets whenever the number of nodes changed, so that each change gave every service its whole reserve again; and two classes held the same idea.

--- a/benchmarks/src/main/java/dev/apricotmill/benchmarks/policy/EntryModel.java
+++ b/benchmarks/src/main/java/dev/apricotmill/benchmarks/policy/EntryModel.java
@@ -4,13 +4,13 @@
 import dev.apricotmill.benchmarks.fleet.Replicas;
 import dev.apricotmill.coordination.identity.DaemonId;
 import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.retry.RetryBudget;
 import dev.apricotmill.core.configuration.EngineProfile;
 import dev.apricotmill.core.configuration.Objective;
 import dev.apricotmill.core.fairness.CustomerLimiter;
 import dev.apricotmill.core.group.GroupPlanner;
 import dev.apricotmill.core.health.ReplicaHealth;
 import dev.apricotmill.core.length.LengthEstimator;
-import dev.apricotmill.core.retry.RetryBudget;
 import dev.apricotmill.core.routing.ReplicaRouter;
 import dev.apricotmill.core.routing.ReplicaView;
 import dev.apricotmill.core.steward.StewardLoad;
@@ -26,12 +26,17 @@
 
   private static final DaemonId STEWARD = new DaemonId("steward");
 
+  /** The share of requests that an entry node may send again, as in a serving node. */
+  private static final int REPEATS_PER_THOUSAND = 100;
+
+  private static final int SAVED_REPEATS = 20;
+
   private final Zone zone;
   private final ReplicaRouter router;
   private final GroupPlanner planner;
   private final ReplicaHealth health = new ReplicaHealth();
   private final CustomerLimiter limiter = new CustomerLimiter();
-  private final RetryBudget budget = new RetryBudget();
+  private final RetryBudget budget = new RetryBudget(REPEATS_PER_THOUSAND, SAVED_REPEATS);
   private final LengthEstimator estimator = new LengthEstimator();
   private final SplittableRandom random;
   private final List<KnownLoad> loads = new ArrayList<>();
--- a/coordination/src/main/java/dev/apricotmill/coordination/retry/RetryBudget.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/retry/RetryBudget.java
@@ -14,7 +14,7 @@
   private static final long RETRY = 1_000;
 
   private final long gainPerRequest;
-  private final long capacity;
+  private volatile long capacity;
   private final AtomicLong available;
 
   /**
@@ -33,6 +33,13 @@
     this.available = new AtomicLong(capacity);
   }
 
+  /** Changes how many retries can be saved up; room that is added is empty at first. */
+  public void changeCapacity(int capacityInRetries) {
+    long changed = Math.max(1, capacityInRetries) * RETRY;
+    capacity = changed;
+    available.getAndUpdate(now -> Math.min(changed, now));
+  }
+
   /** Notes a request, which earns a part of a retry. */
   public void onRequest() {
     available.getAndUpdate(now -> Math.min(capacity, now + gainPerRequest));
--- a/coordination/src/test/java/dev/apricotmill/coordination/retry/RetryBudgetTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/retry/RetryBudgetTest.java
@@ -26,6 +26,19 @@
     assertThat(budget.tryTake()).isTrue();
   }
 
+  @Test
+  void aChangeOfTheCapacityGivesNoRetryForFree() {
+    RetryBudget budget = new RetryBudget(1_000, 4);
+    assertThat(budget.tryTake()).isTrue();
+
+    budget.changeCapacity(2);
+    budget.changeCapacity(4);
+
+    assertThat(budget.tryTake()).isTrue();
+    assertThat(budget.tryTake()).isTrue();
+    assertThat(budget.tryTake()).isFalse();
+  }
+
   @Test
   void savedRetriesNeverExceedTheCapacity() {
     RetryBudget budget = new RetryBudget(1_000, 1);
--- a/core/src/main/java/dev/apricotmill/core/retry/RetryDecision.java
+++ b/core/src/main/java/dev/apricotmill/core/retry/RetryDecision.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.core.retry;
 
+import dev.apricotmill.coordination.retry.RetryBudget;
 import dev.apricotmill.core.outcome.FailureReason;
 import dev.apricotmill.core.outcome.Outcome;
 import dev.apricotmill.core.request.GenerationRequest;
--- a/core/src/test/java/dev/apricotmill/core/retry/RetryDecisionTest.java
+++ b/core/src/test/java/dev/apricotmill/core/retry/RetryDecisionTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.apricotmill.coordination.retry.RetryBudget;
 import dev.apricotmill.core.outcome.FailureReason;
 import dev.apricotmill.core.outcome.Outcome;
 import dev.apricotmill.core.outcome.RefusalReason;
@@ -18,7 +19,7 @@
   private static final Outcome BROKEN = new Outcome.Failed(FailureReason.STREAM_BROKEN);
   private static final Outcome UNKNOWN = new Outcome.Unknown(UnknownReason.STEWARD_SILENT);
 
-  private final RetryBudget budget = new RetryBudget();
+  private final RetryBudget budget = new RetryBudget(100, 10);
   private final GenerationRequest repeatable = Requests.request("r", 1_000);
   private final GenerationRequest once = once(repeatable);
 
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -148,16 +148,13 @@
   /** Returns the budget of retries for a service; a node holds its share of the reserve. */
   RetryBudget budget(ServiceName service) {
     int nodes = view.get().nodes();
+    int share = Math.max(1, settings.retryReserve() / nodes);
     if (nodes != budgetNodes) {
       budgetNodes = nodes;
-      budgets.clear();
+      budgets.values().forEach(budget -> budget.changeCapacity(share));
     }
     return budgets.computeIfAbsent(
-        service,
-        name ->
-            new RetryBudget(
-                settings.retriesPerThousandRequests(),
-                Math.max(1, settings.retryReserve() / budgetNodes)));
+        service, name -> new RetryBudget(settings.retriesPerThousandRequests(), share));
   }
 
   void log(String event, RequestId request, ImmutableMap<String, Object> fields) {
