Entries of nodes that are gone are removed; a removed entry is written again

Cause: entries stayed for ever. Each replaced machine shrank the nodes' share of the retry reserve and stayed a candidate for dispatching, to be asked again every 8 s. Change: each node asks the next one in the order of names every 2 s; after eight silent questions its entry is deleted if it has not changed. A node whose entry is missing writes it again. Ruled out: probing all nodes from each (cost grows with their number); leases (the store has none). Tests: NodeDirectoryTest, three new cases; the first and third failed before.

--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/directory/NeighbourWatch.java
@@ -0,0 +1,104 @@
+package dev.apricotmill.coordination.directory;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.coordination.time.Timing;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Finds the entries of nodes that are gone for good.
+ *
+ * <p>Answers the load pattern of a fleet whose machines are replaced: each node asks only the next
+ * one in the order of names, so that the cost for each node does not grow with their number. A node
+ * that is silent for some time loses its entry; one that only was cut off writes it again.
+ */
+public final class NeighbourWatch {
+
+  /** Asks a node whether it lives. */
+  public interface Prober {
+    /** Tells {@code then}, on any thread, whether the node answered within {@code timeout}. */
+    void probe(Member member, Duration timeout, Consumer<Boolean> then);
+  }
+
+  /** Small beside the rate at which nodes exchange reports. */
+  private static final Duration PERIOD = Duration.ofSeconds(2);
+
+  private static final Duration TIMEOUT = Duration.ofMillis(800);
+
+  /** Longer than a start, a freeze or the cut of a zone usually lasts. */
+  private static final int SILENT_PROBES = 8;
+
+  private final Timing timing;
+  private final Member self;
+  private final Prober prober;
+  private final Consumer<Member> onSilent;
+  private ImmutableList<Member> members = ImmutableList.of();
+  private @Nullable Member neighbour;
+  private int silentProbes;
+
+  /**
+   * Creates a watch that knows no other node.
+   *
+   * @param onSilent learns of a node that has been silent for long
+   */
+  public NeighbourWatch(Timing timing, Member self, Prober prober, Consumer<Member> onSilent) {
+    this.timing = timing;
+    this.self = self;
+    this.prober = prober;
+    this.onSilent = onSilent;
+  }
+
+  /** Begins to probe. */
+  public void start() {
+    timing.scheduleRepeatedly(PERIOD, this::probe);
+  }
+
+  /** Takes over the nodes that have an entry. */
+  public void updateMembers(ImmutableList<Member> newMembers) {
+    members = newMembers;
+  }
+
+  private void probe() {
+    @Nullable Member next = next().orElse(null);
+    if (next == null || !next.equals(neighbour)) {
+      neighbour = next;
+      silentProbes = 0;
+    }
+    if (next != null) {
+      prober.probe(next, TIMEOUT, alive -> timing.scheduler().execute(() -> probed(next, alive)));
+    }
+  }
+
+  private void probed(Member member, boolean alive) {
+    if (!member.equals(neighbour)) {
+      return;
+    }
+    silentProbes = alive ? 0 : silentProbes + 1;
+    if (silentProbes >= SILENT_PROBES) {
+      silentProbes = 0;
+      onSilent.accept(member);
+    }
+  }
+
+  /** Returns the node that follows in the order of names, the first one after the last. */
+  private Optional<Member> next() {
+    Comparator<Member> byName = Comparator.comparing(NeighbourWatch::name);
+    ImmutableList<Member> others =
+        members.stream()
+            .filter(member -> !name(member).equals(name(self)))
+            .sorted(byName)
+            .collect(ImmutableList.toImmutableList());
+    return others.stream()
+        .filter(member -> name(member).compareTo(name(self)) > 0)
+        .findFirst()
+        .or(() -> others.stream().findFirst());
+  }
+
+  private static String name(Member member) {
+    return member.incarnation().daemon().name();
+  }
+}
--- a/coordination/src/main/java/dev/apricotmill/coordination/directory/NodeDirectory.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/directory/NodeDirectory.java
@@ -24,10 +24,10 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.function.Consumer;
 
 /**
  * Keeps this node's entry in the platform's store and learns of the entries of others.
@@ -46,40 +46,49 @@
   private final Platform platform;
   private final Timing timing;
   private final Member self;
-  private final Consumer<ImmutableList<Member>> onChange;
+  private final DirectoryListener listener;
+  private final NeighbourWatch neighbours;
   private final Map<ObjectKey, Member> members =
       new TreeMap<>((a, b) -> a.path().compareTo(b.path()));
-  private long ownVersion;
+  private final Map<ObjectKey, Long> versions = new HashMap<>();
+  private boolean writing;
   private boolean written;
 
   /**
    * Creates a directory that does nothing until it is started.
    *
-   * @param onChange learns of all nodes with an entry after each change
+   * @param prober asks other nodes whether they live
    */
   public NodeDirectory(
-      Platform platform, Timing timing, Member self, Consumer<ImmutableList<Member>> onChange) {
+      Platform platform,
+      Timing timing,
+      Member self,
+      NeighbourWatch.Prober prober,
+      DirectoryListener listener) {
     this.platform = platform;
     this.timing = timing;
     this.self = self;
-    this.onChange = onChange;
+    this.listener = listener;
+    neighbours = new NeighbourWatch(timing, self, prober, this::remove);
   }
 
   /** Begins to follow the entries; the node's own is written once the store has been read. */
   public void start(FollowSettings settings) {
     new PrefixFollower(platform, timing, KIND, settings, this).start();
+    neighbours.start();
   }
 
   @Override
   public void onContent(ImmutableList<StoredObject> objects, ReadMoment moment) {
     members.clear();
+    versions.clear();
     objects.forEach(this::take);
     changed();
   }
 
   @Override
   public void onChanges(WatchResult.Changes changes, ReadMoment moment) {
-    changes.removed().forEach(members::remove);
+    changes.removed().forEach(this::forget);
     changes.changed().forEach(this::take);
     if (!changes.removed().isEmpty() || !changes.changed().isEmpty()) {
       changed();
@@ -92,22 +101,50 @@
   }
 
   private void take(StoredObject object) {
-    if (object.key().equals(ownKey())) {
-      ownVersion = object.version();
-    }
+    versions.put(object.key(), object.version());
     read(object)
         .ifPresentOrElse(m -> members.put(object.key(), m), () -> members.remove(object.key()));
   }
 
+  private void forget(ObjectKey key) {
+    members.remove(key);
+    versions.remove(key);
+  }
+
   private void changed() {
-    if (!self.equals(members.get(ownKey())) && !written) {
+    writeIfMissing();
+    ImmutableList<Member> known = ImmutableList.copyOf(members.values());
+    neighbours.updateMembers(known);
+    listener.onNodes(known);
+  }
+
+  /**
+   * Writes this node's entry where it is missing, also after another node has removed it. An entry
+   * of another incarnation is replaced once, at the start.
+   */
+  private void writeIfMissing() {
+    boolean missing = !members.containsKey(ownKey());
+    boolean replaced = !written && !self.equals(members.get(ownKey()));
+    if (!writing && (missing || replaced)) {
+      writing = true;
       write();
     }
-    onChange.accept(ImmutableList.copyOf(members.values()));
+  }
+
+  /**
+   * Removes the entry of a node that is gone, unless it has changed since this node read it. A
+   * removal that fails is left to the next time that the node is found silent.
+   */
+  private void remove(Member member) {
+    ObjectKey key = keyOf(member);
+    Long version = versions.get(key);
+    if (version != null && member.equals(members.get(key))) {
+      listener.onRemoved(member);
+      platform.delete(key, Precondition.versionIs(version), WRITE_TIMEOUT);
+    }
   }
 
   private void write() {
-    written = true;
     byte[] value =
         JSON.createObjectNode()
             .put("address", self.address().toString())
@@ -115,7 +152,7 @@
             .put("incarnation", self.incarnation().number())
             .toString()
             .getBytes(StandardCharsets.UTF_8);
-    long expected = members.containsKey(ownKey()) ? ownVersion : 0;
+    long expected = versions.getOrDefault(ownKey(), 0L);
     platform
         .put(ownKey(), value, Precondition.versionIs(expected), WRITE_TIMEOUT)
         .thenAccept(result -> timing.scheduler().execute(() -> onWritten(result)));
@@ -123,23 +160,26 @@
 
   private void onWritten(WriteResult result) {
     if (result instanceof WriteResult.Conflict conflict) {
-      ownVersion = conflict.currentVersion();
-    }
-    if (!(result instanceof WriteResult.Written)) {
-      // A lost answer shows in the watch; otherwise the entry is written again.
-      timing.schedule(WRITE_AGAIN, this::writeAgain);
+      versions.put(ownKey(), conflict.currentVersion());
+    } else if (result instanceof WriteResult.Written done) {
+      written = true;
+      versions.put(ownKey(), done.version());
     }
+    // The entry, also one whose answer was lost, shows in the watch before this time.
+    timing.schedule(
+        WRITE_AGAIN,
+        () -> {
+          writing = false;
+          writeIfMissing();
+        });
   }
 
-  private void writeAgain() {
-    written = false;
-    if (!self.equals(members.get(ownKey()))) {
-      write();
-    }
+  private ObjectKey ownKey() {
+    return keyOf(self);
   }
 
-  private ObjectKey ownKey() {
-    return new ObjectKey(KIND + "/" + self.incarnation().daemon().name());
+  private static ObjectKey keyOf(Member member) {
+    return new ObjectKey(KIND + "/" + member.incarnation().daemon().name());
   }
 
   private static Optional<Member> read(StoredObject object) {
--- a/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
@@ -10,14 +10,21 @@
 import dev.apricotmill.coordination.membership.Member;
 import dev.apricotmill.coordination.membership.MemberState;
 import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.Precondition;
 import dev.apricotmill.coordination.testing.FakePlatform;
 import dev.apricotmill.coordination.testing.PlatformFault;
 import dev.apricotmill.coordination.testing.PlatformOperation;
 import dev.apricotmill.coordination.testing.VirtualScheduler;
 import dev.apricotmill.coordination.testing.VirtualTime;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 final class NodeDirectoryTest {
@@ -32,6 +39,8 @@
   private final VirtualTime time = new VirtualTime();
   private final FakePlatform store = new FakePlatform(time);
   private final Map<String, ImmutableList<Member>> seen = new HashMap<>();
+  private final Set<String> silent = new HashSet<>();
+  private final List<String> removed = new ArrayList<>();
 
   @Test
   void nodesLearnOfEachOther() {
@@ -66,16 +75,88 @@
     assertThat(seen.get("n1")).containsExactly(member("n1", 1));
   }
 
+  @Test
+  void theEntryOfANodeThatStaysSilentIsRemovedByOneOther() {
+    start("n1", 1);
+    start("n2", 1);
+    start("n3", 1);
+    time.advance(Duration.ofSeconds(1));
+    silent.add("n2");
+
+    time.advance(Duration.ofSeconds(10));
+    assertThat(removed).isEmpty();
+    time.advance(Duration.ofSeconds(8));
+
+    assertThat(removed).containsExactly("n1 removes n2");
+    // The node itself lives and writes its entry again.
+    silent.clear();
+    time.advance(Duration.ofSeconds(3));
+    assertThat(seen.get("n3")).containsExactly(member("n1", 1), member("n2", 1), member("n3", 1));
+  }
+
+  @Test
+  void aNodeThatIsSilentForAShortTimeKeepsItsEntry() {
+    start("n1", 1);
+    start("n2", 1);
+    time.advance(Duration.ofSeconds(1));
+
+    for (int i = 0; i < 5; i++) {
+      silent.add("n2");
+      time.advance(Duration.ofSeconds(8));
+      silent.clear();
+      time.advance(Duration.ofSeconds(4));
+    }
+
+    assertThat(removed).isEmpty();
+  }
+
+  @Test
+  void theEntryOfANodeThatIsGoneStaysAway() {
+    start("n1", 1);
+    byte[] entry =
+        "{\"address\":\"10.0.0.1:9000\",\"zone\":\"a\",\"incarnation\":1}"
+            .getBytes(StandardCharsets.UTF_8);
+    store
+        .clientFor("operator", new Zone("a"), time.newScheduler())
+        .put(
+            new ObjectKey(NodeDirectory.KIND + "/n2"),
+            entry,
+            Precondition.versionIs(0),
+            Duration.ofSeconds(1));
+    time.advance(Duration.ofSeconds(1));
+    assertThat(seen.get("n1")).containsExactly(member("n1", 1), member("n2", 1));
+    silent.add("n2");
+
+    time.advance(Duration.ofSeconds(20));
+
+    assertThat(seen.get("n1")).containsExactly(member("n1", 1));
+  }
+
   private void start(String name, long incarnation) {
     VirtualScheduler scheduler = time.newScheduler();
     new NodeDirectory(
             store.clientFor(name + incarnation, new Zone("a"), scheduler),
             time.timingOf(scheduler),
             member(name, incarnation),
-            members -> seen.put(name, members))
+            (member, timeout, then) -> then.accept(!silent.contains(nameOf(member))),
+            new DirectoryListener() {
+              @Override
+              public void onNodes(ImmutableList<Member> members) {
+                seen.put(name, members);
+              }
+
+              @Override
+              public void onRemoved(Member member) {
+                removed.add(name + " removes " + nameOf(member));
+              }
+            })
         .start(SETTINGS);
   }
 
+  private static String nameOf(Member member) {
+    return member.incarnation().daemon().name();
+  }
+
   private static Member member(String name, long incarnation) {
     return new Member(
         new Incarnation(new DaemonId(name), incarnation),
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPlacementPeers.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPlacementPeers.java
@@ -35,8 +35,27 @@
   @Override
   public void ask(
       PeerAddress peer, PlacementAsk ask, Duration timeout, Consumer<Optional<Placement>> then) {
-    Question question = new Question(then);
     Request request = Request.newBuilder().setPlaceWork(PlacementMessages.message(ask)).build();
+    open(
+        peer,
+        request,
+        timeout,
+        answer ->
+            then.accept(
+                answer
+                    .filter(Response::hasWorkPlaced)
+                    .flatMap(placed -> PlacementMessages.decision(placed.getWorkPlaced()))));
+  }
+
+  @Override
+  public void probe(PeerAddress peer, Duration timeout, Consumer<Boolean> then) {
+    Request request = Request.newBuilder().setReportWork(ReportWork.getDefaultInstance()).build();
+    open(peer, request, timeout, answer -> then.accept(answer.isPresent()));
+  }
+
+  private void open(
+      PeerAddress peer, Request request, Duration timeout, Consumer<Optional<Response>> then) {
+    Question question = new Question(then);
     ClientStream stream = client.open(address(peer), request, question);
     timing.schedule(
         timeout,
@@ -64,17 +83,17 @@
   /** Settles a question once, by its answer, its loss or its timeout. */
   private static final class Question implements ResponseListener {
 
-    private final Consumer<Optional<Placement>> then;
+    private final Consumer<Optional<Response>> then;
     private final AtomicBoolean settled = new AtomicBoolean();
 
-    Question(Consumer<Optional<Placement>> then) {
+    Question(Consumer<Optional<Response>> then) {
       this.then = then;
     }
 
-    boolean settle(Optional<Placement> decision) {
+    boolean settle(Optional<Response> answer) {
       boolean first = settled.compareAndSet(false, true);
       if (first) {
-        then.accept(decision);
+        then.accept(answer);
       }
       return first;
     }
@@ -86,10 +105,7 @@
 
     @Override
     public void onEnd(Response response) {
-      settle(
-          response.hasWorkPlaced()
-              ? PlacementMessages.decision(response.getWorkPlaced())
-              : Optional.empty());
+      settle(Optional.of(response));
     }
 
     @Override
--- a/node/src/main/java/dev/apricotmill/node/relay/PlacementPeers.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/PlacementPeers.java
@@ -21,6 +21,13 @@
   void ask(
       PeerAddress peer, PlacementAsk ask, Duration timeout, Consumer<Optional<Placement>> then);
 
+  /**
+   * Asks another node whether it lives.
+   *
+   * @param then learns, on any thread, whether it answered in time
+   */
+  void probe(PeerAddress peer, Duration timeout, Consumer<Boolean> then);
+
   /** Tells a dispatcher what became of work. Lost reports are not sent again. */
   void report(PeerAddress peer, ImmutableList<WorkReport> reports);
 }
--- a/node/src/test/java/dev/apricotmill/node/relay/SharedPlacementsTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/SharedPlacementsTest.java
@@ -156,6 +156,11 @@
       then = newThen;
     }
 
+    @Override
+    public void probe(PeerAddress peer, Duration timeout, Consumer<Boolean> then) {
+      then.accept(true);
+    }
+
     @Override
     public void report(PeerAddress peer, ImmutableList<WorkReport> newReports) {
       reports.addAll(newReports);
