A stream that a second server fails to continue breaks off instead of looking complete

Cause: when a stream had begun and the server that was to continue it answered with an error, the end of that answer ended the stream as if it were whole. Change: an answer that continues a stream and is none counts as incomplete. Ruled out: passing the error on (the head of the answer has gone already).

--- a/node/src/main/java/dev/apricotmill/node/relay/RelayAnswer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayAnswer.java
@@ -90,8 +90,13 @@
     return body.size() > MOST_WHOLE_BYTES;
   }
 
+  /** Returns whether an answer that ends now lacks a part, as far as can be seen. */
   boolean isIncomplete() {
-    return streams() && (events.hasPartial() || !begun);
+    if (begun) {
+      // A server that was to continue a stream may have answered with an error instead.
+      return !streams() || events.hasPartial();
+    }
+    return streams();
   }
 
   boolean isFailure() {
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayCallTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayCallTest.java
@@ -282,4 +282,19 @@
     assertThat(caller.refusal()).isEqualTo(RelayRefusal.BROKEN);
     assertThat(relay.last().cancelled()).isTrue();
   }
+
+  @Test
+  void aStreamThatASecondServerFailsToContinueDoesNotLookComplete() {
+    RecordedCaller caller = relay.accept("/stream/1");
+    relay.last().head(200, false);
+    relay.last().body("id: 1\ndata: a\n\n");
+    relay.last().fail(true);
+
+    relay.last().head(500, false);
+    relay.last().body("error");
+    relay.last().end();
+
+    assertThat(caller.ended()).isFalse();
+    assertThat(caller.aborted()).isTrue();
+  }
 }
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -47,10 +47,10 @@
   private final List<String> orders = new ArrayList<>();
   private BackendPort.ReserveResult reserveResult = BackendPort.ReserveResult.RESERVED;
   private long promptTokens = 5_000;
+  private final LocalPlacements placements = new LocalPlacements(timing);
   private final RelayNode node;
 
   RelayFixture(int retryReserve) {
-    LocalPlacements placements = new LocalPlacements(timing);
     node =
         new RelayNode(
             timing,
@@ -120,6 +120,11 @@
     promptTokens = tokens;
   }
 
+  /** Returns how many requests the ledger of the pool holds. */
+  int placedCount() {
+    return placements.ledger(POOL).orElseThrow().placedCount();
+  }
+
   ConfigurationProof proof() {
     return new ConfigurationProof(timing.nanoTime(), timing.clock().millis());
   }
@@ -130,10 +135,14 @@
   }
 
   RecordedCaller accept(String path, OptionalLong resumeAfter) {
+    return accept("r1", path, resumeAfter);
+  }
+
+  RecordedCaller accept(String id, String path, OptionalLong resumeAfter) {
     RecordedCaller caller = new RecordedCaller();
     node.accept(
         new RelayRequest(
-            new RequestId("r1"),
+            new RequestId(id),
             "host",
             "POST",
             path,
@@ -288,6 +297,8 @@
     private ImmutableMap<String, String> headers = ImmutableMap.of();
     private boolean ended;
     private boolean aborted;
+    private int finals;
+    private boolean left;
     private @Nullable Watcher watcher;
 
     String body() {
@@ -314,7 +325,17 @@
       return aborted;
     }
 
+    /** Returns how many final answers came. */
+    int finals() {
+      return finals;
+    }
+
+    boolean hasLeft() {
+      return left;
+    }
+
     void leave() {
+      left |= finals == 0;
       Objects.requireNonNull(watcher).onGone();
     }
 
@@ -326,6 +347,7 @@
     @Override
     public void refuse(RelayRefusal reason, Duration comeBack) {
       refusal = reason;
+      finals++;
     }
 
     @Override
@@ -349,11 +371,13 @@
     @Override
     public void end() {
       ended = true;
+      finals++;
     }
 
     @Override
     public void abort() {
       aborted = true;
+      finals++;
     }
 
     @Override
--- /dev/null
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelaySequencesTest.java
@@ -0,0 +1,164 @@
+package dev.apricotmill.node.relay;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import dev.apricotmill.core.relay.RelayRefusal;
+import dev.apricotmill.core.relay.RepeatPolicy;
+import dev.apricotmill.core.relay.Route;
+import dev.apricotmill.node.relay.RelayFixture.RecordedCaller;
+import dev.apricotmill.node.relay.RelayFixture.SentExchange;
+import dev.apricotmill.node.relay.ScriptedAnswer.Step;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/**
+ * What must hold for requests whatever servers, callers and time do in whatever order.
+ *
+ * <p>Each number of a sequence is one step: it picks a request and what happens to its last send.
+ */
+final class RelaySequencesTest {
+
+  private static final int RETRY_RESERVE = 3;
+  private static final List<String> PATHS = List.of("/order/1", "/read/1", "/stream/1", "/once/1");
+  private static final Duration LONGER_THAN_ANY_REQUEST = Duration.ofSeconds(30);
+
+  private final RelayFixture relay = new RelayFixture(RETRY_RESERVE);
+  private final Map<SentExchange, ScriptedAnswer> answers = new LinkedHashMap<>();
+  private final List<Call> calls = new ArrayList<>();
+
+  /**
+   * A request of the sequence.
+   *
+   * @param id its identifier
+   * @param path its path, which begins with the name of its route
+   * @param caller who asked
+   */
+  private record Call(String id, String path, RecordedCaller caller) {
+
+    String route() {
+      return path.split("/", -1)[1];
+    }
+  }
+
+  @Property(tries = 2_000)
+  void promisesHoldInEveryOrderOfEvents(
+      @ForAll @Size(min = 1, max = 4) List<@IntRange(max = 3) Integer> routes,
+      @ForAll @Size(max = 60) List<@IntRange(max = 9_999) Integer> steps) {
+    RelaySequencesTest sequence = new RelaySequencesTest();
+    for (int i = 0; i < routes.size(); i++) {
+      sequence.accept("r" + i, PATHS.get(routes.get(i)));
+    }
+    steps.forEach(sequence::step);
+    sequence.relay.time().advance(LONGER_THAN_ANY_REQUEST);
+    sequence.check();
+  }
+
+  private void accept(String id, String path) {
+    calls.add(new Call(id, path, relay.accept(id, path, OptionalLong.empty())));
+  }
+
+  private void step(int number) {
+    Call call = calls.get(number % calls.size());
+    int choice = number / calls.size();
+    Step[] all = Step.values();
+    Step step = all[choice % all.length];
+    switch (step) {
+      case TIME_PASSES -> relay.time().advance(Duration.ofMillis(choice % 900));
+      case CALLER_LEAVES -> {
+        if (choice % 5 == 0) {
+          call.caller().leave();
+          relay.time().runDue();
+        }
+      }
+      case CALLER_READS -> call.caller().take(1);
+      default -> lastSend(call).ifPresent(exchange -> answerOf(exchange, call).apply(step));
+    }
+  }
+
+  private Optional<SentExchange> lastSend(Call call) {
+    List<SentExchange> sends = sendsOf(call);
+    return sends.isEmpty() ? Optional.empty() : Optional.of(sends.get(sends.size() - 1));
+  }
+
+  private ScriptedAnswer answerOf(SentExchange exchange, Call call) {
+    return answers.computeIfAbsent(exchange, sent -> new ScriptedAnswer(sent, streams(call)));
+  }
+
+  private List<SentExchange> sendsOf(Call call) {
+    return relay.sent().stream()
+        .filter(sent -> sent.send().request().id().value().equals(call.id()))
+        .toList();
+  }
+
+  /**
+   * Returns the sends of which a byte may have left and that no server has said not to have run.
+   */
+  private List<SentExchange> mayHaveRun(Call call) {
+    return sendsOf(call).stream().filter(sent -> !answerOf(sent, call).surelyNotRun()).toList();
+  }
+
+  private void check() {
+    calls.forEach(this::checkCall);
+    assertThat(relay.node().openRequests()).isEqualTo(0);
+    assertWithMessage("work left in the ledger").that(relay.placedCount()).isEqualTo(0);
+    checkBudget(true);
+    checkBudget(false);
+  }
+
+  /** Each service has a reserve of its own; streams go to one of the two services. */
+  private void checkBudget(boolean streamed) {
+    long again =
+        calls.stream()
+            .filter(call -> streams(call) == streamed)
+            .mapToLong(call -> Math.max(0, reached(call) - 1))
+            .sum();
+    assertWithMessage("sends beyond the first of each request").that(again).isAtMost(RETRY_RESERVE);
+  }
+
+  /** Returns how many sends of a request were not known to have stayed here. */
+  private long reached(Call call) {
+    return sendsOf(call).stream().filter(sent -> !answerOf(sent, call).neverLeft()).count();
+  }
+
+  private void checkCall(Call call) {
+    RecordedCaller caller = call.caller();
+    assertWithMessage("final answers").that(caller.finals()).isEqualTo(caller.hasLeft() ? 0 : 1);
+    Route route = RelayFixture.configuration(1).routes().find("host", call.path()).orElseThrow();
+    if (route.repeats() == RepeatPolicy.AT_MOST_ONCE) {
+      assertWithMessage("runs").that(mayHaveRun(call).size()).isAtMost(1);
+    }
+    assertWithMessage("servers").that(reached(call)).isAtMost(route.maximumSends());
+    RelayRefusal refusal = caller.refusal();
+    if (refusal != null && refusal.promisesNotRun()) {
+      assertWithMessage("runs of what is said not to have run").that(mayHaveRun(call)).isEmpty();
+    }
+    for (SentExchange sent : sendsOf(call)) {
+      assertWithMessage("a send without an end is cancelled")
+          .that(sent.cancelled() || answerOf(sent, call).isOver())
+          .isTrue();
+    }
+    if (caller.ended() && caller.status() == 200) {
+      assertThat(caller.body()).isEqualTo(ScriptedAnswer.wholeBody(streams(call)));
+    } else {
+      assertThat(ScriptedAnswer.wholeBody(streams(call))).startsWith(prefixOf(caller));
+    }
+  }
+
+  private static boolean streams(Call call) {
+    return call.route().equals("stream") || call.route().equals("once");
+  }
+
+  private static String prefixOf(RecordedCaller caller) {
+    return caller.status() == 200 ? caller.body() : "";
+  }
+}
