--- a/node/src/main/java/dev/apricotmill/node/relay/CallLog.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CallLog.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.node.relay;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.Route;
@@ -23,7 +24,7 @@
   void sent(
       BackendServer server,
       ServiceName service,
-      int helpers,
+      ImmutableList<BackendPort.Helper> helpers,
       int send,
       Duration left,
       Duration expected) {
@@ -33,7 +34,7 @@
         ImmutableMap.of(
             "server", server.id().value(),
             "service", service.value(),
-            "helpers", helpers,
+            "helpers", helpers.stream().map(helper -> helper.address().toString()).toList(),
             "send", send,
             "left_ms", left.toMillis(),
             "expected_ms", expected.toMillis(),
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -146,7 +146,7 @@
     RelaySend send = new RelaySend(server, node.timing().scheduler(), this);
     current = send;
     node.plainServers().begun(server.id());
-    log.sent(server, service(), helpers.size(), sends, left(), expected);
+    log.sent(server, service(), helpers, sends, left(), expected);
     send.start(
         node.backends(),
         new BackendPort.BackendSend(
