A node connects ahead to the next dispatchers only, not to every node

Cause: each node opened a connection to each other node at every change of the list, so that their number grew with the square of the nodes; a node speaks to the dispatchers of its pools only. Change: a node connects to the first three in the order of each pool, once.

--- a/node/src/main/java/dev/apricotmill/node/relay/LocalPlacements.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/LocalPlacements.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.node.relay;
 
+import com.google.common.collect.ImmutableSet;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementAsk;
@@ -44,6 +45,11 @@
     }
   }
 
+  /** Returns the pools that are known. */
+  ImmutableSet<ServiceName> pools() {
+    return ImmutableSet.copyOf(ledgers.keySet());
+  }
+
   /** Returns the ledger of a pool. */
   public Optional<PoolLedger> ledger(ServiceName service) {
     return Optional.ofNullable(ledgers.get(service));
--- a/node/src/main/java/dev/apricotmill/node/relay/SharedPlacements.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/SharedPlacements.java
@@ -15,10 +15,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
@@ -39,6 +41,9 @@
   /** Reports that come within this time travel in one message. */
   private static final Duration REPORT_DELAY = Duration.ofMillis(8);
 
+  /** The dispatcher of a pool and those that follow when it and its successor are lost. */
+  private static final int CONNECTED_AHEAD = 3;
+
   private static final int NODES_THAT_STAND_FOR_A_ZONE = 2;
   private static final Duration FIRST_SUSPICION = Duration.ofMillis(500);
   private static final Duration LONGEST_SUSPICION = Duration.ofSeconds(8);
@@ -53,6 +58,7 @@
   private final Map<ServiceName, Member> dispatchers = new HashMap<>();
   private final Map<ServiceName, List<WorkReport>> pending = new HashMap<>();
   private ImmutableList<Member> members = ImmutableList.of();
+  private final Set<Member> connected = new HashSet<>();
   private boolean flushing;
 
   /** Creates placements of a node that knows no other. */
@@ -77,9 +83,19 @@
   public void updateMembers(ImmutableList<Member> newMembers) {
     members = newMembers;
     suspicions.keySet().retainAll(newMembers);
-    // Connects now, so that the first request does not wait for it.
-    newMembers.stream()
+    connected.retainAll(newMembers);
+    connectAhead();
+  }
+
+  /**
+   * Connects to the nodes that may dispatch a pool next, so that no request waits for it. Called
+   * when nodes or pools have changed.
+   */
+  public void connectAhead() {
+    local.pools().stream()
+        .flatMap(pool -> RendezvousHash.ranked(members, pool.value()).limit(CONNECTED_AHEAD))
         .filter(member -> !member.equals(self))
+        .filter(connected::add)
         .forEach(member -> peers.report(member.address(), ImmutableList.of()));
   }
 
--- a/node/src/test/java/dev/apricotmill/node/relay/SharedPlacementsTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/SharedPlacementsTest.java
@@ -51,6 +51,22 @@
     assertThat(decisions).containsExactly(granted("pool2"));
   }
 
+  @Test
+  void aNodeConnectsToTheNextDispatchersOnceHoweverManyNodesThereAre() {
+    ImmutableList.Builder<Member> many = ImmutableList.<Member>builder().addAll(ranked);
+    for (int i = 0; i < 90; i++) {
+      many.add(member("m" + i, i));
+    }
+    peers.reported.clear();
+
+    placements.updateMembers(many.build());
+    int connections = peers.reported.size();
+    placements.connectAhead();
+
+    assertThat(connections).isAtMost(3);
+    assertThat(peers.reported).hasSize(connections);
+  }
+
   @Test
   void aSilentDispatcherIsReplacedByTheNextAndThatOneHearsOfRunningWork() {
     placements.place(ask("r1"), decisions::add);
@@ -129,21 +145,25 @@
   private static ImmutableList<Member> rankedMembers() {
     ImmutableList.Builder<Member> members = ImmutableList.builder();
     for (int i = 0; i < 3; i++) {
-      members.add(
-          new Member(
-              new Incarnation(new DaemonId("n" + i), 1),
-              new Zone("a"),
-              new PeerAddress("10.0.1." + i, 90),
-              MemberState.ALIVE));
+      members.add(member("n" + i, i));
     }
     return RendezvousHash.ranked(members.build(), RelayFixture.POOL.value())
         .collect(ImmutableList.toImmutableList());
   }
 
+  private static Member member(String name, int address) {
+    return new Member(
+        new Incarnation(new DaemonId(name), 1),
+        new Zone("a"),
+        new PeerAddress("10.0.1." + address, 90),
+        MemberState.ALIVE);
+  }
+
   private final class ScriptedPeers implements PlacementPeers {
 
     private final List<PeerAddress> asked = new ArrayList<>();
     private final List<WorkReport> reports = new ArrayList<>();
+    private final List<PeerAddress> reported = new ArrayList<>();
     private Consumer<Optional<Placement>> then = decision -> {};
 
     @Override
@@ -164,6 +184,7 @@
     @Override
     public void report(PeerAddress peer, ImmutableList<WorkReport> newReports) {
       reports.addAll(newReports);
+      reported.add(peer);
     }
 
     private void answer(Optional<Placement> decision) {
