--- a/core/src/main/java/dev/apricotmill/core/pool/PoolLedger.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolLedger.java
@@ -97,13 +97,12 @@
           ask.size().promptTokens()
               + ask.size().maximumOutputTokens()
               - granted.reservedTokens() * granted.helpers().size();
-      first.add(ask.request(), true, partMillis, tokens, ask.pauseGoal(), nowMillis);
+      first.addAnswer(ask, partMillis, tokens, nowMillis);
     }
     for (ReplicaId helper : granted.helpers()) {
       PoolMember member = members.get(helper);
       if (member != null) {
-        member.add(
-            ask.request(), false, partMillis, granted.reservedTokens(), ask.pauseGoal(), nowMillis);
+        member.addHelp(ask, partMillis, granted.reservedTokens(), nowMillis);
       }
     }
     placed.put(ask.request(), new Placed(granted, nowMillis + ask.remaining().toMillis()));
--- a/core/src/main/java/dev/apricotmill/core/pool/PoolMember.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolMember.java
@@ -33,6 +33,8 @@
    * @param pauseGoal the longest pause between events of the answer
    * @param value what the request is worth
    * @param late whether reading that was placed here has made the answer late
+   * @param dueMillis when the first event would be late
+   * @param firstEventMillis when the first event is expected
    */
   private record Part(
       boolean answers,
@@ -40,17 +42,37 @@
       long tokens,
       Duration pauseGoal,
       double value,
-      boolean late) {
+      boolean late,
+      double dueMillis,
+      double firstEventMillis) {
 
     Part afterReading() {
-      return new Part(answers, false, tokens, pauseGoal, value, late);
+      return new Part(answers, false, tokens, pauseGoal, value, late, dueMillis, firstEventMillis);
     }
 
     Part madeLate() {
-      return new Part(answers, reading, tokens, pauseGoal, value, true);
+      return new Part(
+          answers, reading, tokens, pauseGoal, value, true, dueMillis, firstEventMillis);
+    }
+
+    /** Returns the part after a helper's part of another prompt went ahead of it. */
+    Part delayed(double millis) {
+      return answers && reading
+          ? new Part(
+              answers, true, tokens, pauseGoal, value, late, dueMillis, firstEventMillis + millis)
+          : this;
     }
   }
 
+  /**
+   * Reading that is to be placed here.
+   *
+   * @param millis how long it takes
+   * @param ahead whether it goes ahead of prompts that are being read here already, as the parts of
+   *     helpers do
+   */
+  record Reading(double millis, boolean ahead) {}
+
   BackendServer server() {
     return server;
   }
@@ -59,19 +81,54 @@
     server = newer;
   }
 
-  void add(
-      RequestId request,
-      boolean answers,
-      double readMillis,
-      long tokens,
-      Duration pauseGoal,
-      double nowMillis) {
-    if (readMillis > readRoomMillis(nowMillis)) {
-      parts.replaceAll((id, part) -> part.madeLate());
+  /** Notes the share of a request that this engine answers. */
+  void addAnswer(PlacementAsk ask, double readMillis, long tokens, double nowMillis) {
+    Reading reading = new Reading(readMillis, false);
+    double firstEvent = nowMillis + pendingReadMillis(nowMillis) + passMillis() + readMillis;
+    add(
+        ask.request(),
+        reading,
+        new Part(
+            true,
+            true,
+            tokens,
+            ask.pauseGoal(),
+            figures.value(tokens),
+            false,
+            nowMillis + ask.goal().toMillis(),
+            firstEvent),
+        nowMillis);
+  }
+
+  /** Notes the share of a request whose prompt this engine helps to read. */
+  void addHelp(PlacementAsk ask, double readMillis, long tokens, double nowMillis) {
+    Reading reading = new Reading(readMillis, true);
+    add(
+        ask.request(),
+        reading,
+        new Part(false, true, tokens, ask.pauseGoal(), 0, false, 0, 0),
+        nowMillis);
+  }
+
+  private void add(RequestId request, Reading reading, Part share, double nowMillis) {
+    parts.replaceAll((id, part) -> isMadeLate(part, reading, nowMillis) ? part.madeLate() : part);
+    if (reading.ahead()) {
+      parts.replaceAll((id, part) -> part.delayed(reading.millis()));
+    }
+    parts.put(request, share);
+    readUntilMillis = Math.max(readUntilMillis, nowMillis) + reading.millis();
+  }
+
+  private boolean isMadeLate(Part part, Reading reading, double nowMillis) {
+    if (!part.answers() || part.late()) {
+      return false;
+    }
+    if (part.reading() && reading.ahead()) {
+      double firstEvent = Math.max(part.firstEventMillis(), nowMillis) + reading.millis();
+      return firstEvent > part.dueMillis();
     }
-    double value = figures.value(answers ? tokens : 0);
-    parts.put(request, new Part(answers, true, tokens, pauseGoal, value, false));
-    readUntilMillis = Math.max(readUntilMillis, nowMillis) + readMillis;
+    double pause = passMillis() + pendingReadMillis(nowMillis) + reading.millis();
+    return pause > part.pauseGoal().toMillis();
   }
 
   /** Notes that a request's prompt has been read. */
@@ -120,10 +177,10 @@
     return writers == 0 ? 0 : figures.passMillis(writers, usedTokens());
   }
 
-  /** Returns the worth of the answers here that more reading than there is room for makes late. */
-  double valueOnTime() {
+  /** Returns the worth of the answers here that more reading makes late. */
+  double valueMadeLate(Reading reading, double nowMillis) {
     return parts.values().stream()
-        .filter(part -> part.answers() && !part.late())
+        .filter(part -> isMadeLate(part, reading, nowMillis))
         .mapToDouble(Part::value)
         .sum();
   }
