Sums over a ledger's parts are kept, not taken in each comparison

Change: sums are kept with each change of the parts, and the cost of an engine is reckoned once a plan.

--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
@@ -188,6 +188,9 @@
    */
   private record Plan(ImmutableList<PoolMember> members, double finishMillis, double cost) {}
 
+  /** An engine with its cost, which is reckoned once rather than in each comparison. */
+  private record Weighed(PoolMember member, double cost) {}
+
   /** Returns the cheapest way to read the prompt in that many equal parts. */
   private Plan plan(int parts, ImmutableList<PoolMember> free, ImmutableList<PoolMember> helping) {
     double part = readMillis / parts;
@@ -250,7 +253,11 @@
 
   private static ImmutableList<PoolMember> cheapest(
       ImmutableList<PoolMember> members, ToDoubleFunction<PoolMember> cost) {
-    return ImmutableList.sortedCopyOf(Comparator.comparingDouble(cost), members);
+    return members.stream()
+        .map(member -> new Weighed(member, cost.applyAsDouble(member)))
+        .sorted(Comparator.comparingDouble(Weighed::cost))
+        .map(Weighed::member)
+        .collect(ImmutableList.toImmutableList());
   }
 
   private static Placement grant(
--- a/core/src/main/java/dev/apricotmill/core/pool/PoolMember.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolMember.java
@@ -16,6 +16,9 @@
   private final EngineFigures figures;
   private final Map<RequestId, Part> parts = new HashMap<>();
   private BackendServer server;
+  private int answering;
+  private int readingParts;
+  private long usedTokens;
   private double readUntilMillis;
   private double distrustedUntilMillis;
 
@@ -111,15 +114,23 @@
   }
 
   private void add(RequestId request, Reading reading, Part share, double nowMillis) {
-    parts.replaceAll((id, part) -> isMadeLate(part, reading, nowMillis) ? part.madeLate() : part);
+    double pause = pauseMillis(reading, nowMillis);
+    parts.replaceAll(
+        (id, part) -> isMadeLate(part, reading, pause, nowMillis) ? part.madeLate() : part);
     if (reading.ahead()) {
       parts.replaceAll((id, part) -> part.delayed(reading.millis()));
     }
     parts.put(request, share);
+    recount();
     readUntilMillis = Math.max(readUntilMillis, nowMillis) + reading.millis();
   }
 
-  private boolean isMadeLate(Part part, Reading reading, double nowMillis) {
+  private double pauseMillis(Reading reading, double nowMillis) {
+    return passMillis() + pendingReadMillis(nowMillis) + reading.millis();
+  }
+
+  private static boolean isMadeLate(
+      Part part, Reading reading, double pauseMillis, double nowMillis) {
     if (!part.answers() || part.late()) {
       return false;
     }
@@ -127,8 +138,7 @@
       double firstEvent = Math.max(part.firstEventMillis(), nowMillis) + reading.millis();
       return firstEvent > part.dueMillis();
     }
-    double pause = passMillis() + pendingReadMillis(nowMillis) + reading.millis();
-    return pause > part.pauseGoal().toMillis();
+    return pauseMillis > part.pauseGoal().toMillis();
   }
 
   /** Notes that a request's prompt has been read. */
@@ -153,52 +163,67 @@
 
   /** Returns how long the parts placed here still take to read. */
   double pendingReadMillis(double nowMillis) {
-    boolean reads = parts.values().stream().anyMatch(Part::reading);
-    return Math.max(readUntilMillis - nowMillis, reads ? OVERDUE_MILLIS : 0);
+    return Math.max(readUntilMillis - nowMillis, readingParts > 0 ? OVERDUE_MILLIS : 0);
   }
 
   /** Returns the requests whose answers are or will be written here. */
   int answering() {
-    return (int) parts.values().stream().filter(Part::answers).count();
+    return answering;
   }
 
   /** Returns the requests that only read a part here. */
   int helping() {
-    return parts.size() - answering();
+    return parts.size() - answering;
   }
 
   long usedTokens() {
-    return parts.values().stream().mapToLong(Part::tokens).sum();
+    return usedTokens;
   }
 
   /** Returns how long a pass takes in which nothing is read; zero while nothing is written. */
   double passMillis() {
-    int writers = answering();
-    return writers == 0 ? 0 : figures.passMillis(writers, usedTokens());
+    return answering == 0 ? 0 : figures.passMillis(answering, usedTokens);
   }
 
   /** Returns the worth of the answers here that more reading makes late. */
   double valueMadeLate(Reading reading, double nowMillis) {
-    return parts.values().stream()
-        .filter(part -> isMadeLate(part, reading, nowMillis))
-        .mapToDouble(Part::value)
-        .sum();
+    double pause = pauseMillis(reading, nowMillis);
+    double value = 0;
+    for (Part part : parts.values()) {
+      if (isMadeLate(part, reading, pause, nowMillis)) {
+        value += part.value();
+      }
+    }
+    return value;
   }
 
   /** Returns the reading that one pass has room for before an event here would be late. */
   double readRoomMillis(double nowMillis) {
-    double tightest =
-        parts.values().stream()
-            .filter(part -> part.answers() && !part.late())
-            .mapToDouble(part -> part.pauseGoal().toMillis())
-            .min()
-            .orElse(Double.MAX_VALUE);
+    double tightest = Double.MAX_VALUE;
+    for (Part part : parts.values()) {
+      if (part.answers() && !part.late()) {
+        tightest = Math.min(tightest, (double) part.pauseGoal().toMillis());
+      }
+    }
     return tightest - passMillis() - pendingReadMillis(nowMillis);
   }
 
   private void correctReading(double nowMillis) {
-    if (parts.values().stream().noneMatch(Part::reading)) {
+    recount();
+    if (readingParts == 0) {
       readUntilMillis = nowMillis;
     }
   }
+
+  /** Sums up the parts; placing asks for the sums many times between two changes. */
+  private void recount() {
+    answering = 0;
+    readingParts = 0;
+    usedTokens = 0;
+    for (Part part : parts.values()) {
+      answering += part.answers() ? 1 : 0;
+      readingParts += part.reading() ? 1 : 0;
+      usedTokens += part.tokens();
+    }
+  }
 }
