Take back the change of placement; keep the sums of the ledger

Ruled out so far: nothing; a likely reason is that answers which are late already cost a plan nothing more, so that parts pile up beside them until they are taken for silent and read again. Conclusion: the earlier placement stays.

--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementChoice.java
@@ -159,12 +159,7 @@
   private boolean delaysNobody(Plan plan, int parts) {
     double part = readMillis / parts;
     return plan.finishMillis() <= ask.goal().toMillis()
-        && plan.members().stream()
-            .allMatch(member -> harmValue(member, reading(plan, member, part)) == 0);
-  }
-
-  private static PoolMember.Reading reading(Plan plan, PoolMember member, double part) {
-    return new PoolMember.Reading(part, member != plan.members().get(0));
+        && plan.members().stream().allMatch(member -> harmValue(member, part) == 0);
   }
 
   /** Returns the memory that one of equal parts takes, in whole blocks with one to spare. */
@@ -194,14 +189,13 @@
   /** Returns the cheapest way to read the prompt in that many equal parts. */
   private Plan plan(int parts, ImmutableList<PoolMember> free, ImmutableList<PoolMember> helping) {
     double part = readMillis / parts;
-    PoolMember.Reading own = new PoolMember.Reading(part, false);
-    PoolMember.Reading help = new PoolMember.Reading(part, true);
-    PoolMember first = cheapest(free, member -> harm(member, own) + longCost(member)).get(0);
+    ToDoubleFunction<PoolMember> cost = member -> harm(member, part) + longCost(member);
+    PoolMember first = cheapest(free, cost).get(0);
     ImmutableList<PoolMember> members =
         ImmutableList.<PoolMember>builder()
             .add(first)
             .addAll(
-                cheapest(helping, member -> harm(member, help) + longCost(member)).stream()
+                cheapest(helping, cost).stream()
                     .filter(member -> member != first)
                     .limit(parts - 1)
                     .iterator())
@@ -210,15 +204,15 @@
     double value = 0;
     for (PoolMember member : members) {
       finish = Math.max(finish, finishMillis(member, part));
-      value += harmValue(member, member == first ? own : help) + CROWD_VALUE * member.answering();
+      value += harmValue(member, part) + CROWD_VALUE * member.answering();
     }
-    double worth = figures.value(ask.size().promptTokens());
+    double own = figures.value(ask.size().promptTokens());
     double goal = Math.max(1, ask.goal().toMillis() * GOAL_SHARE);
     if (finish > goal) {
-      value += worth * LATE_SHARE;
+      value += own * LATE_SHARE;
     }
     double urgency = finish / goal;
-    value += worth * SPEED_SHARE * urgency * urgency + PART_VALUE * parts;
+    value += own * SPEED_SHARE * urgency * urgency + PART_VALUE * parts;
     return new Plan(members, finish, value);
   }
 
@@ -227,13 +221,13 @@
   }
 
   /** Returns the worth of the answers that a part makes late on an engine. */
-  private double harmValue(PoolMember member, PoolMember.Reading reading) {
-    return LATE_SHARE * member.valueMadeLate(reading, nowMillis);
+  private double harmValue(PoolMember member, double part) {
+    return part > member.readRoomMillis(nowMillis) ? LATE_SHARE * member.valueOnTime() : 0;
   }
 
   /** Returns the same as a delay, so that it can be compared with waiting. */
-  private double harm(PoolMember member, PoolMember.Reading reading) {
-    return harmValue(member, reading) * VALUE_MILLIS;
+  private double harm(PoolMember member, double part) {
+    return harmValue(member, part) * VALUE_MILLIS;
   }
 
   private double longCost(PoolMember member) {
--- a/core/src/main/java/dev/apricotmill/core/pool/PoolLedger.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolLedger.java
@@ -97,12 +97,13 @@
           ask.size().promptTokens()
               + ask.size().maximumOutputTokens()
               - granted.reservedTokens() * granted.helpers().size();
-      first.addAnswer(ask, partMillis, tokens, nowMillis);
+      first.add(ask.request(), true, partMillis, tokens, ask.pauseGoal(), nowMillis);
     }
     for (ReplicaId helper : granted.helpers()) {
       PoolMember member = members.get(helper);
       if (member != null) {
-        member.addHelp(ask, partMillis, granted.reservedTokens(), nowMillis);
+        member.add(
+            ask.request(), false, partMillis, granted.reservedTokens(), ask.pauseGoal(), nowMillis);
       }
     }
     placed.put(ask.request(), new Placed(granted, nowMillis + ask.remaining().toMillis()));
--- a/core/src/main/java/dev/apricotmill/core/pool/PoolMember.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolMember.java
@@ -36,8 +36,6 @@
    * @param pauseGoal the longest pause between events of the answer
    * @param value what the request is worth
    * @param late whether reading that was placed here has made the answer late
-   * @param dueMillis when the first event would be late
-   * @param firstEventMillis when the first event is expected
    */
   private record Part(
       boolean answers,
@@ -45,37 +43,17 @@
       long tokens,
       Duration pauseGoal,
       double value,
-      boolean late,
-      double dueMillis,
-      double firstEventMillis) {
+      boolean late) {
 
     Part afterReading() {
-      return new Part(answers, false, tokens, pauseGoal, value, late, dueMillis, firstEventMillis);
+      return new Part(answers, false, tokens, pauseGoal, value, late);
     }
 
     Part madeLate() {
-      return new Part(
-          answers, reading, tokens, pauseGoal, value, true, dueMillis, firstEventMillis);
-    }
-
-    /** Returns the part after a helper's part of another prompt went ahead of it. */
-    Part delayed(double millis) {
-      return answers && reading
-          ? new Part(
-              answers, true, tokens, pauseGoal, value, late, dueMillis, firstEventMillis + millis)
-          : this;
+      return new Part(answers, reading, tokens, pauseGoal, value, true);
     }
   }
 
-  /**
-   * Reading that is to be placed here.
-   *
-   * @param millis how long it takes
-   * @param ahead whether it goes ahead of prompts that are being read here already, as the parts of
-   *     helpers do
-   */
-  record Reading(double millis, boolean ahead) {}
-
   BackendServer server() {
     return server;
   }
@@ -84,61 +62,20 @@
     server = newer;
   }
 
-  /** Notes the share of a request that this engine answers. */
-  void addAnswer(PlacementAsk ask, double readMillis, long tokens, double nowMillis) {
-    Reading reading = new Reading(readMillis, false);
-    double firstEvent = nowMillis + pendingReadMillis(nowMillis) + passMillis() + readMillis;
-    add(
-        ask.request(),
-        reading,
-        new Part(
-            true,
-            true,
-            tokens,
-            ask.pauseGoal(),
-            figures.value(tokens),
-            false,
-            nowMillis + ask.goal().toMillis(),
-            firstEvent),
-        nowMillis);
-  }
-
-  /** Notes the share of a request whose prompt this engine helps to read. */
-  void addHelp(PlacementAsk ask, double readMillis, long tokens, double nowMillis) {
-    Reading reading = new Reading(readMillis, true);
-    add(
-        ask.request(),
-        reading,
-        new Part(false, true, tokens, ask.pauseGoal(), 0, false, 0, 0),
-        nowMillis);
-  }
-
-  private void add(RequestId request, Reading reading, Part share, double nowMillis) {
-    double pause = pauseMillis(reading, nowMillis);
-    parts.replaceAll(
-        (id, part) -> isMadeLate(part, reading, pause, nowMillis) ? part.madeLate() : part);
-    if (reading.ahead()) {
-      parts.replaceAll((id, part) -> part.delayed(reading.millis()));
+  void add(
+      RequestId request,
+      boolean answers,
+      double readMillis,
+      long tokens,
+      Duration pauseGoal,
+      double nowMillis) {
+    if (readMillis > readRoomMillis(nowMillis)) {
+      parts.replaceAll((id, part) -> part.madeLate());
     }
-    parts.put(request, share);
+    double value = figures.value(answers ? tokens : 0);
+    parts.put(request, new Part(answers, true, tokens, pauseGoal, value, false));
     recount();
-    readUntilMillis = Math.max(readUntilMillis, nowMillis) + reading.millis();
-  }
-
-  private double pauseMillis(Reading reading, double nowMillis) {
-    return passMillis() + pendingReadMillis(nowMillis) + reading.millis();
-  }
-
-  private static boolean isMadeLate(
-      Part part, Reading reading, double pauseMillis, double nowMillis) {
-    if (!part.answers() || part.late()) {
-      return false;
-    }
-    if (part.reading() && reading.ahead()) {
-      double firstEvent = Math.max(part.firstEventMillis(), nowMillis) + reading.millis();
-      return firstEvent > part.dueMillis();
-    }
-    return pauseMillis > part.pauseGoal().toMillis();
+    readUntilMillis = Math.max(readUntilMillis, nowMillis) + readMillis;
   }
 
   /** Notes that a request's prompt has been read. */
@@ -185,16 +122,12 @@
     return answering == 0 ? 0 : figures.passMillis(answering, usedTokens);
   }
 
-  /** Returns the worth of the answers here that more reading makes late. */
-  double valueMadeLate(Reading reading, double nowMillis) {
-    double pause = pauseMillis(reading, nowMillis);
-    double value = 0;
-    for (Part part : parts.values()) {
-      if (isMadeLate(part, reading, pause, nowMillis)) {
-        value += part.value();
-      }
-    }
-    return value;
+  /** Returns the worth of the answers here that more reading than there is room for makes late. */
+  double valueOnTime() {
+    return parts.values().stream()
+        .filter(part -> part.answers() && !part.late())
+        .mapToDouble(Part::value)
+        .sum();
   }
 
   /** Returns the reading that one pass has room for before an event here would be late. */
