A flush of the log waits for the line that is being written

Cause: flush ended when the queue was empty, while the writer still held the last line; the last lines of a process could be lost at its stop. Change: lines count as unwritten until they are out. Test: aFlushWaitsForALineThatIsBeingWritten, over an output that is slow.

--- a/daemon/src/main/java/dev/apricotmill/daemon/process/JsonEventLog.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/JsonEventLog.java
@@ -38,6 +38,7 @@
   private final ObjectMapper json = new ObjectMapper();
   private final BlockingQueue<Map<String, Object>> queue = new ArrayBlockingQueue<>(QUEUED_LINES);
   private final AtomicLong dropped = new AtomicLong();
+  private final AtomicLong unwritten = new AtomicLong();
   private final LineRate rate = new LineRate(REQUEST_LINES_PER_SECOND);
   private final PrintStream output;
   private final Timing timing;
@@ -69,7 +70,9 @@
     line.put("time", Instant.ofEpochMilli(timing.clock().millis()).toString());
     line.put("event", event);
     line.putAll(fields);
+    unwritten.incrementAndGet();
     if (!queue.offer(line)) {
+      unwritten.decrementAndGet();
       dropped.incrementAndGet();
     }
   }
@@ -83,7 +86,7 @@
   public void flush() {
     try {
       for (long waited = 0; waited < FLUSH_LIMIT_MILLIS; waited += FLUSH_POLL_MILLIS) {
-        if (queue.isEmpty()) {
+        if (unwritten.get() == 0) {
           break;
         }
         TimeUnit.MILLISECONDS.sleep(FLUSH_POLL_MILLIS);
@@ -98,6 +101,7 @@
     try {
       while (true) {
         writeLine(queue.take());
+        unwritten.decrementAndGet();
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/daemon/src/test/java/dev/apricotmill/daemon/process/JsonEventLogTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/process/JsonEventLogTest.java
@@ -82,4 +82,32 @@
     assertThat(text).contains("node.stopping");
     assertThat(text).contains("dropped_lines");
   }
+
+  @Test
+  void aFlushWaitsForALineThatIsBeingWritten() {
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    OutputStream slow =
+        new OutputStream() {
+          @Override
+          public void write(int b) {
+            output.write(b);
+          }
+
+          @Override
+          public void write(byte[] bytes, int offset, int length) throws IOException {
+            try {
+              Thread.sleep(50);
+            } catch (InterruptedException e) {
+              throw new IOException(e);
+            }
+            output.write(bytes, offset, length);
+          }
+        };
+    JsonEventLog log = JsonEventLog.start(new PrintStream(slow), SystemTiming.startSerial());
+
+    log.write("node.stopped", ImmutableMap.of());
+    log.flush();
+
+    assertThat(output.toString(StandardCharsets.UTF_8)).contains("node.stopped");
+  }
 }
