--- a/adapters/src/main/java/dev/apricotmill/adapters/GenerationExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/GenerationExchange.java
@@ -9,13 +9,10 @@
 import dev.apricotmill.core.engine.GenerationEnd;
 import dev.apricotmill.core.engine.GenerationListener;
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.concurrent.Flow;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.jspecify.annotations.Nullable;
@@ -26,7 +23,6 @@
  */
 final class GenerationExchange extends ClientExchange {
 
-  private static final int WINDOW_BYTES = 16 * 1024;
   private static final int MAXIMUM_EVENT_BYTES = 256 * 1024;
   private static final int MAXIMUM_REFUSAL_BYTES = 64 * 1024;
 
@@ -35,8 +31,7 @@
   private final ServerSentEventDecoder decoder;
   private final Runnable cancelOnEngine;
   private final ByteArrayOutputStream refusal = new ByteArrayOutputStream();
-  private final AtomicReference<@Nullable CapacityChannel> waitingCapacity =
-      new AtomicReference<>();
+  private final StreamWindow window = new StreamWindow();
   private volatile @Nullable HttpResponse head;
   private final AtomicBoolean ended = new AtomicBoolean();
 
@@ -48,7 +43,7 @@
     super(
         engine,
         HttpCall.post("/v1/completions", Json.write(EngineMessages.Completion.of(request))));
-    this.delivery = new ChunkDelivery(listener, this::readOn);
+    this.delivery = new ChunkDelivery(listener, window::readOn);
     this.stream = new CompletionStream(request);
     this.decoder = new ServerSentEventDecoder(MAXIMUM_EVENT_BYTES, this::onEvent);
     this.cancelOnEngine = cancelOnEngine;
@@ -79,21 +74,9 @@
 
   @Override
   public void updateCapacity(CapacityChannel channel) {
-    waitingCapacity.set(channel);
+    window.onExhausted(channel);
     if (!isStream() || ended.get() || delivery.wantsMore()) {
-      readOn();
-    }
-  }
-
-  private void readOn() {
-    CapacityChannel channel = waitingCapacity.getAndSet(null);
-    if (channel == null) {
-      return;
-    }
-    try {
-      channel.update(WINDOW_BYTES);
-    } catch (IOException failure) {
-      throw new UncheckedIOException(failure);
+      window.readOn();
     }
   }
 
--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
@@ -28,9 +28,6 @@
  */
 public final class HttpClients implements AutoCloseable {
 
-  /** What is read of a streamed answer before more must be asked for: some hundred events. */
-  static final int STREAM_WINDOW_BYTES = 16 * 1024;
-
   private static final int MAXIMUM_LINE_BYTES = 16 * 1024;
   private static final int MAXIMUM_HEADERS = 100;
 
@@ -77,7 +74,7 @@
 
   private static Http1Config http1Config() {
     return Http1Config.custom()
-        .setInitialWindowSize(STREAM_WINDOW_BYTES)
+        .setInitialWindowSize(StreamWindow.BYTES)
         .setMaxLineLength(MAXIMUM_LINE_BYTES)
         .setMaxHeaderCount(MAXIMUM_HEADERS)
         .build();
--- a/adapters/src/main/java/dev/apricotmill/adapters/StreamedExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/StreamedExchange.java
@@ -1,18 +1,15 @@
 package dev.apricotmill.adapters;
 
 import dev.apricotmill.coordination.membership.PeerAddress;
-import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.nio.CapacityChannel;
-import org.jspecify.annotations.Nullable;
 
 /** An exchange whose answer is handed on as it comes. */
 public final class StreamedExchange extends ClientExchange {
 
   private final StreamedListener listener;
-  private final AtomicReference<@Nullable CapacityChannel> waiting = new AtomicReference<>();
+  private final StreamWindow window = new StreamWindow();
   private volatile boolean held;
 
   StreamedExchange(PeerAddress peer, HttpCall call, StreamedListener listener) {
@@ -28,7 +25,7 @@
   /** Reads on after {@link #hold}. */
   public void resume() {
     held = false;
-    offerCapacity();
+    window.readOn();
   }
 
   /** Closes the connection; nothing is reported any more. */
@@ -43,21 +40,9 @@
 
   @Override
   public void updateCapacity(CapacityChannel channel) {
-    waiting.set(channel);
+    window.onExhausted(channel);
     if (!held) {
-      offerCapacity();
-    }
-  }
-
-  private void offerCapacity() {
-    CapacityChannel channel = waiting.getAndSet(null);
-    if (channel == null) {
-      return;
-    }
-    try {
-      channel.update(HttpClients.STREAM_WINDOW_BYTES);
-    } catch (IOException e) {
-      abort(ExchangeFailure.CONNECTION_LOST);
+      window.readOn();
     }
   }
 
