The log uses the project's cell rate; a flush passes through the queue

Cause: LineRate wrote again what CustomerLimiter does by the generic cell rate algorithm. The flush counted lines beside the queue and polled, and its test slept. A flush puts a mark into the queue and waits for it, so that no counter can disagree with the queue. The test holds the output until the flush is seen to wait. Ruled out: a library's rate limiter, which reads a clock of its own that tests cannot pause.

--- /dev/null
+++ b/core/src/main/java/dev/apricotmill/core/fairness/CellRate.java
@@ -0,0 +1,60 @@
+package dev.apricotmill.core.fairness;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * One rate by the generic cell rate algorithm (ITU-T I.371), which keeps a single number.
+ *
+ * <p>May fall into debt by one amount, so that an amount of any size passes in the end. Safe for
+ * use by several threads without a lock.
+ */
+public final class CellRate {
+
+  private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final long burstNanos;
+  private final AtomicLong paidUntil;
+
+  /**
+   * Creates a rate of which nothing is used.
+   *
+   * @param burst the time whose amount may be taken at once
+   * @param nowNanos the monotonic time
+   */
+  public CellRate(Duration burst, long nowNanos) {
+    burstNanos = burst.toNanos();
+    paidUntil = new AtomicLong(nowNanos);
+  }
+
+  /** Returns what an amount costs at a rate, in nanoseconds of that rate. */
+  public static long cost(long amount, double perSecond) {
+    return (long) (amount / Math.max(perSecond, Double.MIN_NORMAL) * SECOND_NANOS);
+  }
+
+  /** Takes what costs that much; returns the time to wait instead, in nanoseconds, or zero. */
+  public long take(long costNanos, long nowNanos) {
+    while (true) {
+      long paid = paidUntil.get();
+      long wait = paid - nowNanos - burstNanos;
+      if (wait > 0) {
+        return wait;
+      }
+      long start = paid - nowNanos < 0 ? nowNanos : paid;
+      if (paidUntil.compareAndSet(paid, start + costNanos)) {
+        return 0;
+      }
+    }
+  }
+
+  /** Gives back what was taken and not used. */
+  public void giveBack(long costNanos) {
+    paidUntil.addAndGet(-costNanos);
+  }
+
+  /** Returns whether nothing is owed. */
+  public boolean isIdle(long nowNanos) {
+    return paidUntil.get() - nowNanos <= 0;
+  }
+}
--- a/core/src/main/java/dev/apricotmill/core/fairness/CustomerLimiter.java
+++ b/core/src/main/java/dev/apricotmill/core/fairness/CustomerLimiter.java
@@ -5,22 +5,18 @@
 import dev.apricotmill.core.request.CustomerId;
 import java.time.Duration;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Holds customers to their limits without a central counter: each live entry daemon allows an equal
  * part.
  *
- * <p>The generic cell rate algorithm (ITU-T I.371) keeps one number for each rate. A bucket may
- * fall into debt by one request, so that a prompt of any length passes in the end. Lock-free; a
- * customer without requests takes no memory after a sweep.
+ * <p>A rate may fall into debt by one request, so that a prompt of any length passes in the end.
+ * Lock-free; a customer without requests takes no memory after a sweep.
  */
 public final class CustomerLimiter {
 
-  private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
-  private static final long BURST_NANOS = TimeUnit.SECONDS.toNanos(10);
+  private static final Duration BURST = Duration.ofSeconds(10);
   private static final Duration OPEN_RETRY_AFTER = Duration.ofSeconds(1);
 
   private final ConcurrentHashMap<CustomerId, Account> accounts = new ConcurrentHashMap<>();
@@ -42,16 +38,16 @@
       account.open.decrementAndGet();
       return new LimitDecision.Limited(OPEN_RETRY_AFTER);
     }
-    long requestCost = cost(1, limits.requestsPerSecond() / liveEntries);
-    long requestWait = take(account.requests, requestCost, nowNanos);
+    long requestCost = CellRate.cost(1, limits.requestsPerSecond() / liveEntries);
+    long requestWait = account.requests.take(requestCost, nowNanos);
     if (requestWait > 0) {
       account.open.decrementAndGet();
       return new LimitDecision.Limited(Duration.ofNanos(requestWait));
     }
-    long tokenCost = cost(promptTokens, limits.promptTokensPerSecond() / liveEntries);
-    long tokenWait = take(account.tokens, tokenCost, nowNanos);
+    long tokenCost = CellRate.cost(promptTokens, limits.promptTokensPerSecond() / liveEntries);
+    long tokenWait = account.tokens.take(tokenCost, nowNanos);
     if (tokenWait > 0) {
-      account.requests.addAndGet(-requestCost);
+      account.requests.giveBack(requestCost);
       account.open.decrementAndGet();
       return new LimitDecision.Limited(Duration.ofNanos(tokenWait));
     }
@@ -79,38 +75,19 @@
     return accounts.size();
   }
 
-  private static long cost(long amount, double perSecond) {
-    return (long) (amount / Math.max(perSecond, Double.MIN_NORMAL) * SECOND_NANOS);
-  }
-
-  /** Takes an amount; returns the time to wait instead, if there is one. */
-  private static long take(AtomicLong paidUntil, long costNanos, long nowNanos) {
-    while (true) {
-      long paid = paidUntil.get();
-      long wait = paid - nowNanos - BURST_NANOS;
-      if (wait > 0) {
-        return wait;
-      }
-      long start = paid - nowNanos < 0 ? nowNanos : paid;
-      if (paidUntil.compareAndSet(paid, start + costNanos)) {
-        return 0;
-      }
-    }
-  }
-
   /** What one customer has used: the times until which its rates are paid. */
   private static final class Account {
-    private final AtomicLong requests;
-    private final AtomicLong tokens;
+    private final CellRate requests;
+    private final CellRate tokens;
     private final AtomicInteger open = new AtomicInteger();
 
     Account(long nowNanos) {
-      requests = new AtomicLong(nowNanos);
-      tokens = new AtomicLong(nowNanos);
+      requests = new CellRate(BURST, nowNanos);
+      tokens = new CellRate(BURST, nowNanos);
     }
 
     boolean isIdle(long nowNanos) {
-      return open.get() == 0 && requests.get() - nowNanos <= 0 && tokens.get() - nowNanos <= 0;
+      return open.get() == 0 && requests.isIdle(nowNanos) && tokens.isIdle(nowNanos);
     }
   }
 }
--- a/daemon/src/test/java/dev/apricotmill/daemon/process/LineRateTest.java
+++ b/core/src/test/java/dev/apricotmill/core/fairness/CellRateTest.java
@@ -1,13 +1,16 @@
-package dev.apricotmill.daemon.process;
+package dev.apricotmill.core.fairness;
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-final class LineRateTest {
+final class CellRateTest {
 
-  private final LineRate rate = new LineRate(10);
+  private static final long COST = CellRate.cost(1, 10);
+
+  private final CellRate rate = new CellRate(Duration.ofMillis(900), 0);
 
   @Test
   void noMoreThanTheRateIsAllowedInASecondThatFollowsAFullOne() {
@@ -22,15 +25,30 @@
   }
 
   @Test
-  void quietTimeGivesBackOneSecondsLinesAtMost() {
+  void quietTimeGivesBackOneBurstAtMost() {
     taken(0, 50);
     assertThat(taken(60_000, 50)).isEqualTo(10);
   }
 
+  @Test
+  void whatIsGivenBackCanBeTakenAgain() {
+    taken(0, 50);
+    rate.giveBack(2 * COST);
+    assertThat(taken(0, 50)).isEqualTo(2);
+  }
+
+  @Test
+  void aRateThatOwesNothingIsIdle() {
+    assertThat(rate.isIdle(0)).isTrue();
+    taken(0, 1);
+    assertThat(rate.isIdle(0)).isFalse();
+    assertThat(rate.isIdle(COST)).isTrue();
+  }
+
   private int taken(long millis, int tries) {
     int allowed = 0;
     for (int i = 0; i < tries; i++) {
-      if (rate.tryTake(TimeUnit.MILLISECONDS.toNanos(millis))) {
+      if (rate.take(COST, TimeUnit.MILLISECONDS.toNanos(millis)) == 0) {
         allowed++;
       }
     }
--- a/daemon/src/main/java/dev/apricotmill/daemon/process/JsonEventLog.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/JsonEventLog.java
@@ -5,14 +5,19 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.fairness.CellRate;
 import dev.apricotmill.node.relay.EventLog;
 import java.io.PrintStream;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -25,27 +30,35 @@
  */
 public final class JsonEventLog implements EventLog {
 
+  private static final Logger LOGGER = System.getLogger(JsonEventLog.class.getName());
+
   /** Lines that wait for the writer: some seconds of a busy node. */
   private static final int QUEUED_LINES = 4096;
 
   /** About five lines for each of 200 requests a second, several times the share of one node. */
   static final int REQUEST_LINES_PER_SECOND = 1_000;
 
+  private static final long LINE_COST = CellRate.cost(1, REQUEST_LINES_PER_SECOND);
+
+  /** One line less than a second's, since a rate may fall into debt by one. */
+  private static final Duration BURST = Duration.ofMillis(999);
+
   private static final String REQUEST = "request";
-  private static final long FLUSH_POLL_MILLIS = 5;
+
+  /** How long the end of a process may wait for its last lines. */
   private static final long FLUSH_LIMIT_MILLIS = 200;
 
   private final ObjectMapper json = new ObjectMapper();
-  private final BlockingQueue<Map<String, Object>> queue = new ArrayBlockingQueue<>(QUEUED_LINES);
+  private final BlockingQueue<Runnable> queue = new ArrayBlockingQueue<>(QUEUED_LINES);
   private final AtomicLong dropped = new AtomicLong();
-  private final AtomicLong unwritten = new AtomicLong();
-  private final LineRate rate = new LineRate(REQUEST_LINES_PER_SECOND);
+  private final CellRate requestLines;
   private final PrintStream output;
   private final Timing timing;
 
   private JsonEventLog(PrintStream output, Timing timing) {
     this.output = output;
     this.timing = timing;
+    requestLines = new CellRate(BURST, timing.nanoTime());
   }
 
   /** Starts a log that writes to {@code output}. */
@@ -62,7 +75,7 @@
 
   @Override
   public void write(String event, ImmutableMap<String, Object> fields) {
-    if (fields.containsKey(REQUEST) && !rate.tryTake(timing.nanoTime())) {
+    if (fields.containsKey(REQUEST) && requestLines.take(LINE_COST, timing.nanoTime()) > 0) {
       dropped.incrementAndGet();
       return;
     }
@@ -70,9 +83,7 @@
     line.put("time", Instant.ofEpochMilli(timing.clock().millis()).toString());
     line.put("event", event);
     line.putAll(fields);
-    unwritten.incrementAndGet();
-    if (!queue.offer(line)) {
-      unwritten.decrementAndGet();
+    if (!queue.offer(() -> writeLine(line))) {
       dropped.incrementAndGet();
     }
   }
@@ -84,24 +95,21 @@
 
   /** Waits a short time until the lines that were given have been written. */
   public void flush() {
+    CountDownLatch written = new CountDownLatch(1);
     try {
-      for (long waited = 0; waited < FLUSH_LIMIT_MILLIS; waited += FLUSH_POLL_MILLIS) {
-        if (unwritten.get() == 0) {
-          break;
-        }
-        TimeUnit.MILLISECONDS.sleep(FLUSH_POLL_MILLIS);
+      if (queue.offer(written::countDown, FLUSH_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
+          && !written.await(FLUSH_LIMIT_MILLIS, TimeUnit.MILLISECONDS)) {
+        LOGGER.log(Level.DEBUG, "log: the last lines were not written in time");
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    output.flush();
   }
 
   private void writeLines() {
     try {
       while (true) {
-        writeLine(queue.take());
-        unwritten.decrementAndGet();
+        queue.take().run();
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/daemon/src/test/java/dev/apricotmill/daemon/process/JsonEventLogTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/process/JsonEventLogTest.java
@@ -33,29 +33,10 @@
   }
 
   @Test
-  void anOutputThatBlocksHoldsNoCallerUpAndLinesThatAreLostAreCounted()
-      throws InterruptedException {
+  void anOutputThatBlocksHoldsNoCallerUpAndLinesThatAreLostAreCounted() {
     CountDownLatch blocked = new CountDownLatch(1);
     OutputStream stuck =
-        new OutputStream() {
-          @Override
-          public void write(int b) throws IOException {
-            await();
-          }
-
-          @Override
-          public void write(byte[] bytes, int offset, int length) throws IOException {
-            await();
-          }
-
-          private void await() throws IOException {
-            try {
-              blocked.await();
-            } catch (InterruptedException e) {
-              throw new IOException(e);
-            }
-          }
-        };
+        new HeldOutput(OutputStream.nullOutputStream(), new CountDownLatch(1), blocked);
     JsonEventLog log = JsonEventLog.start(new PrintStream(stuck), SystemTiming.startSerial());
 
     for (int i = 0; i < MORE_LINES_THAN_FIT; i++) {
@@ -84,30 +65,59 @@
   }
 
   @Test
-  void aFlushWaitsForALineThatIsBeingWritten() {
+  void aFlushWaitsForALineThatIsBeingWritten() throws InterruptedException {
     ByteArrayOutputStream output = new ByteArrayOutputStream();
-    OutputStream slow =
-        new OutputStream() {
-          @Override
-          public void write(int b) {
-            output.write(b);
-          }
-
-          @Override
-          public void write(byte[] bytes, int offset, int length) throws IOException {
-            try {
-              Thread.sleep(50);
-            } catch (InterruptedException e) {
-              throw new IOException(e);
-            }
-            output.write(bytes, offset, length);
-          }
-        };
-    JsonEventLog log = JsonEventLog.start(new PrintStream(slow), SystemTiming.startSerial());
-
+    CountDownLatch writing = new CountDownLatch(1);
+    CountDownLatch released = new CountDownLatch(1);
+    JsonEventLog log =
+        JsonEventLog.start(
+            new PrintStream(new HeldOutput(output, writing, released)), SystemTiming.startSerial());
     log.write("node.stopped", ImmutableMap.of());
+    writing.await();
+
+    Thread flushing = Thread.currentThread();
+    Thread releaser =
+        new Thread(
+            () -> {
+              while (flushing.getState() != Thread.State.TIMED_WAITING) {
+                Thread.onSpinWait();
+              }
+              released.countDown();
+            });
+    releaser.setDaemon(true);
+    releaser.start();
     log.flush();
 
     assertThat(output.toString(StandardCharsets.UTF_8)).contains("node.stopped");
   }
+
+  /** Says when a line is being written and holds it until it is released. */
+  private static final class HeldOutput extends OutputStream {
+
+    private final OutputStream output;
+    private final CountDownLatch writing;
+    private final CountDownLatch released;
+
+    HeldOutput(OutputStream output, CountDownLatch writing, CountDownLatch released) {
+      this.output = output;
+      this.writing = writing;
+      this.released = released;
+    }
+
+    @Override
+    public void write(int b) throws IOException {
+      write(new byte[] {(byte) b}, 0, 1);
+    }
+
+    @Override
+    public void write(byte[] bytes, int offset, int length) throws IOException {
+      writing.countDown();
+      try {
+        released.await();
+      } catch (InterruptedException e) {
+        throw new IOException(e);
+      }
+      output.write(bytes, offset, length);
+    }
+  }
 }
