One ring of members; the log tells what became of a removal

Change: MemberRing is taken out of ProbeSchedule and serves both; node.removal carries the outcome. Ruled out: the whole membership on this path, which probes more than a removal needs.

--- a/coordination/src/main/java/dev/apricotmill/coordination/directory/DirectoryListener.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/directory/DirectoryListener.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.coordination.platform.WriteResult;
 
 /** Learns of the nodes that have an entry. */
 public interface DirectoryListener {
@@ -9,6 +10,6 @@
   /** Takes all nodes with an entry, after each change. */
   void onNodes(ImmutableList<Member> members);
 
-  /** Learns that this node removes the entry of another one, which has long been silent. */
-  void onRemoved(Member member);
+  /** Learns what became of the removal of a node's entry that has long been silent. */
+  void onRemoval(Member member, WriteResult result);
 }
--- a/coordination/src/main/java/dev/apricotmill/coordination/directory/NeighbourWatch.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/directory/NeighbourWatch.java
@@ -2,10 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.coordination.membership.MemberRing;
 import dev.apricotmill.coordination.time.Timing;
 import java.time.Duration;
-import java.util.Comparator;
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
@@ -13,8 +12,8 @@
  * Finds the entries of nodes that are gone for good.
  *
  * <p>Answers the load pattern of a fleet whose machines are replaced: each node asks only the next
- * one in the order of names, so that the cost for each node does not grow with their number. A node
- * that is silent for some time loses its entry; one that only was cut off writes it again.
+ * one on the ring, so that the cost for each node does not grow with their number. A node that is
+ * silent for some time loses its entry; one that only was cut off writes it again.
  */
 public final class NeighbourWatch {
 
@@ -27,6 +26,7 @@
   /** Small beside the rate at which nodes exchange reports. */
   private static final Duration PERIOD = Duration.ofSeconds(2);
 
+  /** Long beside a round trip between zones, and shorter than the period. */
   private static final Duration TIMEOUT = Duration.ofMillis(800);
 
   /** Longer than a start, a freeze or the cut of a zone usually lasts. */
@@ -63,7 +63,8 @@
   }
 
   private void probe() {
-    @Nullable Member next = next().orElse(null);
+    @Nullable Member next =
+        MemberRing.after(members.stream(), self).stream().findFirst().orElse(null);
     if (next == null || !next.equals(neighbour)) {
       neighbour = next;
       silentProbes = 0;
@@ -83,22 +84,4 @@
       onSilent.accept(member);
     }
   }
-
-  /** Returns the node that follows in the order of names, the first one after the last. */
-  private Optional<Member> next() {
-    Comparator<Member> byName = Comparator.comparing(NeighbourWatch::name);
-    ImmutableList<Member> others =
-        members.stream()
-            .filter(member -> !name(member).equals(name(self)))
-            .sorted(byName)
-            .collect(ImmutableList.toImmutableList());
-    return others.stream()
-        .filter(member -> name(member).compareTo(name(self)) > 0)
-        .findFirst()
-        .or(() -> others.stream().findFirst());
-  }
-
-  private static String name(Member member) {
-    return member.incarnation().daemon().name();
-  }
 }
--- a/coordination/src/main/java/dev/apricotmill/coordination/directory/NodeDirectory.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/directory/NodeDirectory.java
@@ -139,8 +139,10 @@
     ObjectKey key = keyOf(member);
     Long version = versions.get(key);
     if (version != null && member.equals(members.get(key))) {
-      listener.onRemoved(member);
-      platform.delete(key, Precondition.versionIs(version), WRITE_TIMEOUT);
+      platform
+          .delete(key, Precondition.versionIs(version), WRITE_TIMEOUT)
+          .thenAccept(
+              result -> timing.scheduler().execute(() -> listener.onRemoval(member, result)));
     }
   }
 
--- a/coordination/src/main/java/dev/apricotmill/coordination/membership/ProbeSchedule.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/membership/ProbeSchedule.java
@@ -1,12 +1,8 @@
 package dev.apricotmill.coordination.membership;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.hash.Hashing;
-import dev.apricotmill.coordination.identity.DaemonId;
 import dev.apricotmill.coordination.identity.Zone;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.TreeSet;
@@ -62,9 +58,11 @@
         view.reachable().stream()
             .filter(member -> member.zone().equals(self.zone()))
             .filter(member -> member.state() != MemberState.SUSPECT)
-            .filter(member -> !sameDaemon(member, self) && !sameDaemon(member, target))
+            .filter(
+                member ->
+                    !MemberRing.sameDaemon(member, self) && !MemberRing.sameDaemon(member, target))
             .collect(ImmutableList.toImmutableList());
-    return rotated(candidates, tick * settings.helpers()).stream()
+    return MemberRing.rotated(candidates, tick * settings.helpers()).stream()
         .limit(settings.helpers())
         .collect(ImmutableList.toImmutableList());
   }
@@ -90,32 +88,12 @@
   private boolean probesZone(MembershipView view, Member self, Zone zone) {
     return RendezvousHash.ranked(view.owners(self.zone()), "remote-probes/" + zone)
         .limit(settings.remoteProbers())
-        .anyMatch(member -> sameDaemon(member, self));
+        .anyMatch(member -> MemberRing.sameDaemon(member, self));
   }
 
   private static ImmutableList<Member> ringAfter(MembershipView view, Member self) {
-    Comparator<Member> byRing =
-        Comparator.<Member>comparingLong(member -> ringPosition(member.incarnation().daemon()))
-            .thenComparing(member -> member.incarnation().daemon());
-    List<Member> ring = new ArrayList<>();
-    view.reachable().stream()
-        .filter(member -> member.zone().equals(self.zone()))
-        .filter(member -> !sameDaemon(member, self))
-        .sorted(byRing)
-        .forEach(ring::add);
-    int start = 0;
-    while (start < ring.size() && byRing.compare(ring.get(start), self) < 0) {
-      start++;
-    }
-    return rotated(ImmutableList.copyOf(ring), start);
-  }
-
-  private static long ringPosition(DaemonId daemon) {
-    return Hashing.murmur3_128().hashString(daemon.name(), StandardCharsets.UTF_8).asLong();
-  }
-
-  private static boolean sameDaemon(Member one, Member other) {
-    return one.incarnation().daemon().equals(other.incarnation().daemon());
+    return MemberRing.after(
+        view.reachable().stream().filter(member -> member.zone().equals(self.zone())), self);
   }
 
   private static ImmutableList<Member> firstOf(ImmutableList<Member> members, int count) {
@@ -127,15 +105,4 @@
       targets.add(from.get((int) (turn % from.size())));
     }
   }
-
-  private static ImmutableList<Member> rotated(ImmutableList<Member> members, long by) {
-    if (members.isEmpty()) {
-      return members;
-    }
-    int split = (int) (by % members.size());
-    return ImmutableList.<Member>builder()
-        .addAll(members.subList(split, members.size()))
-        .addAll(members.subList(0, split))
-        .build();
-  }
 }
--- a/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
@@ -12,6 +12,7 @@
 import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.coordination.platform.ObjectKey;
 import dev.apricotmill.coordination.platform.Precondition;
+import dev.apricotmill.coordination.platform.WriteResult;
 import dev.apricotmill.coordination.testing.FakePlatform;
 import dev.apricotmill.coordination.testing.PlatformFault;
 import dev.apricotmill.coordination.testing.PlatformOperation;
@@ -87,7 +88,7 @@
     assertThat(removed).isEmpty();
     time.advance(Duration.ofSeconds(8));
 
-    assertThat(removed).containsExactly("n1 removes n2");
+    assertThat(removed).containsExactly("n2");
     // The node itself lives and writes its entry again.
     silent.clear();
     time.advance(Duration.ofSeconds(3));
@@ -146,8 +147,9 @@
               }
 
               @Override
-              public void onRemoved(Member member) {
-                removed.add(name + " removes " + nameOf(member));
+              public void onRemoval(Member member, WriteResult result) {
+                assertThat(result).isInstanceOf(WriteResult.Written.class);
+                removed.add(nameOf(member));
               }
             })
         .start(SETTINGS);
