--- a/coordination/src/main/java/dev/apricotmill/coordination/directory/NeighbourWatch.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/directory/NeighbourWatch.java
@@ -11,8 +11,8 @@
 /**
  * Finds the entries of nodes that are gone for good.
  *
- * <p>Answers the load pattern of a fleet whose VMs are replaced: each node asks only the next
- * one on the ring, so that the cost for each node does not grow with their number. A node that is
+ * <p>Answers the load pattern of a fleet whose VMs are replaced: each node asks only the next one
+ * on the ring, so that the cost for each node does not grow with their number. A node that is
  * silent for some time loses its entry; one that only was cut off writes it again.
  */
 public final class NeighbourWatch {
