A configuration that cannot be read leaves the one before it unproven

Cause: when the newest configuration could not be decoded, the node kept the older one and every further answer of the store proved it again, so that keys which the newer one takes away would have gone on to work. Ruled out: the store takes only valid configurations, so this needs a field that the decoder refuses. Tests: ServingStateTest.aConfigurationIsNotProvenWhileTheNewestCannotBeRead (failed first), StoreViewsTest; RelayGateTest has the two cases in which a stale node, or one without servers, must not deny a route: the guard of the first could be taken out without a failure before.

--- a/node/src/main/java/dev/apricotmill/node/relay/ServingState.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServingState.java
@@ -24,6 +24,7 @@
   private final EventLog log;
   private final Consumer<ServingView> onChange;
   private final Set<String> unavailable = new HashSet<>();
+  private boolean newestUnreadable;
 
   /**
    * Creates a state that knows nothing.
@@ -38,6 +39,7 @@
 
   /** Takes a configuration that the store or another node holds. */
   public void configurationRead(ServingConfiguration read) {
+    newestUnreadable = false;
     long known = relay.view().configuration().map(ServingConfiguration::version).orElse(-1L);
     if (read.version() <= known) {
       return;
@@ -49,9 +51,21 @@
     onChange.accept(relay.update(view -> view.withConfiguration(read, view.proof())));
   }
 
-  /** Notes that the configuration was the newest at a moment. */
+  /**
+   * Notes that the newest configuration cannot be read. The one before it is not proven to be in
+   * force any more: the newer one may have taken keys away.
+   */
+  public void configurationUnreadable(ObjectKey key, String reason) {
+    newestUnreadable = true;
+    unreadable(key, reason);
+  }
+
+  /** Notes that the configuration that was read last was the newest at a moment. */
   public void configurationProven(ReadMoment moment) {
     regained("config");
+    if (newestUnreadable) {
+      return;
+    }
     ConfigurationProof proof = new ConfigurationProof(moment.steadyNanos(), moment.wallMillis());
     relay.update(view -> view.withProof(Optional.of(proof)));
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayGateTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayGateTest.java
@@ -43,6 +43,25 @@
     assertThat(relay.node().isReady()).isFalse();
   }
 
+  @Test
+  void aNodeWhoseConfigurationMayBeOldDoesNotDenyARoute() {
+    relay.time().advance(Duration.ofMillis(4_601));
+
+    assertThat(relay.accept("/none/1").refusal()).isEqualTo(RelayRefusal.CONFIGURATION_UNKNOWN);
+  }
+
+  @Test
+  void aNodeThatDoesNotKnowTheServersSaysSoAndNotThatNoneIsThere() {
+    relay
+        .node()
+        .update(
+            view ->
+                ServingView.NOTHING.withConfiguration(
+                    RelayFixture.configuration(1), Optional.of(relay.proof())));
+
+    assertThat(relay.accept("/order/1").refusal()).isEqualTo(RelayRefusal.CONFIGURATION_UNKNOWN);
+  }
+
   @Test
   void aNodeThatKnowsNoConfigurationDeniesNothing() {
     relay.node().update(view -> ServingView.NOTHING);
--- a/node/src/test/java/dev/apricotmill/node/relay/ServingStateTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServingStateTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.coordination.follow.ReadMoment;
+import dev.apricotmill.coordination.platform.ObjectKey;
 import dev.apricotmill.coordination.platform.PlatformFailure;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.request.ReplicaId;
@@ -37,8 +38,20 @@
     relay.time().advance(Duration.ofSeconds(6));
     assertThat(relay.node().isReady()).isFalse();
 
-    state.configurationProven(
-        new ReadMoment(relay.timing().nanoTime(), relay.timing().clock().millis()));
+    state.configurationProven(now());
+    assertThat(relay.node().isReady()).isTrue();
+  }
+
+  @Test
+  void aConfigurationIsNotProvenWhileTheNewestCannotBeRead() {
+    relay.time().advance(Duration.ofSeconds(6));
+
+    state.configurationUnreadable(new ObjectKey("config/main"), "not JSON");
+    state.configurationProven(now());
+    assertThat(relay.node().isReady()).isFalse();
+
+    state.configurationRead(RelayFixture.configuration(5));
+    state.configurationProven(now());
     assertThat(relay.node().isReady()).isTrue();
   }
 
@@ -78,4 +91,8 @@
 
     assertThat(relay.sent()).isEmpty();
   }
+
+  private ReadMoment now() {
+    return new ReadMoment(relay.timing().nanoTime(), relay.timing().clock().millis());
+  }
 }
