--- a/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
@@ -26,6 +26,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 final class NodeDirectoryTest {
@@ -42,6 +43,8 @@
   private final Map<String, ImmutableList<Member>> seen = new HashMap<>();
   private final Set<String> silent = new HashSet<>();
   private final List<String> removed = new ArrayList<>();
+  private final List<Consumer<Boolean>> held = new ArrayList<>();
+  private boolean holding;
 
   @Test
   void nodesLearnOfEachOther() {
@@ -133,13 +136,41 @@
     assertThat(seen.get("n1")).containsExactly(member("n1", 1));
   }
 
+  @Test
+  void aProbeOfAnEarlierIncarnationDoesNotRemoveTheEntryOfTheNext() {
+    start("n1", 1);
+    start("n2", 1);
+    time.advance(Duration.ofSeconds(1));
+    silent.add("n2");
+    time.advance(Duration.ofSeconds(14));
+    holding = true;
+    time.advance(Duration.ofSeconds(2));
+    Consumer<Boolean> lastProbe = held.get(held.size() - 1);
+
+    start("n2", 2);
+    time.advance(Duration.ofMillis(500));
+    assertThat(seen.get("n1")).contains(member("n2", 2));
+    lastProbe.accept(false);
+    time.advance(Duration.ofMillis(500));
+
+    assertThat(removed).isEmpty();
+  }
+
+  private void probe(Member member, Consumer<Boolean> then) {
+    if (holding && silent.contains(nameOf(member))) {
+      held.add(then);
+    } else {
+      then.accept(!silent.contains(nameOf(member)));
+    }
+  }
+
   private void start(String name, long incarnation) {
     VirtualScheduler scheduler = time.newScheduler();
     new NodeDirectory(
             store.clientFor(name + incarnation, new Zone("a"), scheduler),
             time.timingOf(scheduler),
             member(name, incarnation),
-            (member, timeout, then) -> then.accept(!silent.contains(nameOf(member))),
+            (member, timeout, then) -> probe(member, then),
             new DirectoryListener() {
               @Override
               public void onNodes(ImmutableList<Member> members) {
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/PrefixFollowerTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/PrefixFollowerTest.java
@@ -86,6 +86,8 @@
             (a, b) -> Long.compare(((ReadMoment) a).steadyNanos(), ((ReadMoment) b).steadyNanos()));
     long last = recorder.moments.get(recorder.moments.size() - 1).steadyNanos();
     assertThat(Duration.ofNanos(time.nanoTime() - last)).isAtMost(Duration.ofMillis(4_100));
+    // The last watch ran out after four seconds; it was sent after two.
+    assertThat(Duration.ofNanos(last)).isAtMost(Duration.ofMillis(2_500));
   }
 
   private void put(String path, String value) {
--- a/core/src/test/java/dev/apricotmill/core/pool/PoolLedgerTest.java
+++ b/core/src/test/java/dev/apricotmill/core/pool/PoolLedgerTest.java
@@ -126,6 +126,29 @@
     assertThat(granted(ledger.place(question(nextRequest()), nowNanos)).server()).isEqualTo(first);
   }
 
+  @Test
+  void aServerToAvoidGetsNoPartOfTheRequest() {
+    RequestId request = nextRequest();
+    ReplicaId first = granted(ledger.place(audit(request, 210_000), nowNanos)).server();
+    ledger.ended(request, nowNanos);
+    PlacementAsk again = audit(nextRequest(), 210_000);
+
+    Placement.Granted other =
+        granted(
+            ledger.place(
+                new PlacementAsk(
+                    again.request(),
+                    again.service(),
+                    again.size(),
+                    again.goal(),
+                    again.pauseGoal(),
+                    again.remaining(),
+                    ImmutableSet.of(first)),
+                nowNanos));
+
+    assertThat(members(other)).doesNotContain(first);
+  }
+
   @Test
   void serversThatAreLostTogetherStandForTheirZone() {
     for (String lost : List.of("s00", "s02", "s04")) {
--- a/core/src/test/java/dev/apricotmill/core/relay/ConfigurationProofTest.java
+++ b/core/src/test/java/dev/apricotmill/core/relay/ConfigurationProofTest.java
@@ -34,6 +34,12 @@
     assertThat(proof.isFresh(nanos(1000), WALL + 1300, BOUND)).isTrue();
   }
 
+  @Test
+  void eachClockAloneEndsAProofWhereTheyDifferALittle() {
+    assertThat(proof.isFresh(nanos(4601), WALL + 4400, BOUND)).isFalse();
+    assertThat(proof.isFresh(nanos(4400), WALL + 4601, BOUND)).isFalse();
+  }
+
   private static long nanos(long millis) {
     return TimeUnit.MILLISECONDS.toNanos(millis);
   }
