Knowledge of the store is passed on between the nodes of a zone

Cause: each node learned configuration, servers and nodes from the store itself, and each change woke each node. Change: `SharedFollower` in `coordination.follow` takes the place of `PrefixFollower`. The nodes of a zone stand in an order (`FollowOrder`); the first reads the store, the others ask one before them, and what counts is the age of a proof on the asker's own clocks, whichever way it came. A node whose proof grows old reads the store itself, earlier the further in front it stands. No revision goes back; a first content from a peer counts only with a fresh proof. Changes close together take one watch. The order of dispatchers is computed once for each change of members, servers are indexed once for each change of the list. Ruled out: pushes without a question (time on the way would make a proof younger than it is); one reader for all zones (a cut zone would have to notice first).

--- a/coordination/src/main/java/dev/apricotmill/coordination/directory/NodeDirectory.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/directory/NodeDirectory.java
@@ -5,8 +5,8 @@
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.coordination.follow.FollowListener;
 import dev.apricotmill.coordination.follow.FollowSettings;
-import dev.apricotmill.coordination.follow.PrefixFollower;
 import dev.apricotmill.coordination.follow.ReadMoment;
+import dev.apricotmill.coordination.follow.SharedFollower;
 import dev.apricotmill.coordination.identity.DaemonId;
 import dev.apricotmill.coordination.identity.Incarnation;
 import dev.apricotmill.coordination.identity.Zone;
@@ -53,6 +53,7 @@
   private final Map<ObjectKey, Long> versions = new HashMap<>();
   private boolean writing;
   private boolean written;
+  private boolean replacing;
 
   /**
    * Creates a directory that does nothing until it is started.
@@ -72,12 +73,18 @@
     neighbours = new NeighbourWatch(timing, self, prober, this::remove);
   }
 
-  /** Begins to follow the entries; the node's own is written once the store has been read. */
-  public void start(FollowSettings settings) {
-    new PrefixFollower(platform, timing, KIND, settings, this).start();
+  /** Writes this node's entry and begins to follow all entries through {@code follower}. */
+  public void start(SharedFollower follower, FollowSettings settings) {
+    timing.scheduler().execute(this::writeFirst);
+    follower.follow(KIND, settings, this);
     neighbours.start();
   }
 
+  private void writeFirst() {
+    writing = true;
+    write();
+  }
+
   @Override
   public void onContent(ImmutableList<StoredObject> objects, ReadMoment moment) {
     members.clear();
@@ -163,6 +170,12 @@
   private void onWritten(WriteResult result) {
     if (result instanceof WriteResult.Conflict conflict) {
       versions.put(ownKey(), conflict.currentVersion());
+      if (!replacing) {
+        // The entry of an earlier incarnation, which the first write did not know of.
+        replacing = true;
+        write();
+        return;
+      }
     } else if (result instanceof WriteResult.Written done) {
       written = true;
       versions.put(ownKey(), done.version());
--- /dev/null
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/PrefixContent.java
@@ -0,0 +1,138 @@
+package dev.apricotmill.coordination.follow;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.StoredObject;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/**
+ * The objects under a prefix at the newest revision that is known, and in which order they changed.
+ *
+ * <p>Never goes back to an older revision, whichever way an update comes. An update costs work in
+ * proportion to what changed. Not safe for use by several threads.
+ */
+final class PrefixContent {
+
+  /** The revision of a content that was never read. */
+  static final long UNKNOWN = -1;
+
+  /** Removals that are remembered, so that a peer that is not far behind needs no whole content. */
+  private static final int REMEMBERED_REMOVALS = 1024;
+
+  private final Map<ObjectKey, StoredObject> objects = new HashMap<>();
+  private final Map<ObjectKey, Long> learnedAt = new HashMap<>();
+  private final NavigableMap<Long, Set<ObjectKey>> byRevision = new TreeMap<>();
+  private long revision = UNKNOWN;
+  private long removalsKnownSince = UNKNOWN;
+  private int removals;
+
+  long revision() {
+    return revision;
+  }
+
+  boolean isKnown() {
+    return revision != UNKNOWN;
+  }
+
+  /**
+   * Takes an update.
+   *
+   * @return what it changed, whole if it is the first; empty if it is older than what is known
+   */
+  Optional<PrefixUpdate> take(PrefixUpdate update) {
+    if (update.revision() < revision || (!isKnown() && !update.whole())) {
+      return Optional.empty();
+    }
+    if (!isKnown()) {
+      revision = update.revision();
+      removalsKnownSince = revision;
+      update.changed().forEach(this::put);
+      return Optional.of(update);
+    }
+    revision = update.revision();
+    ImmutableList<StoredObject> changed =
+        update.changed().stream().filter(this::isNew).collect(ImmutableList.toImmutableList());
+    ImmutableList<ObjectKey> removed =
+        (update.whole() ? missingFrom(update.changed()) : update.removed())
+            .stream().filter(objects::containsKey).collect(ImmutableList.toImmutableList());
+    changed.forEach(this::put);
+    removed.forEach(this::remove);
+    return Optional.of(new PrefixUpdate(false, changed, removed, revision));
+  }
+
+  /** Returns what a peer lacks that knows the content at another revision. */
+  PrefixUpdate since(long peerRevision) {
+    if (peerRevision < removalsKnownSince) {
+      return new PrefixUpdate(
+          true, ImmutableList.copyOf(objects.values()), ImmutableList.of(), revision);
+    }
+    ImmutableList.Builder<StoredObject> changed = ImmutableList.builder();
+    ImmutableList.Builder<ObjectKey> removed = ImmutableList.builder();
+    for (Set<ObjectKey> keys : byRevision.tailMap(peerRevision, false).values()) {
+      for (ObjectKey key : keys) {
+        Optional.ofNullable(objects.get(key)).ifPresentOrElse(changed::add, () -> removed.add(key));
+      }
+    }
+    return new PrefixUpdate(false, changed.build(), removed.build(), revision);
+  }
+
+  private boolean isNew(StoredObject object) {
+    StoredObject known = objects.get(object.key());
+    return known == null || known.version() < object.version();
+  }
+
+  private ImmutableList<ObjectKey> missingFrom(ImmutableList<StoredObject> all) {
+    Set<ObjectKey> present = all.stream().map(StoredObject::key).collect(Collectors.toSet());
+    return objects.keySet().stream()
+        .filter(key -> !present.contains(key))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private void put(StoredObject object) {
+    if (objects.put(object.key(), object) == null && learnedAt.containsKey(object.key())) {
+      removals--;
+    }
+    learn(object.key());
+  }
+
+  private void remove(ObjectKey key) {
+    objects.remove(key);
+    learn(key);
+    removals++;
+    while (removals > REMEMBERED_REMOVALS) {
+      forgetOldestRevision();
+    }
+  }
+
+  private void learn(ObjectKey key) {
+    Long before = learnedAt.put(key, revision);
+    if (before != null) {
+      byRevision.computeIfPresent(
+          before,
+          (at, keys) -> {
+            keys.remove(key);
+            return keys.isEmpty() ? null : keys;
+          });
+    }
+    byRevision.computeIfAbsent(revision, at -> new LinkedHashSet<>()).add(key);
+  }
+
+  /** Forgets the removals of the oldest revision; its objects are known to be in each content. */
+  private void forgetOldestRevision() {
+    Map.Entry<Long, Set<ObjectKey>> oldest = byRevision.pollFirstEntry();
+    removalsKnownSince = Math.max(removalsKnownSince, oldest.getKey());
+    for (ObjectKey key : oldest.getValue()) {
+      if (!objects.containsKey(key)) {
+        learnedAt.remove(key);
+        removals--;
+      }
+    }
+  }
+}
--- a/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
@@ -3,7 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.follow.FollowObserver;
 import dev.apricotmill.coordination.follow.FollowSettings;
+import dev.apricotmill.coordination.follow.SharedFollower;
 import dev.apricotmill.coordination.identity.DaemonId;
 import dev.apricotmill.coordination.identity.Incarnation;
 import dev.apricotmill.coordination.identity.Zone;
@@ -11,6 +13,7 @@
 import dev.apricotmill.coordination.membership.MemberState;
 import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.Platform;
 import dev.apricotmill.coordination.platform.Precondition;
 import dev.apricotmill.coordination.platform.WriteResult;
 import dev.apricotmill.coordination.testing.FakePlatform;
@@ -18,6 +21,7 @@
 import dev.apricotmill.coordination.testing.PlatformOperation;
 import dev.apricotmill.coordination.testing.VirtualScheduler;
 import dev.apricotmill.coordination.testing.VirtualTime;
+import dev.apricotmill.coordination.time.Timing;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -25,6 +29,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
@@ -36,7 +41,9 @@
           Duration.ofSeconds(8),
           Duration.ofSeconds(1),
           Duration.ofMillis(200),
-          Duration.ofSeconds(2));
+          Duration.ofSeconds(2),
+          Duration.ofMillis(10),
+          Duration.ofSeconds(24));
 
   private final VirtualTime time = new VirtualTime();
   private final FakePlatform store = new FakePlatform(time);
@@ -166,9 +173,18 @@
 
   private void start(String name, long incarnation) {
     VirtualScheduler scheduler = time.newScheduler();
+    Platform platform = store.clientFor(name + incarnation, new Zone("a"), scheduler);
+    Timing timing = time.timingOf(scheduler);
+    SharedFollower follower =
+        new SharedFollower(
+            platform,
+            timing,
+            member(name, incarnation),
+            (peer, question, timeout, then) -> then.accept(Optional.empty()),
+            FollowObserver.NONE);
     new NodeDirectory(
-            store.clientFor(name + incarnation, new Zone("a"), scheduler),
-            time.timingOf(scheduler),
+            platform,
+            timing,
             member(name, incarnation),
             (member, timeout, then) -> probe(member, then),
             new DirectoryListener() {
@@ -183,7 +199,7 @@
                 removed.add(nameOf(member));
               }
             })
-        .start(SETTINGS);
+        .start(follower, SETTINGS);
   }
 
   private static String nameOf(Member member) {
--- /dev/null
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowingFleet.java
@@ -0,0 +1,275 @@
+package dev.apricotmill.coordination.follow;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.identity.DaemonId;
+import dev.apricotmill.coordination.identity.Incarnation;
+import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.coordination.membership.MemberState;
+import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.membership.RendezvousHash;
+import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.Platform;
+import dev.apricotmill.coordination.platform.PlatformFailure;
+import dev.apricotmill.coordination.platform.Precondition;
+import dev.apricotmill.coordination.platform.StoredObject;
+import dev.apricotmill.coordination.platform.WatchResult;
+import dev.apricotmill.coordination.platform.WriteResult;
+import dev.apricotmill.coordination.testing.FakePlatform;
+import dev.apricotmill.coordination.testing.PlatformFault;
+import dev.apricotmill.coordination.testing.VirtualScheduler;
+import dev.apricotmill.coordination.testing.VirtualTime;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/** Processes of several zones that follow one prefix, on virtual time and a network with faults. */
+final class FollowingFleet {
+
+  static final String PREFIX = "things/";
+
+  /** The freshness of the sites with the shortest bound. */
+  static final Duration FRESHNESS = Duration.ofSeconds(2);
+
+  static final FollowSettings SETTINGS = FollowSettings.within(FRESHNESS);
+
+  private static final Duration ACKNOWLEDGED = Duration.ofMillis(5);
+  private static final Duration ONE_WAY = Duration.ofMillis(1);
+
+  private final VirtualTime time = new VirtualTime();
+  private final FakePlatform store = new FakePlatform(time);
+  private final Platform operator = store.clientFor("operator", new Zone("x"), time.newScheduler());
+  private final Map<String, Follower> processes = new LinkedHashMap<>();
+  private final Set<String> cutOff = new HashSet<>();
+  private final Map<ObjectKey, Long> versions = new HashMap<>();
+  private long messages;
+
+  /** One process and what it was told. */
+  final class Follower implements FollowListener {
+
+    final Member member;
+    final VirtualScheduler scheduler;
+    final SharedFollower follower;
+    final Map<String, String> content = new HashMap<>();
+    final List<String> violations = new ArrayList<>();
+    private final Map<String, Long> newest = new HashMap<>();
+    @Nullable ReadMoment proof;
+    boolean killed;
+
+    Follower(Member member) {
+      this.member = member;
+      scheduler = time.newScheduler();
+      follower =
+          new SharedFollower(
+              store.clientFor(name(), member.zone(), scheduler),
+              time.timingOf(scheduler),
+              member,
+              this::ask,
+              FollowObserver.NONE);
+      follower.follow(PREFIX, SETTINGS, this);
+      follower.start();
+    }
+
+    String name() {
+      return member.incarnation().daemon().name();
+    }
+
+    Duration proofAge() {
+      return proof == null ? Duration.ofDays(1) : proof.age(time.nanoTime());
+    }
+
+    private void ask(
+        Member peer,
+        FollowQuestion question,
+        Duration timeout,
+        Consumer<Optional<FollowAnswer>> then) {
+      Follower target = processes.get(peer.incarnation().daemon().name());
+      Consumer<Optional<FollowAnswer>> once = onlyOnce(then);
+      if (target == null || target.killed) {
+        scheduler.schedule(
+            () -> once.accept(Optional.empty()), ONE_WAY.toNanos(), TimeUnit.NANOSECONDS);
+        return;
+      }
+      scheduler.schedule(
+          () -> once.accept(Optional.empty()), timeout.toNanos(), TimeUnit.NANOSECONDS);
+      send(
+          this,
+          target,
+          () ->
+              target.follower.answer(
+                  question, answer -> send(target, this, () -> once.accept(Optional.of(answer)))));
+    }
+
+    @Override
+    public void onContent(ImmutableList<StoredObject> objects, ReadMoment moment) {
+      content.clear();
+      objects.forEach(this::put);
+      proof = moment;
+    }
+
+    @Override
+    public void onChanges(WatchResult.Changes changes, ReadMoment moment) {
+      changes.removed().forEach(key -> content.remove(key.path()));
+      changes.changed().forEach(this::put);
+      proof = moment;
+    }
+
+    @Override
+    public void onUnavailable(PlatformFailure failure) {}
+
+    private void put(StoredObject object) {
+      long before = newest.getOrDefault(object.key().path(), 0L);
+      if (object.version() < before) {
+        violations.add(object + " after version " + before);
+      }
+      newest.put(object.key().path(), object.version());
+      content.put(object.key().path(), object.text());
+    }
+  }
+
+  private static <T> Consumer<T> onlyOnce(Consumer<T> then) {
+    boolean[] done = new boolean[1];
+    return value -> {
+      if (!done[0]) {
+        done[0] = true;
+        then.accept(value);
+      }
+    };
+  }
+
+  private void send(Follower from, Follower to, Runnable delivery) {
+    messages++;
+    if (cutOff.contains(from.name()) || cutOff.contains(to.name())) {
+      return;
+    }
+    to.scheduler.schedule(delivery, ONE_WAY.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  static Member member(String name, String zone, long incarnation) {
+    return new Member(
+        new Incarnation(new DaemonId(name), incarnation),
+        new Zone(zone),
+        new PeerAddress("10.0.0.1", 9000),
+        MemberState.ALIVE);
+  }
+
+  /** Starts processes that know each other. */
+  void start(int zones, int perZone) {
+    for (int zone = 0; zone < zones; zone++) {
+      for (int index = 0; index < perZone; index++) {
+        String name = "z" + zone + "-" + index;
+        processes.put(name, new Follower(member(name, "z" + zone, 1)));
+      }
+    }
+    shareMembers();
+  }
+
+  /** Starts a process again, with nothing of what it knew. */
+  Follower restart(String name) {
+    Follower before = processes.get(name);
+    kill(name);
+    Follower again =
+        new Follower(
+            member(name, before.member.zone().name(), before.member.incarnation().number() + 1));
+    processes.put(name, again);
+    shareMembers();
+    return again;
+  }
+
+  private void shareMembers() {
+    List<Member> members = processes.values().stream().map(process -> process.member).toList();
+    processes.values().forEach(process -> process.follower.updateMembers(members));
+  }
+
+  void kill(String name) {
+    Follower process = processes.get(name);
+    process.killed = true;
+    process.follower.close();
+    process.scheduler.shutdown();
+  }
+
+  /** Cuts a process off from all others, silently. */
+  void cutOff(String name) {
+    cutOff.add(name);
+  }
+
+  void healNetwork() {
+    cutOff.clear();
+  }
+
+  void turnAway(String name, PlatformFault fault) {
+    store.failProcess(name, fault);
+  }
+
+  FakePlatform store() {
+    return store;
+  }
+
+  VirtualTime time() {
+    return time;
+  }
+
+  long messages() {
+    return messages;
+  }
+
+  List<Follower> alive() {
+    return processes.values().stream().filter(process -> !process.killed).toList();
+  }
+
+  Follower process(String name) {
+    return processes.get(name);
+  }
+
+  /** Returns the names of those who would read the store in a calm zone, first to last. */
+  ImmutableList<String> order(String zone) {
+    return RendezvousHash.ranked(
+            processes.values().stream()
+                .map(process -> process.member)
+                .filter(member -> member.zone().name().equals(zone))
+                .toList(),
+            zone)
+        .map(member -> member.incarnation().daemon().name())
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  void advance(Duration duration) {
+    time.advance(duration);
+  }
+
+  /** Writes an object as the operator does; it is acknowledged when this returns. */
+  void write(String name, String value) {
+    ObjectKey key = new ObjectKey(PREFIX + name);
+    operator
+        .put(
+            key,
+            value.getBytes(UTF_8),
+            Precondition.versionIs(versions.getOrDefault(key, 0L)),
+            Duration.ofSeconds(1))
+        .thenAccept(result -> versions.put(key, ((WriteResult.Written) result).version()));
+    advance(ACKNOWLEDGED);
+  }
+
+  /** Removes an object; that is acknowledged when this returns. */
+  void remove(String name) {
+    ObjectKey key = new ObjectKey(PREFIX + name);
+    operator.delete(key, Precondition.versionIs(versions.remove(key)), Duration.ofSeconds(1));
+    advance(ACKNOWLEDGED);
+  }
+
+  /** Returns the reads of the store since a moment. */
+  long readsSince(long fromNanos) {
+    return store.log().countSince(fromNanos, request -> !request.operation().isWrite());
+  }
+}
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/PrefixFollowerTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/LoneFollowerTest.java
@@ -18,16 +18,19 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
-final class PrefixFollowerTest {
+final class LoneFollowerTest {
 
   private static final FollowSettings SETTINGS =
       new FollowSettings(
           Duration.ofSeconds(2),
           Duration.ofSeconds(1),
           Duration.ofMillis(100),
-          Duration.ofMillis(800));
+          Duration.ofMillis(800),
+          Duration.ofMillis(10),
+          Duration.ofSeconds(6));
 
   private final VirtualTime time = new VirtualTime();
   private final FakePlatform store = new FakePlatform(time);
@@ -35,13 +38,18 @@
   private final Platform client = store.clientFor("n1", new Zone("a"), scheduler);
   private final Platform operator = store.clientFor("operator", new Zone("a"), time.newScheduler());
   private final Recorder recorder = new Recorder();
-  private final PrefixFollower follower =
-      new PrefixFollower(client, time.timingOf(scheduler), "things/", SETTINGS, recorder);
+  private final SharedFollower follower =
+      new SharedFollower(
+          client,
+          time.timingOf(scheduler),
+          FollowingFleet.member("n1", "a", 1),
+          (peer, question, timeout, then) -> then.accept(Optional.empty()),
+          FollowObserver.NONE);
 
   @Test
   void theContentComesFirstAndThenEachChange() {
     put("things/a", "1");
-    follower.start();
+    follow();
     time.advance(Duration.ofMillis(100));
 
     put("things/b", "2");
@@ -51,7 +59,7 @@
 
   @Test
   void lostHistoryIsMadeUpByAList() {
-    follower.start();
+    follow();
     time.advance(Duration.ofMillis(100));
     store.failProcess("n1", PlatformFault.UNREACHABLE);
     time.advance(Duration.ofSeconds(3));
@@ -61,13 +69,13 @@
 
     time.advance(Duration.ofSeconds(4));
 
-    assertThat(recorder.seen).contains("content a=1");
+    assertThat(recorder.seen).contains("changed a=1");
   }
 
   @Test
   void anOutageIsReportedAndAskedOfLessAndLessOften() {
     store.fail(PlatformFault.UNREACHABLE, request -> true);
-    follower.start();
+    follow();
 
     time.advance(Duration.ofSeconds(10));
 
@@ -77,7 +85,7 @@
 
   @Test
   void theMomentOfAReadIsThatBeforeItWasSent() {
-    follower.start();
+    follow();
     time.advance(Duration.ofSeconds(5));
 
     assertThat(recorder.moments.get(0).steadyNanos()).isEqualTo(0);
@@ -90,6 +98,11 @@
     assertThat(Duration.ofNanos(last)).isAtMost(Duration.ofMillis(2_500));
   }
 
+  private void follow() {
+    follower.follow("things/", SETTINGS, recorder);
+    follower.start();
+  }
+
   private void put(String path, String value) {
     operator.put(
         new ObjectKey(path),
--- a/core/src/test/java/dev/apricotmill/core/relay/ConfigurationProofTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/ReadMomentTest.java
@@ -1,4 +1,4 @@
-package dev.apricotmill.core.relay;
+package dev.apricotmill.coordination.follow;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -6,11 +6,11 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-final class ConfigurationProofTest {
+final class ReadMomentTest {
 
   private static final Duration BOUND = Duration.ofMillis(4600);
   private static final long WALL = 1_800_000_000_000L;
-  private final ConfigurationProof proof = new ConfigurationProof(0, WALL);
+  private final ReadMoment proof = new ReadMoment(0, WALL);
 
   @Test
   void aProofIsFreshUpToItsBound() {
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerEndpoint.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerEndpoint.java
@@ -77,6 +77,9 @@
       case ASK_LEDGER -> onAskLedger(request.getAskLedger(), stream);
       case PLACE_WORK, REPORT_WORK ->
           throw new MalformedMessageException("a daemon with stewards dispatches no pools");
+      case ASK_FOLLOWED ->
+          throw new MalformedMessageException(
+              "a daemon with stewards follows no objects for peers");
       case BODY_NOT_SET -> throw new MalformedMessageException("request without a body");
     }
     return StreamHandler.SINGLE_RESPONSE;
--- /dev/null
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerFollowPeers.java
@@ -0,0 +1,39 @@
+package dev.apricotmill.daemon.inner;
+
+import dev.apricotmill.coordination.follow.FollowAnswer;
+import dev.apricotmill.coordination.follow.FollowPeers;
+import dev.apricotmill.coordination.follow.FollowQuestion;
+import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.protocol.generated.Request;
+import dev.apricotmill.protocol.generated.Response;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Asks other nodes what they know of the store, over the inner protocol. */
+public final class InnerFollowPeers implements FollowPeers {
+
+  private final InnerQuestions questions;
+
+  /** Creates the asking side. */
+  public InnerFollowPeers(InnerQuestions questions) {
+    this.questions = questions;
+  }
+
+  @Override
+  public void ask(
+      Member peer,
+      FollowQuestion question,
+      Duration timeout,
+      Consumer<Optional<FollowAnswer>> then) {
+    questions.ask(
+        peer.address(),
+        Request.newBuilder().setAskFollowed(FollowMessages.message(question)).build(),
+        timeout,
+        response ->
+            then.accept(
+                response
+                    .filter(Response::hasFollowed)
+                    .map(answer -> FollowMessages.answer(answer.getFollowed()))));
+  }
+}
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPlacementAcceptor.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerNodeAcceptor.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.daemon.inner;
 
+import dev.apricotmill.coordination.follow.SharedFollower;
 import dev.apricotmill.node.relay.PlacementEndpoint;
 import dev.apricotmill.protocol.ServerStream;
 import dev.apricotmill.protocol.StreamAcceptor;
@@ -10,14 +11,16 @@
 import dev.apricotmill.protocol.generated.WorkReported;
 import java.util.Optional;
 
-/** Passes what other nodes ask and report about placements to this node's dispatcher. */
-public final class InnerPlacementAcceptor implements StreamAcceptor {
+/** Passes what other nodes ask and report to this node's dispatcher and to what it follows. */
+public final class InnerNodeAcceptor implements StreamAcceptor {
 
   private final PlacementEndpoint endpoint;
+  private final SharedFollower follower;
 
   /** Creates the receiving side. */
-  public InnerPlacementAcceptor(PlacementEndpoint endpoint) {
+  public InnerNodeAcceptor(PlacementEndpoint endpoint, SharedFollower follower) {
     this.endpoint = endpoint;
+    this.follower = follower;
   }
 
   @Override
@@ -38,6 +41,12 @@
               .toList());
       stream.finish(
           Response.newBuilder().setWorkReported(WorkReported.getDefaultInstance()).build());
+    } else if (request.hasAskFollowed()) {
+      follower.answer(
+          FollowMessages.question(request.getAskFollowed()),
+          answer ->
+              stream.finish(
+                  Response.newBuilder().setFollowed(FollowMessages.message(answer)).build()));
     } else {
       stream.refuse(ResetReason.RESET_REASON_MALFORMED);
     }
--- a/node/src/main/java/dev/apricotmill/node/relay/EngineChoice.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/EngineChoice.java
@@ -88,7 +88,7 @@
 
   private void use(PlacementAsk ask, Placement.Granted granted) {
     ImmutableMap<ReplicaId, BackendServer> servers =
-        node.view().servers().orElse(ImmutableMap.of());
+        node.view().servers().map(ServerTable::all).orElse(ImmutableMap.of());
     BackendServer server = servers.get(granted.server());
     if (server == null || !server.ready()) {
       // The dispatcher has not seen yet that the server is leaving.
--- /dev/null
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServerTable.java
@@ -0,0 +1,41 @@
+package dev.apricotmill.node.relay;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Multimaps;
+import dev.apricotmill.core.relay.BackendServer;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.request.ServiceName;
+
+/**
+ * The backend servers, indexed once for each change so that a request looks at those of its service
+ * only.
+ *
+ * @param all all servers by identifier
+ * @param byService the servers of each service, those that are leaving included
+ * @param readyByService the servers of each service that take new requests
+ */
+public record ServerTable(
+    ImmutableMap<ReplicaId, BackendServer> all,
+    ImmutableListMultimap<ServiceName, BackendServer> byService,
+    ImmutableListMultimap<ServiceName, BackendServer> readyByService) {
+
+  /** Indexes servers. */
+  public static ServerTable of(ImmutableMap<ReplicaId, BackendServer> servers) {
+    ImmutableListMultimap<ServiceName, BackendServer> byService =
+        Multimaps.index(servers.values(), BackendServer::service);
+    return new ServerTable(
+        servers,
+        byService,
+        ImmutableListMultimap.copyOf(Multimaps.filterValues(byService, BackendServer::ready)));
+  }
+
+  ImmutableList<BackendServer> of(ServiceName service) {
+    return byService.get(service);
+  }
+
+  ImmutableList<BackendServer> readyOf(ServiceName service) {
+    return readyByService.get(service);
+  }
+}
--- a/node/src/main/java/dev/apricotmill/node/relay/ServingState.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServingState.java
@@ -5,7 +5,6 @@
 import dev.apricotmill.coordination.platform.ObjectKey;
 import dev.apricotmill.coordination.platform.PlatformFailure;
 import dev.apricotmill.core.relay.BackendServer;
-import dev.apricotmill.core.relay.ConfigurationProof;
 import dev.apricotmill.core.relay.ServingConfiguration;
 import dev.apricotmill.core.request.ReplicaId;
 import java.util.HashSet;
@@ -66,8 +65,7 @@
     if (newestUnreadable) {
       return;
     }
-    ConfigurationProof proof = new ConfigurationProof(moment.steadyNanos(), moment.wallMillis());
-    relay.update(view -> view.withProof(Optional.of(proof)));
+    relay.update(view -> view.withProof(Optional.of(moment)));
   }
 
   /** Takes the list of backend servers. */
--- a/node/src/main/java/dev/apricotmill/node/relay/ServingView.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServingView.java
@@ -2,8 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.follow.ReadMoment;
 import dev.apricotmill.core.relay.BackendServer;
-import dev.apricotmill.core.relay.ConfigurationProof;
 import dev.apricotmill.core.relay.ServingConfiguration;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.ServiceName;
@@ -19,8 +19,8 @@
  */
 public record ServingView(
     Optional<ServingConfiguration> configuration,
-    Optional<ConfigurationProof> proof,
-    Optional<ImmutableMap<ReplicaId, BackendServer>> servers,
+    Optional<ReadMoment> proof,
+    Optional<ServerTable> servers,
     int nodes) {
 
   /** A view that knows nothing. */
@@ -29,18 +29,18 @@
 
   /** Returns the view with a newer configuration and proof; an older version is not taken. */
   public ServingView withConfiguration(
-      ServingConfiguration newer, Optional<ConfigurationProof> newerProof) {
+      ServingConfiguration newer, Optional<ReadMoment> newerProof) {
     return new ServingView(Optional.of(newer), newerProof, servers, nodes);
   }
 
   /** Returns the view with another proof. */
-  public ServingView withProof(Optional<ConfigurationProof> newer) {
+  public ServingView withProof(Optional<ReadMoment> newer) {
     return new ServingView(configuration, newer, servers, nodes);
   }
 
   /** Returns the view with another list of servers. */
   public ServingView withServers(ImmutableMap<ReplicaId, BackendServer> newer) {
-    return new ServingView(configuration, proof, Optional.of(newer), nodes);
+    return new ServingView(configuration, proof, Optional.of(ServerTable.of(newer)), nodes);
   }
 
   /** Returns the view with another number of nodes. */
@@ -50,10 +50,7 @@
 
   /** Returns the servers of a service, those that are leaving included. */
   public ImmutableList<BackendServer> serversOf(ServiceName service) {
-    return servers.stream()
-        .flatMap(all -> all.values().stream())
-        .filter(server -> server.service().equals(service))
-        .collect(ImmutableList.toImmutableList());
+    return servers.map(table -> table.of(service)).orElse(ImmutableList.of());
   }
 
   /** Returns the server of a service that has this identifier or this address. */
@@ -67,8 +64,6 @@
 
   /** Returns the servers of a service that take new requests. */
   public ImmutableList<BackendServer> readyServers(ServiceName service) {
-    return serversOf(service).stream()
-        .filter(BackendServer::ready)
-        .collect(ImmutableList.toImmutableList());
+    return servers.map(table -> table.readyOf(service)).orElse(ImmutableList.of());
   }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/SharedPlacements.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/SharedPlacements.java
@@ -57,6 +57,7 @@
   private final Map<Member, Suspicion> suspicions = new HashMap<>();
   private final Map<ServiceName, Member> dispatchers = new HashMap<>();
   private final Map<ServiceName, List<WorkReport>> pending = new HashMap<>();
+  private final Map<ServiceName, ImmutableList<Member>> rankings = new HashMap<>();
   private ImmutableList<Member> members = ImmutableList.of();
   private final Set<Member> connected = new HashSet<>();
   private boolean flushing;
@@ -82,6 +83,7 @@
   /** Takes over the nodes that may dispatch. */
   public void updateMembers(ImmutableList<Member> newMembers) {
     members = newMembers;
+    rankings.clear();
     suspicions.keySet().retainAll(newMembers);
     connected.retainAll(newMembers);
     connectAhead();
@@ -93,7 +95,7 @@
    */
   public void connectAhead() {
     local.pools().stream()
-        .flatMap(pool -> RendezvousHash.ranked(members, pool.value()).limit(CONNECTED_AHEAD))
+        .flatMap(pool -> ranking(pool).stream().limit(CONNECTED_AHEAD))
         .filter(member -> !member.equals(self))
         .filter(connected::add)
         .forEach(member -> peers.report(member.address(), ImmutableList.of()));
@@ -191,7 +193,7 @@
   private Member dispatcher(ServiceName service) {
     long now = timing.nanoTime();
     Member dispatcher =
-        RendezvousHash.ranked(members, service.value())
+        ranking(service).stream()
             .filter(member -> !isSuspected(member, now))
             .findFirst()
             .orElse(self);
@@ -202,6 +204,14 @@
     return dispatcher;
   }
 
+  /** Returns the nodes in the order in which they would dispatch a pool. */
+  private ImmutableList<Member> ranking(ServiceName service) {
+    return rankings.computeIfAbsent(
+        service,
+        name ->
+            RendezvousHash.ranked(members, name.value()).collect(ImmutableList.toImmutableList()));
+  }
+
   private void handOver(ServiceName service, Member before, Member dispatcher) {
     ImmutableList<WorkReport> work =
         running.values().stream()
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -2,13 +2,13 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.follow.ReadMoment;
 import dev.apricotmill.coordination.identity.Zone;
 import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.coordination.testing.VirtualTime;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.CallerLimits;
-import dev.apricotmill.core.relay.ConfigurationProof;
 import dev.apricotmill.core.relay.EngineFigures;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.relay.RelayRefusal;
@@ -125,8 +125,8 @@
     return placements.ledger(POOL).orElseThrow().placedCount();
   }
 
-  ConfigurationProof proof() {
-    return new ConfigurationProof(timing.nanoTime(), timing.clock().millis());
+  ReadMoment proof() {
+    return new ReadMoment(timing.nanoTime(), timing.clock().millis());
   }
 
   /** Takes a request to {@code path} and runs what is due. */
--- a/node/src/test/java/dev/apricotmill/node/relay/ServingStateTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServingStateTest.java
@@ -72,6 +72,7 @@
         .view()
         .servers()
         .orElseThrow()
+        .all()
         .forEach(
             (id, server) ->
                 leaving.put(
