A silent dispatcher is found alive by probes, never by a request

Cause: after half a second, then one, two and four, a silent dispatcher was asked again with a live request, so that in a zone's cut the dispatcher changed again and again, each time to another ledger, and each such request lost 80 ms. Change: a silent node stays suspected until it answers a probe, one each half second; one that answers and declines (it is stopping) is asked less and less often, as before.

--- a/node/src/main/java/dev/apricotmill/node/relay/SharedPlacements.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/SharedPlacements.java
@@ -46,6 +46,13 @@
 
   private static final int NODES_THAT_STAND_FOR_A_ZONE = 2;
   private static final Duration FIRST_SUSPICION = Duration.ofMillis(500);
+
+  /** How often a silent node is probed; bounds how late the end of a cut is noticed. */
+  private static final Duration PROBE_PERIOD = Duration.ofMillis(500);
+
+  /** A round trip between zones and the turn of a busy process. */
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(300);
+
   private static final Duration LONGEST_SUSPICION = Duration.ofSeconds(8);
 
   private final Timing timing;
@@ -73,12 +80,22 @@
   }
 
   /**
-   * How long a dispatcher that did not answer is not asked again.
+   * Why a dispatcher is not asked.
    *
-   * @param untilNanos when it is asked again
+   * @param untilNanos when it may be asked again
    * @param length how long this suspicion is; the next one is twice as long
+   * @param silent whether it has answered no probe since
    */
-  private record Suspicion(long untilNanos, Duration length) {}
+  private record Suspicion(long untilNanos, Duration length, boolean silent) {
+
+    boolean holds(long nowNanos) {
+      return silent || untilNanos - nowNanos > 0;
+    }
+
+    Suspicion answered() {
+      return new Suspicion(untilNanos, length, false);
+    }
+  }
 
   /** Takes over the nodes that may dispatch. */
   public void updateMembers(ImmutableList<Member> newMembers) {
@@ -231,8 +248,7 @@
 
   private boolean isSuspected(Member member, long nowNanos) {
     Suspicion suspicion = suspicions.get(member);
-    return (suspicion != null && suspicion.untilNanos() - nowNanos > 0)
-        || isCutOff(member.zone(), nowNanos);
+    return (suspicion != null && suspicion.holds(nowNanos)) || isCutOff(member.zone(), nowNanos);
   }
 
   /** Nodes of another zone that are silent together stand for their whole zone. */
@@ -240,14 +256,14 @@
     return !zone.equals(self.zone())
         && suspicions.entrySet().stream()
                 .filter(entry -> entry.getKey().zone().equals(zone))
-                .filter(entry -> entry.getValue().untilNanos() - nowNanos > 0)
+                .filter(entry -> entry.getValue().holds(nowNanos))
                 .count()
             >= NODES_THAT_STAND_FOR_A_ZONE;
   }
 
   private void suspect(Member member) {
     Suspicion before = suspicions.get(member);
-    if (before != null && before.untilNanos() - timing.nanoTime() > 0) {
+    if (before != null && before.holds(timing.nanoTime())) {
       // Several questions that were open at once say no more than one.
       return;
     }
@@ -255,10 +271,31 @@
     if (length.compareTo(LONGEST_SUSPICION) > 0) {
       length = LONGEST_SUSPICION;
     }
-    suspicions.put(member, new Suspicion(timing.nanoTime() + length.toNanos(), length));
+    suspicions.put(member, new Suspicion(timing.nanoTime() + length.toNanos(), length, true));
+    timing.schedule(PROBE_PERIOD, () -> probe(member));
     log.write(
         "dispatcher.silent",
         ImmutableMap.of(
             "node", member.incarnation().toString(), "not_asked_for_ms", length.toMillis()));
   }
+
+  /** Finds out by probes, never by a request, when a silent node answers again. */
+  private void probe(Member member) {
+    Suspicion suspicion = suspicions.get(member);
+    if (suspicion == null || !suspicion.silent()) {
+      return;
+    }
+    peers.probe(
+        member.address(),
+        PROBE_TIMEOUT,
+        alive -> timing.scheduler().execute(() -> probed(member, alive)));
+    timing.schedule(PROBE_PERIOD, () -> probe(member));
+  }
+
+  private void probed(Member member, boolean alive) {
+    if (alive && suspicions.containsKey(member)) {
+      suspicions.computeIfPresent(member, (peer, before) -> before.answered());
+      log.write("dispatcher.answers", ImmutableMap.of("node", member.incarnation().toString()));
+    }
+  }
 }
--- a/node/src/test/java/dev/apricotmill/node/relay/SharedPlacementsTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/SharedPlacementsTest.java
@@ -99,6 +99,55 @@
     assertThat(peers.asked.get(2)).isEqualTo(ranked.get(0).address());
   }
 
+  /** The load pattern of a cut zone: requests go on while the dispatcher cannot be reached. */
+  @Test
+  void aSilentDispatcherIsFoundAliveByProbesAndNotByRequests() {
+    peers.alive = false;
+    placements.place(ask("r0"), decisions::add);
+    peers.answer(Optional.empty());
+    peers.asked.clear();
+
+    for (int i = 1; i <= 60; i++) {
+      placements.place(ask("r" + i), decisions::add);
+      peers.answer(Optional.of(granted("pool2")));
+      relay.time().advance(Duration.ofMillis(100));
+    }
+
+    assertThat(peers.asked).doesNotContain(ranked.get(0).address());
+    assertThat(events.stream().filter("dispatcher.changed"::equals).count()).isEqualTo(1);
+    assertThat(peers.probed.size()).isAtMost(12);
+  }
+
+  @Test
+  void theEndOfACutIsNoticedWithinHalfASecond() {
+    peers.alive = false;
+    placements.place(ask("r0"), decisions::add);
+    peers.answer(Optional.empty());
+    relay.time().advance(Duration.ofSeconds(7));
+    peers.asked.clear();
+
+    peers.alive = true;
+    relay.time().advance(Duration.ofMillis(500));
+    placements.place(ask("r1"), decisions::add);
+
+    assertThat(peers.asked).containsExactly(ranked.get(0).address());
+  }
+
+  @Test
+  void aDispatcherThatLivesAndDeclinesIsAskedLessAndLessOften() {
+    for (int i = 0; i < 100; i++) {
+      placements.place(ask("r" + i), decisions::add);
+      peers.answer(
+          peers.asked.get(peers.asked.size() - 1).equals(ranked.get(0).address())
+              ? Optional.empty()
+              : Optional.of(granted("pool2")));
+      relay.time().advance(Duration.ofMillis(100));
+    }
+
+    // After 0, 0.5, 1.5, 3.5 and 7.5 seconds.
+    assertThat(peers.asked.stream().filter(ranked.get(0).address()::equals).count()).isAtMost(5);
+  }
+
   @Test
   void aNodeAloneDecidesByItsOwnLedger() {
     placements.updateMembers(ImmutableList.of());
@@ -164,6 +213,8 @@
     private final List<PeerAddress> asked = new ArrayList<>();
     private final List<WorkReport> reports = new ArrayList<>();
     private final List<PeerAddress> reported = new ArrayList<>();
+    private final List<PeerAddress> probed = new ArrayList<>();
+    private boolean alive = true;
     private Consumer<Optional<Placement>> then = decision -> {};
 
     @Override
@@ -178,7 +229,8 @@
 
     @Override
     public void probe(PeerAddress peer, Duration timeout, Consumer<Boolean> then) {
-      then.accept(true);
+      probed.add(peer);
+      then.accept(alive);
     }
 
     @Override
