--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowedPrefix.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowedPrefix.java
@@ -29,6 +29,9 @@
 
   private static final int MAXIMUM_DOUBLINGS = 10;
 
+  /** A wait that would be shorter goes on to the next multiple. */
+  private static final Duration SHORTEST_WAIT = Duration.ofMillis(20);
+
   private final Platform platform;
   private final Timing timing;
   private final String prefix;
@@ -77,6 +80,10 @@
     closed = true;
   }
 
+  Duration freshness() {
+    return settings.freshness();
+  }
+
   long revision() {
     return content.revision();
   }
@@ -148,10 +155,18 @@
     }
   }
 
-  /** A watch proves the content only when it ends: one without a wait renews an old proof. */
+  /**
+   * A watch proves the content only when it ends: one without a wait renews an old proof. Waits end
+   * at multiples of their length, so that prefixes of one length are proven together and their
+   * proofs travel in one answer.
+   */
   private Duration watchWait() {
-    boolean waits = rank.getAsInt() == 0 && isYoungerThan(settings.watchWait().multipliedBy(2));
-    return waits ? settings.watchWait() : Duration.ZERO;
+    Duration longest = settings.watchWait();
+    if (rank.getAsInt() != 0 || !isYoungerThan(longest.multipliedBy(2))) {
+      return Duration.ZERO;
+    }
+    Duration left = longest.minusNanos(Math.floorMod(timing.nanoTime(), longest.toNanos()));
+    return left.compareTo(SHORTEST_WAIT) < 0 ? left.plus(longest) : left;
   }
 
   private boolean isYoungerThan(Duration bound) {
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
@@ -6,6 +6,7 @@
 import dev.apricotmill.coordination.time.Timing;
 import java.time.Duration;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -26,8 +27,11 @@
  */
 public final class SharedFollower implements AutoCloseable {
 
-  /** How long a peer waits for news; bounds how late a silent peer is noticed. */
-  private static final Duration WAIT = Duration.ofMillis(400);
+  /**
+   * The part of the shortest freshness that a peer waits for news; bounds how late a silent peer is
+   * noticed.
+   */
+  private static final int WAITS_PER_FRESHNESS = 5;
 
   /** What an answer may take beyond the wait: a round trip and the turn of a busy process. */
   private static final Duration ANSWER_TIME = Duration.ofMillis(300);
@@ -36,7 +40,7 @@
   private static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
 
   /** News of several prefixes that come within this time travel in one answer. */
-  private static final Duration GATHERING = Duration.ofMillis(10);
+  private static final Duration GATHERING = Duration.ofMillis(30);
 
   /** The pause after an answer that came at once and told nothing. */
   private static final Duration ASK_AGAIN = Duration.ofMillis(100);
@@ -181,7 +185,7 @@
       timing.schedule(ASK_AGAIN, this::ask);
       return;
     }
-    Duration wait = peer.get().equals(lastAsked) ? WAIT : Duration.ZERO;
+    Duration wait = peer.get().equals(lastAsked) ? patience() : Duration.ZERO;
     lastAsked = peer.get();
     ReadMoment asked = new ReadMoment(timing.nanoTime(), timing.clock().millis());
     peers.ask(
@@ -191,6 +195,14 @@
         answer -> timing.scheduler().execute(() -> answered(peer.get(), asked, answer)));
   }
 
+  private Duration patience() {
+    return prefixes.values().stream()
+        .map(FollowedPrefix::freshness)
+        .min(Comparator.naturalOrder())
+        .orElse(LONGEST_WAIT)
+        .dividedBy(WAITS_PER_FRESHNESS);
+  }
+
   private ImmutableMap<String, Long> revisions() {
     ImmutableMap.Builder<String, Long> revisions = ImmutableMap.builder();
     prefixes.forEach((name, prefix) -> revisions.put(name, prefix.revision()));
