--- /dev/null
+++ b/daemon/src/test/java/dev/apricotmill/daemon/inner/FollowMessagesTest.java
@@ -0,0 +1,53 @@
+package dev.apricotmill.daemon.inner;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.follow.FollowAnswer;
+import dev.apricotmill.coordination.follow.FollowQuestion;
+import dev.apricotmill.coordination.follow.PrefixUpdate;
+import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.StoredObject;
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+final class FollowMessagesTest {
+
+  @Test
+  void aQuestionSurvivesTheWire() {
+    FollowQuestion question =
+        new FollowQuestion(ImmutableMap.of("config", -1L, "servers", 42L), Duration.ofMillis(800));
+
+    assertThat(FollowMessages.question(FollowMessages.message(question))).isEqualTo(question);
+  }
+
+  @Test
+  void changesAndTheirAgeSurviveTheWire() {
+    FollowAnswer answer =
+        answer(
+            new PrefixUpdate(
+                false,
+                ImmutableList.of(new StoredObject(new ObjectKey("servers/a"), 7, new byte[] {1})),
+                ImmutableList.of(new ObjectKey("servers/b")),
+                42),
+            Optional.of(Duration.ofNanos(1_234_567_890)));
+
+    assertThat(FollowMessages.answer(FollowMessages.message(answer))).isEqualTo(answer);
+  }
+
+  @Test
+  void aWholeContentOfUnknownAgeSurvivesTheWire() {
+    FollowAnswer answer =
+        answer(
+            new PrefixUpdate(true, ImmutableList.of(), ImmutableList.of(), 42), Optional.empty());
+
+    assertThat(FollowMessages.answer(FollowMessages.message(answer))).isEqualTo(answer);
+  }
+
+  private static FollowAnswer answer(PrefixUpdate update, Optional<Duration> age) {
+    return new FollowAnswer(
+        ImmutableMap.of("servers", new FollowAnswer.News(update, age)), Duration.ofNanos(987_654));
+  }
+}
