Tell a response that was still arriving from silence, in logs and failures

Change: PeerFault.INCOMPLETE with received_bytes, ExchangeFailure.INCOMPLETE, and PlatformFailure.INCOMPLETE_ANSWER. Decisions are the same: both faults back off and lose rank alike.

Renamed: SharedFollower.onResponse to onResult.

--- a/adapters/src/main/java/dev/apricotmill/adapters/BufferedExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BufferedExchange.java
@@ -58,7 +58,9 @@
 
   @Override
   void onFailure(boolean sent, ExchangeFailure failure) {
+    boolean incomplete = failure == ExchangeFailure.TIMEOUT && head != null;
+    ExchangeFailure reported = incomplete ? ExchangeFailure.INCOMPLETE : failure;
     result.complete(
-        sent ? new ExchangeResult.Interrupted(failure) : new ExchangeResult.NotSent(failure));
+        sent ? new ExchangeResult.Interrupted(reported) : new ExchangeResult.NotSent(reported));
   }
 }
--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpModelEngine.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpModelEngine.java
@@ -170,7 +170,7 @@
   static EngineFailure failureOf(ExchangeFailure failure) {
     return switch (failure) {
       case CONNECTION_LOST -> EngineFailure.CONNECTION_LOST;
-      case TIMEOUT -> EngineFailure.SILENT;
+      case TIMEOUT, INCOMPLETE -> EngineFailure.SILENT;
       case OVERSIZE, MALFORMED -> EngineFailure.MALFORMED;
     };
   }
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowObserver.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowObserver.java
@@ -10,14 +10,19 @@
   FollowObserver NONE =
       new FollowObserver() {
         @Override
-        public void onPeerBackoff(Member peer, PeerFault fault, Duration backoff) {}
+        public void onPeerBackoff(
+            Member peer, PeerFault fault, long receivedBytes, Duration backoff) {}
 
         @Override
         public void onRankChanged(int rank) {}
       };
 
-  /** Called when a peer will not be polled for the time {@code backoff}. */
-  void onPeerBackoff(Member peer, PeerFault fault, Duration backoff);
+  /**
+   * Called when a peer will not be polled for the time {@code backoff}.
+   *
+   * @param receivedBytes the bytes of an incomplete response that arrived
+   */
+  void onPeerBackoff(Member peer, PeerFault fault, long receivedBytes, Duration backoff);
 
   /** Called when this process's rank in its zone changes; rank 0 reads the store. */
   void onRankChanged(int rank);
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowPeers.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowPeers.java
@@ -2,7 +2,6 @@
 
 import dev.apricotmill.coordination.membership.Member;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.function.Consumer;
 
 /** The client interface to other processes that follow the same store. */
@@ -12,12 +11,8 @@
   /**
    * Sends a long poll to a peer.
    *
-   * @param callback receives the response once, on any thread; empty if none arrived within {@code
-   *     timeout}
+   * @param callback receives the result once, on any thread; without a response if none was
+   *     complete within {@code timeout}
    */
-  void poll(
-      Member peer,
-      FollowRequest request,
-      Duration timeout,
-      Consumer<Optional<FollowResponse>> callback);
+  void poll(Member peer, FollowRequest request, Duration timeout, Consumer<PollResult> callback);
 }
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
@@ -200,7 +200,7 @@
         peer.get(),
         new FollowRequest(revisions(), wait),
         wait.plus(RESPONSE_ALLOWANCE),
-        response -> timing.scheduler().execute(() -> onResponse(peer.get(), sentAt, response)));
+        result -> timing.scheduler().execute(() -> onResult(peer.get(), sentAt, result)));
   }
 
   private Duration pollWait() {
@@ -222,9 +222,11 @@
         || prefixes.values().stream().anyMatch(FollowedPrefix::needsPeers);
   }
 
-  private void onResponse(Member peer, ReadTimestamp sentAt, Optional<FollowResponse> response) {
+  private void onResult(Member peer, ReadTimestamp sentAt, PollResult result) {
+    Optional<FollowResponse> response = result.response();
     if (response.isEmpty()) {
-      backOff(peer, PeerFault.SILENT);
+      PeerFault fault = result.receivedBytes() == 0 ? PeerFault.SILENT : PeerFault.INCOMPLETE;
+      backOff(peer, fault, result.receivedBytes());
       timing.scheduler().execute(this::pollPeer);
       return;
     }
@@ -239,7 +241,7 @@
               sentAt);
     }
     if (stale) {
-      backOff(peer, PeerFault.BEHIND);
+      backOff(peer, PeerFault.BEHIND, 0);
     }
     boolean wasHeld = response.get().holdTime().compareTo(REPOLL_DELAY) >= 0;
     timing.schedule(wasHeld ? Duration.ZERO : REPOLL_DELAY, this::pollPeer);
@@ -260,15 +262,15 @@
     return prefix.isTooStale(peerValidatedAt);
   }
 
-  private void backOff(Member peer, PeerFault fault) {
+  private void backOff(Member peer, PeerFault fault, long receivedBytes) {
     PeerBackoff previous = backoffs.get(peer);
     Duration length = fault == PeerFault.BEHIND ? STALE_PEER_BACKOFF : INITIAL_NO_ANSWER_BACKOFF;
-    if (fault == PeerFault.SILENT && previous != null && previous.fault() == PeerFault.SILENT) {
+    if (fault != PeerFault.BEHIND && previous != null && previous.fault() != PeerFault.BEHIND) {
       Duration doubled = previous.length().multipliedBy(2);
       length = doubled.compareTo(MAX_NO_ANSWER_BACKOFF) < 0 ? doubled : MAX_NO_ANSWER_BACKOFF;
     }
     backoffs.put(peer, new PeerBackoff(fault, timing.nanoTime() + length.toNanos(), length));
-    observer.onPeerBackoff(peer, fault, length);
+    observer.onPeerBackoff(peer, fault, receivedBytes, length);
     reportRank();
   }
 
@@ -280,7 +282,7 @@
   /** A peer that does not respond is left out of the ranking; one that is only behind stays. */
   private boolean keepsRank(Member member) {
     PeerBackoff backoff = backoffs.get(member);
-    return backoff == null || backoff.fault() != PeerFault.SILENT;
+    return backoff == null || backoff.fault() == PeerFault.BEHIND;
   }
 
   private int rank() {
--- a/coordination/src/main/java/dev/apricotmill/coordination/platform/PlatformFailure.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/platform/PlatformFailure.java
@@ -6,6 +6,8 @@
   UNREACHABLE,
   /** The connection was lost or the response did not arrive in time. */
   NO_ANSWER,
+  /** The response was still arriving when the time for it ran out. */
+  INCOMPLETE_ANSWER,
   /** The platform rejected the call because of its rate limit. */
   RATE_LIMITED,
   /** The platform responded that it is currently unavailable. */
--- a/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.coordination.follow.FollowObserver;
 import dev.apricotmill.coordination.follow.FollowSettings;
+import dev.apricotmill.coordination.follow.PollResult;
 import dev.apricotmill.coordination.follow.SharedFollower;
 import dev.apricotmill.coordination.identity.DaemonId;
 import dev.apricotmill.coordination.identity.Incarnation;
@@ -181,7 +182,8 @@
             platform,
             timing,
             member(name, incarnation),
-            (peer, request, timeout, callback) -> callback.accept(Optional.empty()),
+            (peer, request, timeout, callback) ->
+                callback.accept(new PollResult(Optional.empty(), 0)),
             FollowObserver.NONE);
     new NodeDirectory(
             platform,
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowerFleet.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowerFleet.java
@@ -47,6 +47,7 @@
   private static final Duration WRITE_DELAY = Duration.ofMillis(5);
   private static final Duration SLOW_ONE_WAY_DELAY = Duration.ofMillis(110);
   private static final Duration ONE_WAY_DELAY = Duration.ofMillis(1);
+  private static final PollResult NO_RESPONSE = new PollResult(Optional.empty(), 0);
 
   private final VirtualTime time = new VirtualTime();
   private final FakePlatform store = new FakePlatform(time);
@@ -117,26 +118,26 @@
     }
 
     private void poll(
-        Member peer,
-        FollowRequest request,
-        Duration timeout,
-        Consumer<Optional<FollowResponse>> callback) {
+        Member peer, FollowRequest request, Duration timeout, Consumer<PollResult> callback) {
       Follower target = processes.get(peer.incarnation().daemon().name());
-      Consumer<Optional<FollowResponse>> once = onlyOnce(callback);
+      Consumer<PollResult> once = onlyOnce(callback);
       if (target == null || target.killed) {
         scheduler.schedule(
-            () -> once.accept(Optional.empty()), ONE_WAY_DELAY.toNanos(), TimeUnit.NANOSECONDS);
+            () -> once.accept(NO_RESPONSE), ONE_WAY_DELAY.toNanos(), TimeUnit.NANOSECONDS);
         return;
       }
-      scheduler.schedule(
-          () -> once.accept(Optional.empty()), timeout.toNanos(), TimeUnit.NANOSECONDS);
+      scheduler.schedule(() -> once.accept(NO_RESPONSE), timeout.toNanos(), TimeUnit.NANOSECONDS);
       send(
           this,
           target,
           () ->
               target.follower.onPoll(
                   request,
-                  response -> send(target, this, () -> once.accept(Optional.of(response)))));
+                  response ->
+                      send(
+                          target,
+                          this,
+                          () -> once.accept(new PollResult(Optional.of(response), 0)))));
     }
 
     @Override
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/SingleFollowerTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/SingleFollowerTest.java
@@ -43,7 +43,7 @@
           client,
           time.timingOf(scheduler),
           FollowerFleet.member("n1", "a", 1),
-          (peer, poll, timeout, callback) -> callback.accept(Optional.empty()),
+          (peer, poll, timeout, callback) -> callback.accept(new PollResult(Optional.empty(), 0)),
           FollowObserver.NONE);
 
   @Test
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerFollowPeers.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerFollowPeers.java
@@ -2,12 +2,11 @@
 
 import dev.apricotmill.coordination.follow.FollowPeers;
 import dev.apricotmill.coordination.follow.FollowRequest;
-import dev.apricotmill.coordination.follow.FollowResponse;
+import dev.apricotmill.coordination.follow.PollResult;
 import dev.apricotmill.coordination.membership.Member;
 import dev.apricotmill.protocol.generated.Request;
 import dev.apricotmill.protocol.generated.Response;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Requests followed store content from other nodes over the inner protocol. */
@@ -22,18 +21,18 @@
 
   @Override
   public void poll(
-      Member peer,
-      FollowRequest question,
-      Duration timeout,
-      Consumer<Optional<FollowResponse>> then) {
+      Member peer, FollowRequest question, Duration timeout, Consumer<PollResult> then) {
     client.call(
         peer.address(),
         Request.newBuilder().setAskFollowed(FollowMessages.toMessage(question)).build(),
         timeout,
-        response ->
+        result ->
             then.accept(
-                response
-                    .filter(Response::hasFollowed)
-                    .map(answer -> FollowMessages.fromMessage(answer.getFollowed()))));
+                new PollResult(
+                    result
+                        .response()
+                        .filter(Response::hasFollowed)
+                        .map(answer -> FollowMessages.fromMessage(answer.getFollowed())),
+                    result.receivedBytes())));
   }
 }
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPlacementPeers.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPlacementPeers.java
@@ -37,6 +37,7 @@
         answer ->
             then.accept(
                 answer
+                    .response()
                     .filter(Response::hasWorkPlaced)
                     .flatMap(placed -> PlacementMessages.fromMessage(placed.getWorkPlaced()))));
   }
@@ -44,7 +45,7 @@
   @Override
   public void probe(PeerAddress peer, Duration timeout, Consumer<Boolean> then) {
     Request request = Request.newBuilder().setReportWork(ReportWork.getDefaultInstance()).build();
-    client.call(peer, request, timeout, answer -> then.accept(answer.isPresent()));
+    client.call(peer, request, timeout, answer -> then.accept(answer.response().isPresent()));
   }
 
   @Override
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerUnaryClient.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerUnaryClient.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 /** Sends requests that have a single response to other nodes. */
@@ -29,10 +30,9 @@
   /**
    * Sends a request.
    *
-   * @param callback called once, on any thread, with the response; empty if none arrived in time
+   * @param callback called once, on any thread, with the result
    */
-  void call(
-      PeerAddress peer, Request request, Duration timeout, Consumer<Optional<Response>> callback) {
+  void call(PeerAddress peer, Request request, Duration timeout, Consumer<CallResult> callback) {
     PendingCall pendingCall = new PendingCall(callback);
     ClientStream stream = client.open(address(peer), request, pendingCall);
     timing.schedule(
@@ -44,6 +44,14 @@
         });
   }
 
+  /**
+   * The result of a call.
+   *
+   * @param response the complete response; empty if none arrived in time
+   * @param receivedBytes the bytes of an incomplete response that arrived
+   */
+  record CallResult(Optional<Response> response, long receivedBytes) {}
+
   /** Sends a request whose response is ignored; it is not retried if it is lost. */
   void sendOneWay(PeerAddress peer, Request request) {
     client.open(address(peer), request, new PendingCall(ignored -> {}));
@@ -56,21 +64,27 @@
   /** Completes once: by the response, the loss of the stream or the timeout. */
   private static final class PendingCall implements ResponseListener {
 
-    private final Consumer<Optional<Response>> callback;
+    private final Consumer<CallResult> callback;
     private final AtomicBoolean completed = new AtomicBoolean();
+    private final AtomicLong receivedBytes = new AtomicLong();
 
-    PendingCall(Consumer<Optional<Response>> callback) {
+    PendingCall(Consumer<CallResult> callback) {
       this.callback = callback;
     }
 
     boolean complete(Optional<Response> response) {
       boolean first = completed.compareAndSet(false, true);
       if (first) {
-        callback.accept(response);
+        callback.accept(new CallResult(response, receivedBytes.get()));
       }
       return first;
     }
 
+    @Override
+    public void onPart(int bytes) {
+      receivedBytes.addAndGet(bytes);
+    }
+
     @Override
     public void onResponse(Response response) {
       complete(Optional.empty());
--- a/protocol/src/main/java/dev/apricotmill/protocol/ClientConnection.java
+++ b/protocol/src/main/java/dev/apricotmill/protocol/ClientConnection.java
@@ -152,6 +152,7 @@
     private void onPart(Part part) throws IOException {
       Optional<ByteString> message = assembly().add(id, part);
       if (message.isEmpty()) {
+        listener.onPart(part.getData().size());
         return;
       }
       Response response = Response.parseFrom(message.get());
--- a/protocol/src/main/java/dev/apricotmill/protocol/ResponseListener.java
+++ b/protocol/src/main/java/dev/apricotmill/protocol/ResponseListener.java
@@ -8,6 +8,9 @@
  */
 public interface ResponseListener {
 
+  /** Called when a part of a response arrived that does not complete it. */
+  default void onPart(int bytes) {}
+
   /** Handles a response other than the final one. */
   void onResponse(Response response);
 
