--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowerFleet.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowerFleet.java
@@ -31,7 +31,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import org.jspecify.annotations.Nullable;
 
 /** Processes in several zones that follow one prefix, on virtual time and a faulty network. */
@@ -49,6 +51,9 @@
   private static final Duration ONE_WAY_DELAY = Duration.ofMillis(1);
   private static final PollResult NO_RESPONSE = new PollResult(Optional.empty(), 0);
 
+  private static final long UNLIMITED = Long.MAX_VALUE;
+
+  private final FollowSettings settings;
   private final VirtualTime time = new VirtualTime();
   private final FakePlatform store = new FakePlatform(time);
   private final Platform operator = store.clientFor("operator", new Zone("x"), time.newScheduler());
@@ -58,6 +63,20 @@
   private final Map<String, List<Change>> history = new HashMap<>();
   private final Map<ObjectKey, Long> versions = new HashMap<>();
   private long messages;
+  private long linkBytesPerSecond = UNLIMITED;
+
+  FollowerFleet() {
+    this(SETTINGS);
+  }
+
+  FollowerFleet(FollowSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Limits both directions of the links of the processes that are started after this. */
+  void limitLinks(long bytesPerSecond) {
+    linkBytesPerSecond = bytesPerSecond;
+  }
 
   /**
    * A change to an object.
@@ -76,20 +95,25 @@
     private final Map<String, String> content = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
     private final Map<String, Long> newestVersions = new HashMap<>();
+    private final SlowLink uplink;
+    private final SlowLink downlink;
     private @Nullable ReadTimestamp validatedAt;
     private boolean killed;
 
     Follower(Member member) {
       this.member = member;
       scheduler = time.newScheduler();
+      uplink = new SlowLink(scheduler, linkBytesPerSecond);
+      downlink = new SlowLink(scheduler, linkBytesPerSecond);
       follower =
           new SharedFollower(
-              store.clientFor(name(), member.zone(), scheduler),
+              new SlowLinkPlatform(
+                  store.clientFor(name(), member.zone(), scheduler), downlink, scheduler),
               time.timingOf(scheduler),
               member,
               this::poll,
               FollowObserver.NONE);
-      follower.follow(PREFIX, SETTINGS, this);
+      follower.follow(PREFIX, settings, this);
       follower.start();
     }
 
@@ -126,7 +150,11 @@
             () -> once.accept(NO_RESPONSE), ONE_WAY_DELAY.toNanos(), TimeUnit.NANOSECONDS);
         return;
       }
-      scheduler.schedule(() -> once.accept(NO_RESPONSE), timeout.toNanos(), TimeUnit.NANOSECONDS);
+      AtomicInteger receivedBytes = new AtomicInteger();
+      scheduler.schedule(
+          () -> once.accept(new PollResult(Optional.empty(), receivedBytes.get())),
+          timeout.toNanos(),
+          TimeUnit.NANOSECONDS);
       send(
           this,
           target,
@@ -134,9 +162,11 @@
               target.follower.onPoll(
                   request,
                   response ->
-                      send(
+                      sendOverLinks(
                           target,
                           this,
+                          sizeOf(response),
+                          receivedBytes::addAndGet,
                           () -> once.accept(new PollResult(Optional.of(response), 0)))));
     }
 
@@ -215,6 +245,40 @@
         delivery, (late ? SLOW_ONE_WAY_DELAY : ONE_WAY_DELAY).toNanos(), TimeUnit.NANOSECONDS);
   }
 
+  private static int sizeOf(FollowResponse response) {
+    return response.prefixes().values().stream()
+        .mapToInt(state -> SlowLinkPlatform.bytesOf(state.update().changed()))
+        .sum();
+  }
+
+  /** Sends a response through the sender's uplink and the receiver's downlink. */
+  private void sendOverLinks(
+      Follower from, Follower to, int bytes, IntConsumer onReceived, Runnable onComplete) {
+    if (bytes == 0) {
+      send(from, to, onComplete);
+      return;
+    }
+    AtomicInteger unsent = new AtomicInteger(bytes);
+    from.uplink.send(
+        bytes,
+        remaining -> {
+          int fragment = unsent.getAndSet(remaining) - remaining;
+          send(from, to, () -> receive(to, fragment, remaining, onReceived, onComplete));
+        });
+  }
+
+  private static void receive(
+      Follower to, int fragment, int remaining, IntConsumer onReceived, Runnable onComplete) {
+    to.downlink.send(
+        fragment,
+        ignored -> {
+          onReceived.accept(fragment);
+          if (remaining == 0) {
+            onComplete.run();
+          }
+        });
+  }
+
   static Member member(String name, String zone, long incarnation) {
     return new Member(
         new Incarnation(new DaemonId(name), incarnation),
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/SharedFollowerTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/SharedFollowerTest.java
@@ -16,6 +16,14 @@
   /** For a fleet of any size: two watches per second in each of three zones. */
   private static final long MAX_READS_PER_SECOND = 6;
 
+  /** 14 Mbit/s, the slowest link of a VM. */
+  private static final long SLOW_LINK_BYTES_PER_SECOND = 1_750_000;
+
+  /** A configuration with some 1,800 routes. */
+  private static final int LARGE_OBJECT_BYTES = 460_000;
+
+  private static final Duration CHANGE_INTERVAL = Duration.ofMillis(1400);
+
   private final FollowerFleet fleet = new FollowerFleet();
 
   @Test
@@ -75,6 +83,39 @@
     assertThat(fleet.readsSince(from)).isAtMost(3 * 15);
   }
 
+  /**
+   * A response that is still arriving must not be abandoned: its bytes take their share of the link
+   * all the same, and the next attempt, which asks for all of it again, is slower.
+   */
+  @Test
+  void changesOfALargeObjectOverSlowLinksReachEveryProcessWithinTheBound() {
+    Duration bound = Duration.ofSeconds(4);
+    FollowerFleet slowFleet = new FollowerFleet(FollowSettings.within(bound));
+    slowFleet.limitLinks(SLOW_LINK_BYTES_PER_SECOND);
+    slowFleet.write("large", largeValue(0));
+    slowFleet.start(2, 19);
+    slowFleet.advance(SETTLE_TIME);
+
+    for (int change = 1; change <= 20; change++) {
+      slowFleet.write("large", largeValue(change));
+      slowFleet.advance(CHANGE_INTERVAL);
+      int overdue = change - (int) (bound.toMillis() / CHANGE_INTERVAL.toMillis());
+      for (FollowerFleet.Follower process : slowFleet.running()) {
+        assertWithMessage("the newest change at %s after change %s", process.name(), change)
+            .that(changeNumber(process.content().get("things/large")))
+            .isAtLeast(overdue);
+      }
+    }
+  }
+
+  private static String largeValue(int change) {
+    return change + ":" + "x".repeat(LARGE_OBJECT_BYTES);
+  }
+
+  private static int changeNumber(String value) {
+    return Integer.parseInt(value.substring(0, value.indexOf(':')));
+  }
+
   @Test
   void theLossOfAnyReaderDelaysNoChangeBeyondTheBound() {
     assertBoundHoldsAfter(reader -> fleet.kill(reader));
