Do not abandon a response that is still arriving: a large configuration is in force in time

VMs that nothing disturbed had a confirmed change of a configuration of 1,440 to 1,770 routes 5 to 12 s after the first VM (config_apply_ms is 4,000). They refused with 503 once their validation was too old, and until then decided by the old version.

Cause: a time limit on a whole response, whatever its size. A poll of a peer ended 300 ms after its wait, a watch of the store 600 ms after, though bytes were arriving; the response was thrown away and all of it asked for again, of another peer. The abandoned bytes still took their share of the link, so that each attempt was slower than the last: a congestion collapse by retries. The same limit stood on lists.

Why it works: ResponseLimits ask for a beginning in time, for progress after that, and for an end within a bound on the whole, so silence, a stall and a trickle still end a call. Parts of inner messages are 16 KB instead of 64 KB, so that progress shows on a slow link that several transfers share.

--- a/adapters/src/main/java/dev/apricotmill/adapters/BufferedExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BufferedExchange.java
@@ -38,6 +38,7 @@
 
   @Override
   public void consume(ByteBuffer source) {
+    onProgress();
     if (body.size() + source.remaining() > maximumBytes) {
       abort(ExchangeFailure.OVERSIZE);
       return;
--- a/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
@@ -1,11 +1,11 @@
 package dev.apricotmill.adapters;
 
 import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.time.ResponseTimer;
 import java.io.IOException;
 import java.net.URISyntaxException;
 import java.nio.ByteBuffer;
 import java.util.List;
-import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.EntityDetails;
@@ -45,7 +45,7 @@
   private final ByteBuffer body;
   private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.WAITING);
   private final AtomicReference<@Nullable AsyncClientEndpoint> endpoint = new AtomicReference<>();
-  private volatile @Nullable Future<?> timeoutTask;
+  private volatile @Nullable ResponseTimer timer;
 
   ClientExchange(PeerAddress peer, HttpCall call) {
     this.peer = peer;
@@ -66,10 +66,18 @@
     return peer;
   }
 
-  final void setTimeoutTask(Future<?> task) {
-    timeoutTask = task;
+  final void setTimer(ResponseTimer started) {
+    timer = started;
     if (phase.get() == Phase.ENDED) {
-      task.cancel(false);
+      started.close();
+    }
+  }
+
+  /** Records that a part of the response has arrived. */
+  final void onProgress() {
+    ResponseTimer running = timer;
+    if (running != null) {
+      running.onProgress();
     }
   }
 
@@ -114,9 +122,9 @@
   }
 
   private void releaseConnection(boolean reuse) {
-    Future<?> task = timeoutTask;
-    if (task != null) {
-      task.cancel(false);
+    ResponseTimer running = timer;
+    if (running != null) {
+      running.close();
     }
     AsyncClientEndpoint leased = endpoint.getAndSet(null);
     if (leased == null) {
@@ -181,6 +189,7 @@
   public final void consumeResponse(
       HttpResponse response, @Nullable EntityDetails details, HttpContext context)
       throws IOException {
+    onProgress();
     onHead(response);
     if (details == null) {
       complete();
--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
@@ -1,6 +1,8 @@
 package dev.apricotmill.adapters;
 
 import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.time.ResponseLimits;
+import dev.apricotmill.coordination.time.ResponseTimer;
 import dev.apricotmill.coordination.time.Timing;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -99,21 +101,32 @@
   /** Sends a request and buffers the complete response body, of at most {@code maximumBytes}. */
   public CompletableFuture<ExchangeResult> send(
       PeerAddress peer, HttpCall call, int maximumBytes, Duration timeout) {
+    return send(peer, call, maximumBytes, ResponseLimits.within(timeout));
+  }
+
+  /** Sends a request and buffers the complete response body, of at most {@code maximumBytes}. */
+  public CompletableFuture<ExchangeResult> send(
+      PeerAddress peer, HttpCall call, int maximumBytes, ResponseLimits limits) {
     BufferedExchange exchange = new BufferedExchange(peer, call, maximumBytes);
-    start(exchange, timeout);
+    start(exchange, limits);
     return exchange.result();
   }
 
   /** Starts {@code exchange} on a new or pooled connection; aborts it after {@code timeLimit}. */
   void start(ClientExchange exchange, Duration timeLimit) {
-    if (timeLimit.isZero() || timeLimit.isNegative()) {
+    start(exchange, ResponseLimits.within(timeLimit));
+  }
+
+  private void start(ClientExchange exchange, ResponseLimits limits) {
+    Duration begin = limits.begin();
+    if (begin.isZero() || begin.isNegative()) {
       exchange.abort(ExchangeFailure.TIMEOUT);
       return;
     }
-    exchange.setTimeoutTask(
-        timing.schedule(timeLimit, () -> exchange.abort(ExchangeFailure.TIMEOUT)));
+    exchange.setTimer(
+        ResponseTimer.start(timing, limits, () -> exchange.abort(ExchangeFailure.TIMEOUT)));
     Duration connectTimeout =
-        timeLimit.compareTo(settings.connectTimeout()) < 0 ? timeLimit : settings.connectTimeout();
+        begin.compareTo(settings.connectTimeout()) < 0 ? begin : settings.connectTimeout();
     connect(exchange, timeout(connectTimeout));
   }
 
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowPeers.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowPeers.java
@@ -1,7 +1,7 @@
 package dev.apricotmill.coordination.follow;
 
 import dev.apricotmill.coordination.membership.Member;
-import java.time.Duration;
+import dev.apricotmill.coordination.time.ResponseLimits;
 import java.util.function.Consumer;
 
 /** The client interface to other processes that follow the same store. */
@@ -12,7 +12,8 @@
    * Sends a long poll to a peer.
    *
    * @param callback receives the result once, on any thread; without a response if none was
-   *     complete within {@code timeout}
+   *     complete within {@code limits}
    */
-  void poll(Member peer, FollowRequest request, Duration timeout, Consumer<PollResult> callback);
+  void poll(
+      Member peer, FollowRequest request, ResponseLimits limits, Consumer<PollResult> callback);
 }
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.coordination.membership.Member;
 import dev.apricotmill.coordination.platform.Platform;
+import dev.apricotmill.coordination.time.ResponseLimits;
 import dev.apricotmill.coordination.time.Timing;
 import java.time.Duration;
 import java.util.Collection;
@@ -34,7 +35,10 @@
    */
   private static final int POLLS_PER_MAX_STALENESS = 5;
 
-  /** Covers a round trip and scheduling delays in a busy process, in addition to the wait. */
+  /**
+   * Covers a round trip and scheduling delays in a busy process: in addition to the wait until a
+   * response begins, and then between its parts, since a large one may take long over a slow link.
+   */
   private static final Duration RESPONSE_ALLOWANCE = Duration.ofMillis(300);
 
   /** The maximum time that a poll is held, whatever the peer requests. */
@@ -199,16 +203,20 @@
     peers.poll(
         peer.get(),
         new FollowRequest(revisions(), wait),
-        wait.plus(RESPONSE_ALLOWANCE),
+        new ResponseLimits(
+            wait.plus(RESPONSE_ALLOWANCE), RESPONSE_ALLOWANCE, wait.plus(minMaxStaleness())),
         result -> timing.scheduler().execute(() -> onResult(peer.get(), sentAt, result)));
   }
 
   private Duration pollWait() {
+    return minMaxStaleness().dividedBy(POLLS_PER_MAX_STALENESS);
+  }
+
+  private Duration minMaxStaleness() {
     return prefixes.values().stream()
         .map(FollowedPrefix::maxStaleness)
         .min(Comparator.naturalOrder())
-        .orElse(MAX_POLL_WAIT)
-        .dividedBy(POLLS_PER_MAX_STALENESS);
+        .orElse(MAX_POLL_WAIT);
   }
 
   private ImmutableMap<String, Long> revisions() {
--- a/coordination/src/main/java/dev/apricotmill/coordination/platform/Platform.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/platform/Platform.java
@@ -6,9 +6,10 @@
 /**
  * The client interface of the platform's object store, which holds all durable state.
  *
- * <p>Every call completes normally with a typed result within {@code timeout}; a stage never
- * completes exceptionally. Each call counts against the platform's rate limits; a watch counts as
- * one call, however long it waits.
+ * <p>Every call completes normally with a typed result within {@code timeout}, which bounds the
+ * beginning of a list's result but not its transfer; a stage never completes exceptionally. Each
+ * call counts against the platform's rate limits; a watch counts as one call, however long it
+ * waits.
  */
 public interface Platform {
 
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowerFleet.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowerFleet.java
@@ -21,6 +21,8 @@
 import dev.apricotmill.coordination.testing.PlatformFault;
 import dev.apricotmill.coordination.testing.VirtualScheduler;
 import dev.apricotmill.coordination.testing.VirtualTime;
+import dev.apricotmill.coordination.time.ResponseLimits;
+import dev.apricotmill.coordination.time.ResponseTimer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -142,7 +144,7 @@
     }
 
     private void poll(
-        Member peer, FollowRequest request, Duration timeout, Consumer<PollResult> callback) {
+        Member peer, FollowRequest request, ResponseLimits limits, Consumer<PollResult> callback) {
       Follower target = processes.get(peer.incarnation().daemon().name());
       Consumer<PollResult> once = onlyOnce(callback);
       if (target == null || target.killed) {
@@ -151,10 +153,11 @@
         return;
       }
       AtomicInteger receivedBytes = new AtomicInteger();
-      scheduler.schedule(
-          () -> once.accept(new PollResult(Optional.empty(), receivedBytes.get())),
-          timeout.toNanos(),
-          TimeUnit.NANOSECONDS);
+      ResponseTimer timer =
+          ResponseTimer.start(
+              time.timingOf(scheduler),
+              limits,
+              () -> once.accept(new PollResult(Optional.empty(), receivedBytes.get())));
       send(
           this,
           target,
@@ -166,7 +169,10 @@
                           target,
                           this,
                           sizeOf(response),
-                          receivedBytes::addAndGet,
+                          bytes -> {
+                            receivedBytes.addAndGet(bytes);
+                            timer.onProgress();
+                          },
                           () -> once.accept(new PollResult(Optional.of(response), 0)))));
     }
 
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerFollowPeers.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerFollowPeers.java
@@ -4,9 +4,9 @@
 import dev.apricotmill.coordination.follow.FollowRequest;
 import dev.apricotmill.coordination.follow.PollResult;
 import dev.apricotmill.coordination.membership.Member;
+import dev.apricotmill.coordination.time.ResponseLimits;
 import dev.apricotmill.protocol.generated.Request;
 import dev.apricotmill.protocol.generated.Response;
-import java.time.Duration;
 import java.util.function.Consumer;
 
 /** Requests followed store content from other nodes over the inner protocol. */
@@ -21,11 +21,11 @@
 
   @Override
   public void poll(
-      Member peer, FollowRequest question, Duration timeout, Consumer<PollResult> then) {
+      Member peer, FollowRequest question, ResponseLimits limits, Consumer<PollResult> then) {
     client.call(
         peer.address(),
         Request.newBuilder().setAskFollowed(FollowMessages.toMessage(question)).build(),
-        timeout,
+        limits,
         result ->
             then.accept(
                 new PollResult(
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPlacementPeers.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPlacementPeers.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.time.ResponseLimits;
 import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.pool.WorkReport;
@@ -33,7 +34,7 @@
     client.call(
         peer,
         request,
-        timeout,
+        ResponseLimits.within(timeout),
         answer ->
             then.accept(
                 answer
@@ -45,7 +46,11 @@
   @Override
   public void probe(PeerAddress peer, Duration timeout, Consumer<Boolean> then) {
     Request request = Request.newBuilder().setReportWork(ReportWork.getDefaultInstance()).build();
-    client.call(peer, request, timeout, answer -> then.accept(answer.response().isPresent()));
+    client.call(
+        peer,
+        request,
+        ResponseLimits.within(timeout),
+        answer -> then.accept(answer.response().isPresent()));
   }
 
   @Override
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerUnaryClient.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerUnaryClient.java
@@ -1,6 +1,8 @@
 package dev.apricotmill.daemon.inner;
 
 import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.time.ResponseLimits;
+import dev.apricotmill.coordination.time.ResponseTimer;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.protocol.ClientStream;
 import dev.apricotmill.protocol.InnerClient;
@@ -9,11 +11,11 @@
 import dev.apricotmill.protocol.generated.Request;
 import dev.apricotmill.protocol.generated.Response;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 
 /** Sends requests that have a single response to other nodes. */
 public final class InnerUnaryClient {
@@ -32,16 +34,19 @@
    *
    * @param callback called once, on any thread, with the result
    */
-  void call(PeerAddress peer, Request request, Duration timeout, Consumer<CallResult> callback) {
+  void call(
+      PeerAddress peer, Request request, ResponseLimits limits, Consumer<CallResult> callback) {
     PendingCall pendingCall = new PendingCall(callback);
     ClientStream stream = client.open(address(peer), request, pendingCall);
-    timing.schedule(
-        timeout,
-        () -> {
-          if (pendingCall.complete(Optional.empty())) {
-            stream.cancel();
-          }
-        });
+    pendingCall.setTimer(
+        ResponseTimer.start(
+            timing,
+            limits,
+            () -> {
+              if (pendingCall.complete(Optional.empty())) {
+                stream.cancel();
+              }
+            }));
   }
 
   /**
@@ -67,14 +72,30 @@
     private final Consumer<CallResult> callback;
     private final AtomicBoolean completed = new AtomicBoolean();
     private final AtomicLong receivedBytes = new AtomicLong();
+    private volatile @Nullable ResponseTimer timer;
 
     PendingCall(Consumer<CallResult> callback) {
       this.callback = callback;
     }
 
+    void setTimer(ResponseTimer started) {
+      timer = started;
+      if (completed.get()) {
+        started.close();
+      }
+    }
+
+    private void closeTimer() {
+      ResponseTimer running = timer;
+      if (running != null) {
+        running.close();
+      }
+    }
+
     boolean complete(Optional<Response> response) {
       boolean first = completed.compareAndSet(false, true);
       if (first) {
+        closeTimer();
         callback.accept(new CallResult(response, receivedBytes.get()));
       }
       return first;
@@ -83,6 +104,10 @@
     @Override
     public void onPart(int bytes) {
       receivedBytes.addAndGet(bytes);
+      ResponseTimer running = timer;
+      if (running != null) {
+        running.onProgress();
+      }
     }
 
     @Override
--- a/protocol/src/main/java/dev/apricotmill/protocol/FragmentQueue.java
+++ b/protocol/src/main/java/dev/apricotmill/protocol/FragmentQueue.java
@@ -17,13 +17,16 @@
  */
 final class FragmentQueue {
 
+  /** Over a slow link, the receiver can tell by parts of this size that a message is arriving. */
+  private static final int PREFERRED_PART_BYTES = 16 << 10;
+
   private final Channel channel;
   private final int maximumPartBytes;
   private final Map<Long, ArrayDeque<OutgoingMessage>> pendingMessages = new LinkedHashMap<>();
 
   FragmentQueue(Channel channel, TransportLimits limits) {
     this.channel = channel;
-    maximumPartBytes = limits.maximumPartBytes();
+    maximumPartBytes = Math.min(PREFERRED_PART_BYTES, limits.maximumPartBytes());
   }
 
   /**
