Split the fleet of the follower tests: the operator's changes are a class of their own

Moved: FollowerFleet.Change, recordPending (now begin), recordAcknowledged (now acknowledge), checkValidation (now violationsOf).

--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowerFleet.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowerFleet.java
@@ -62,7 +62,7 @@
   private final Map<String, Follower> processes = new LinkedHashMap<>();
   private final Set<String> partitioned = new HashSet<>();
   private final Set<String> slow = new HashSet<>();
-  private final Map<String, List<Change>> history = new HashMap<>();
+  private final ChangeHistory history = new ChangeHistory();
   private final Map<ObjectKey, Long> versions = new HashMap<>();
   private long messages;
   private long linkBytesPerSecond = UNLIMITED;
@@ -80,14 +80,6 @@
     linkBytesPerSecond = bytesPerSecond;
   }
 
-  /**
-   * A change to an object.
-   *
-   * @param acknowledgedNanos when the store acknowledged it, {@link Long#MAX_VALUE} until then
-   * @param value the object's new value, empty if it was removed
-   */
-  private record Change(long acknowledgedNanos, Optional<String> value) {}
-
   /** One process and the content that it received. */
   final class Follower implements FollowListener {
 
@@ -168,7 +160,7 @@
                       sendOverLinks(
                           target,
                           this,
-                          sizeOf(response),
+                          SlowLinkPlatform.bytesOf(response),
                           bytes -> {
                             receivedBytes.addAndGet(bytes);
                             timer.onProgress();
@@ -181,7 +173,7 @@
       content.clear();
       objects.forEach(this::put);
       validatedAt = readAt;
-      checkValidation();
+      violations.addAll(history.violationsOf(content, validatedAt));
     }
 
     @Override
@@ -189,7 +181,7 @@
       changes.removed().forEach(key -> content.remove(key.path()));
       changes.changed().forEach(this::put);
       validatedAt = readAt;
-      checkValidation();
+      violations.addAll(history.violationsOf(content, validatedAt));
     }
 
     @Override
@@ -204,31 +196,6 @@
       newestVersions.put(object.key().path(), object.version());
       content.put(object.key().path(), object.text());
     }
-
-    /** Each object must be as acknowledged at the time of the last validation, or newer. */
-    private void checkValidation() {
-      history.forEach(
-          (path, changes) -> {
-            Optional<String> known = Optional.ofNullable(content.get(path));
-            Change newestValidated = null;
-            boolean allowed = false;
-            for (Change change : changes) {
-              if (change.acknowledgedNanos() <= validatedAt.monotonicNanos()) {
-                newestValidated = change;
-                allowed = false;
-              }
-              allowed |= change.value().equals(known);
-            }
-            if (newestValidated != null && !allowed) {
-              violations.add(
-                  path
-                      + " is "
-                      + known
-                      + ", last acknowledged before the validation: "
-                      + newestValidated);
-            }
-          });
-    }
   }
 
   private static <T> Consumer<T> onlyOnce(Consumer<T> callback) {
@@ -251,12 +218,6 @@
         delivery, (late ? SLOW_ONE_WAY_DELAY : ONE_WAY_DELAY).toNanos(), TimeUnit.NANOSECONDS);
   }
 
-  private static int sizeOf(FollowResponse response) {
-    return response.prefixes().values().stream()
-        .mapToInt(state -> SlowLinkPlatform.bytesOf(state.update().changed()))
-        .sum();
-  }
-
   /** Sends a response through the sender's uplink and the receiver's downlink. */
   private void sendOverLinks(
       Follower from, Follower to, int bytes, IntConsumer onReceived, Runnable onComplete) {
@@ -269,19 +230,8 @@
         bytes,
         remaining -> {
           int fragment = unsent.getAndSet(remaining) - remaining;
-          send(from, to, () -> receive(to, fragment, remaining, onReceived, onComplete));
-        });
-  }
-
-  private static void receive(
-      Follower to, int fragment, int remaining, IntConsumer onReceived, Runnable onComplete) {
-    to.downlink.send(
-        fragment,
-        ignored -> {
-          onReceived.accept(fragment);
-          if (remaining == 0) {
-            onComplete.run();
-          }
+          Runnable onLast = remaining == 0 ? onComplete : () -> {};
+          send(from, to, () -> to.downlink.sendFragment(fragment, onReceived, onLast));
         });
   }
 
@@ -398,7 +348,7 @@
   /** Writes an object as the operator; the write is acknowledged when this returns. */
   void write(String name, String value) {
     ObjectKey key = new ObjectKey(PREFIX + name);
-    recordPending(key, Optional.of(value));
+    history.begin(key, Optional.of(value));
     operator
         .put(
             key,
@@ -406,28 +356,20 @@
             Precondition.versionIs(versions.getOrDefault(key, 0L)),
             Duration.ofSeconds(1))
         .thenAccept(result -> versions.put(key, ((WriteResult.Written) result).version()));
-    recordAcknowledged(key);
-  }
-
-  private void recordPending(ObjectKey key, Optional<String> value) {
-    history
-        .computeIfAbsent(key.path(), path -> new ArrayList<>())
-        .add(new Change(Long.MAX_VALUE, value));
+    acknowledge(key);
   }
 
-  private void recordAcknowledged(ObjectKey key) {
+  private void acknowledge(ObjectKey key) {
     advance(WRITE_DELAY);
-    List<Change> changes = history.get(key.path());
-    Change last = changes.remove(changes.size() - 1);
-    changes.add(new Change(time.nanoTime(), last.value()));
+    history.acknowledge(key, time.nanoTime());
   }
 
   /** Removes an object as the operator; the removal is acknowledged when this returns. */
   void remove(String name) {
     ObjectKey key = new ObjectKey(PREFIX + name);
-    recordPending(key, Optional.empty());
+    history.begin(key, Optional.empty());
     operator.delete(key, Precondition.versionIs(versions.remove(key)), Duration.ofSeconds(1));
-    recordAcknowledged(key);
+    acknowledge(key);
   }
 
   void removeIfPresent(String name) {
@@ -438,11 +380,7 @@
 
   /** Returns the values that the operator wrote last, by path. */
   Map<String, String> expectedContent() {
-    Map<String, String> all = new HashMap<>();
-    history.forEach(
-        (path, changes) ->
-            changes.get(changes.size() - 1).value().ifPresent(value -> all.put(path, value)));
-    return all;
+    return history.newestValues();
   }
 
   /** Returns the number of reads of the store since {@code fromNanos}. */
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/SlowLink.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/SlowLink.java
@@ -42,6 +42,16 @@
     sendNextFragment();
   }
 
+  /** Sends one fragment; tells its size and then runs {@code onSent} once it has arrived. */
+  void sendFragment(int bytes, IntConsumer onReceived, Runnable onSent) {
+    send(
+        bytes,
+        ignored -> {
+          onReceived.accept(bytes);
+          onSent.run();
+        });
+  }
+
   private void sendNextFragment() {
     Transfer transfer = transfers.peek();
     if (busy || transfer == null) {
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/SlowLinkPlatform.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/SlowLinkPlatform.java
@@ -37,6 +37,12 @@
     return objects.stream().mapToInt(object -> object.value().length).sum();
   }
 
+  static int bytesOf(FollowResponse response) {
+    return response.prefixes().values().stream()
+        .mapToInt(state -> bytesOf(state.update().changed()))
+        .sum();
+  }
+
   private <T> CompletionStage<T> overLink(
       CompletionStage<T> result, Collection<StoredObject> objects, Duration limit, T incomplete) {
     CompletableFuture<T> arrived = new CompletableFuture<>();
