A node whose configuration may lack a confirmed change does not report a route or key as missing

What callers saw: CONFIG, in the form of 404 or 401 for a route or a key that was confirmed and there.

Cause: the staleness up to which a node is sure that a route or key does not exist was that up to which a key may not be revoked (revoke_ms less a margin, 4.6 s). A confirmed change has to be in force after config_apply_ms (4 s at large, 2 s at the first sites), so a node that was behind could report it as missing.

Change: beyond config_apply_ms such a request is refused as CONFIGURATION_UNKNOWN (503, not run, with a time to come back). Known routes and keys are served as before, since refusing them would cost callers more in an outage. RequestAuthorizerTest.aRouteThatMayHaveBeenAddedMeanwhileIsNotReportedAsMissing and aKeyThatMayHaveBeenAddedMeanwhileIsNotReportedAsUnknown fail with the old bound (run) and pass now.

--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -57,7 +57,8 @@
     this.placer = placer;
     this.log = log;
     metrics = new RelayMetrics(registry, openRequestCount);
-    authorizer = new RequestAuthorizer(settings.maxConfigurationStaleness());
+    authorizer =
+        new RequestAuthorizer(settings.maxConfigurationStaleness(), settings.configurationBound());
   }
 
   /** Changes the view of the node and returns the new one. */
--- a/node/src/main/java/dev/apricotmill/node/relay/RelaySettings.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelaySettings.java
@@ -7,6 +7,8 @@
  *
  * @param maxConfigurationStaleness the time since the last validation of the configuration beyond
  *     which no key is accepted
+ * @param configurationBound the time within which a confirmed configuration must be in force; a
+ *     configuration that was validated earlier cannot tell that a route or a key does not exist
  * @param defaultTimeout how long a request may take if its caller sets no timeout
  * @param retriesPerThousandRequests retries that each thousand requests of a service add to its
  *     budget
@@ -14,6 +16,7 @@
  */
 public record RelaySettings(
     Duration maxConfigurationStaleness,
+    Duration configurationBound,
     Duration defaultTimeout,
     int retriesPerThousandRequests,
     int retryReserve) {}
--- a/node/src/main/java/dev/apricotmill/node/relay/RequestAuthorizer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RequestAuthorizer.java
@@ -33,9 +33,17 @@
   }
 
   private final Duration maxStaleness;
+  private final Duration configurationBound;
 
-  RequestAuthorizer(Duration maxStaleness) {
+  /**
+   * Creates an authorizer.
+   *
+   * @param maxStaleness the staleness of the configuration beyond which no key is accepted
+   * @param configurationBound the staleness beyond which a confirmed route or key may be missing
+   */
+  RequestAuthorizer(Duration maxStaleness, Duration configurationBound) {
     this.maxStaleness = maxStaleness;
+    this.configurationBound = configurationBound;
   }
 
   /**
@@ -49,14 +57,12 @@
       return new Decision.Refused(RelayRefusal.CONFIGURATION_UNKNOWN);
     }
     ServingConfiguration configuration = view.configuration().get();
-    boolean fresh =
-        view.validatedAt()
-            .filter(validatedAt -> validatedAt.isFresh(nowNanos, nowMillis, maxStaleness))
-            .isPresent();
+    boolean fresh = isValidatedWithin(maxStaleness, view, nowNanos, nowMillis);
+    boolean complete = isValidatedWithin(configurationBound, view, nowNanos, nowMillis);
     Optional<Route> route = configuration.routes().find(request.host(), request.path());
     if (route.isEmpty()) {
       return new Decision.Refused(
-          fresh ? RelayRefusal.NO_ROUTE : RelayRefusal.CONFIGURATION_UNKNOWN);
+          complete ? RelayRefusal.NO_ROUTE : RelayRefusal.CONFIGURATION_UNKNOWN);
     }
     boolean needsKey = configuration.keysRequired() && !route.get().anonymousAllowed();
     if (needsKey && !fresh) {
@@ -64,7 +70,8 @@
     }
     Optional<CustomerId> customer = customerOf(configuration.customers(), request);
     if (needsKey && customer.isEmpty()) {
-      return new Decision.Refused(RelayRefusal.UNKNOWN_KEY);
+      return new Decision.Refused(
+          complete ? RelayRefusal.UNKNOWN_KEY : RelayRefusal.CONFIGURATION_UNKNOWN);
     }
     return route
         .get()
@@ -74,6 +81,13 @@
         .orElseGet(() -> new Decision.Refused(RelayRefusal.NO_SERVER));
   }
 
+  private static boolean isValidatedWithin(
+      Duration bound, ServingView view, long nowNanos, long nowMillis) {
+    return view.validatedAt()
+        .filter(validatedAt -> validatedAt.isFresh(nowNanos, nowMillis, bound))
+        .isPresent();
+  }
+
   private static Optional<CustomerId> customerOf(
       ImmutableMap<String, CustomerId> customers, RelayRequest request) {
     return request.customerKey().flatMap(key -> Optional.ofNullable(customers.get(key)));
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -40,6 +40,9 @@
   static final ServiceName DESK = new ServiceName("desk");
   private static final Duration MAX_STALENESS = Duration.ofMillis(4600);
 
+  /** The time within which a confirmed configuration is in force. */
+  static final Duration CONFIGURATION_BOUND = Duration.ofSeconds(2);
+
   private final VirtualTime time = new VirtualTime();
   private final Timing timing = time.newTiming();
   private final List<SentExchange> sent = new ArrayList<>();
@@ -54,7 +57,8 @@
     node =
         new RelayNode(
             timing,
-            new RelaySettings(MAX_STALENESS, Duration.ofSeconds(10), 0, retryReserve),
+            new RelaySettings(
+                MAX_STALENESS, CONFIGURATION_BOUND, Duration.ofSeconds(10), 0, retryReserve),
             new ScriptedBackends(),
             placer,
             (event, fields) -> log.add(event + " " + fields),
--- a/node/src/test/java/dev/apricotmill/node/relay/RequestAuthorizerTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RequestAuthorizerTest.java
@@ -52,6 +52,34 @@
     assertThat(relay.accept("/none/1").refusal()).isEqualTo(RelayRefusal.CONFIGURATION_UNKNOWN);
   }
 
+  @Test
+  void aRouteThatMayHaveBeenAddedMeanwhileIsNotReportedAsMissing() {
+    relay.time().advance(RelayFixture.CONFIGURATION_BOUND);
+    assertThat(relay.accept("/none/1").refusal()).isEqualTo(RelayRefusal.NO_ROUTE);
+    relay.time().advance(Duration.ofMillis(1));
+
+    assertThat(relay.accept("/none/1").refusal()).isEqualTo(RelayRefusal.CONFIGURATION_UNKNOWN);
+  }
+
+  @Test
+  void aKeyThatMayHaveBeenAddedMeanwhileIsNotReportedAsUnknown() {
+    relay
+        .node()
+        .update(view -> view.withConfiguration(withoutKeys(2), Optional.of(relay.validatedNow())));
+    relay.time().advance(RelayFixture.CONFIGURATION_BOUND.plusMillis(1));
+
+    assertThat(relay.accept("/order/1").refusal()).isEqualTo(RelayRefusal.CONFIGURATION_UNKNOWN);
+  }
+
+  @Test
+  void aKnownKeyIsAcceptedUntilItMayHaveBeenRevoked() {
+    relay.time().advance(RelayFixture.CONFIGURATION_BOUND.plusMillis(1));
+
+    relay.accept("/order/1");
+
+    assertThat(relay.sent()).hasSize(1);
+  }
+
   @Test
   void aNodeWithoutAServerListReportsAnUnknownConfigurationAndNotAMissingServer() {
     relay
