Parts of a configuration, lists and watches of the product's own platform: limits by progress as well

Class of fault: a time limit on a whole response whatever its size, whose expiry throws away what has arrived and asks for all of it again. It also stood where a daemon fetches a part of a configuration (up to a megabyte) from a peer, and in lists and watches of HttpPlatform.

InnerPeerProbes calls through InnerUnaryClient instead of a copy of it.

Result: tests of the inner protocol, adapters and platform pass.

--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpPlatform.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpPlatform.java
@@ -15,6 +15,7 @@
 import dev.apricotmill.coordination.platform.StoredObject;
 import dev.apricotmill.coordination.platform.WatchResult;
 import dev.apricotmill.coordination.platform.WriteResult;
+import dev.apricotmill.coordination.time.ResponseLimits;
 import java.net.URLEncoder;
 import java.time.Duration;
 import java.util.Optional;
@@ -143,7 +144,7 @@
             platform,
             HttpCall.get(path),
             MAXIMUM_LIST_RESPONSE_BYTES,
-            wait.plus(WATCH_RESPONSE_MARGIN))
+            ResponseLimits.transfer(wait.plus(WATCH_RESPONSE_MARGIN)))
         .thenApply(HttpPlatform::watchResult);
   }
 
@@ -191,7 +192,11 @@
       Function<M, R> onSuccess,
       Function<PlatformFailure, R> onUnavailable) {
     return clients
-        .send(platform, HttpCall.get(path), MAXIMUM_LIST_RESPONSE_BYTES, timeout)
+        .send(
+            platform,
+            HttpCall.get(path),
+            MAXIMUM_LIST_RESPONSE_BYTES,
+            ResponseLimits.transfer(timeout))
         .thenApply(
             result -> {
               if (!(result instanceof ExchangeResult.Response response)
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPeerProbes.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/InnerPeerProbes.java
@@ -8,11 +8,9 @@
 import dev.apricotmill.coordination.membership.PeerProbes;
 import dev.apricotmill.coordination.membership.ProbeMessage;
 import dev.apricotmill.coordination.membership.ProbeResult;
+import dev.apricotmill.coordination.time.ResponseLimits;
 import dev.apricotmill.coordination.time.Timing;
-import dev.apricotmill.protocol.ClientStream;
 import dev.apricotmill.protocol.InnerClient;
-import dev.apricotmill.protocol.ResponseListener;
-import dev.apricotmill.protocol.StreamLoss;
 import dev.apricotmill.protocol.generated.AskLedger;
 import dev.apricotmill.protocol.generated.Fetch;
 import dev.apricotmill.protocol.generated.ProbeThrough;
@@ -21,19 +19,16 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.Future;
 import java.util.function.Function;
 
 /** Probes peers, fetches parts and sends ledger requests over the inner protocol. */
 public final class InnerPeerProbes implements PeerProbes, LedgerPeers {
 
-  private final InnerClient client;
-  private final Timing timing;
+  private final InnerUnaryClient client;
 
   /** Creates a client of other daemons; {@code timing} runs the timeouts. */
   public InnerPeerProbes(InnerClient client, Timing timing) {
-    this.client = client;
-    this.timing = timing;
+    this.client = new InnerUnaryClient(client, timing);
   }
 
   @Override
@@ -41,7 +36,11 @@
       PeerAddress peer, ProbeMessage message, Duration timeout) {
     Request request = Request.newBuilder().setProbe(MemberMessages.toMessage(message)).build();
     return exchange(
-        peer, request, timeout, InnerPeerProbes::probeResult, new ProbeResult.NoAnswer());
+        peer,
+        request,
+        ResponseLimits.within(timeout),
+        InnerPeerProbes::probeResult,
+        new ProbeResult.NoAnswer());
   }
 
   @Override
@@ -55,7 +54,11 @@
                     .setProbe(MemberMessages.toMessage(message)))
             .build();
     return exchange(
-        peer, request, timeout, InnerPeerProbes::probeResult, new ProbeResult.NoAnswer());
+        peer,
+        request,
+        ResponseLimits.within(timeout),
+        InnerPeerProbes::probeResult,
+        new ProbeResult.NoAnswer());
   }
 
   @Override
@@ -63,7 +66,11 @@
     Request request =
         Request.newBuilder().setFetch(Fetch.newBuilder().setPartName(partName)).build();
     return exchange(
-        peer, request, timeout, InnerPeerProbes::fetchResult, new FetchResult.NoAnswer());
+        peer,
+        request,
+        ResponseLimits.transfer(timeout),
+        InnerPeerProbes::fetchResult,
+        new FetchResult.NoAnswer());
   }
 
   @Override
@@ -74,7 +81,11 @@
             .setAskLedger(AskLedger.newBuilder().setQuestion(MemberMessages.wrap(question)))
             .build();
     return exchange(
-        peer, request, timeout, InnerPeerProbes::ledgerCallResult, new LedgerCallResult.NoAnswer());
+        peer,
+        request,
+        ResponseLimits.within(timeout),
+        InnerPeerProbes::ledgerCallResult,
+        new LedgerCallResult.NoAnswer());
   }
 
   private static LedgerCallResult ledgerCallResult(Response response) {
@@ -87,24 +98,15 @@
   private <T> CompletionStage<T> exchange(
       PeerAddress peer,
       Request request,
-      Duration timeout,
+      ResponseLimits limits,
       Function<Response, T> parser,
       T noAnswer) {
     CompletableFuture<T> result = new CompletableFuture<>();
-    ClientStream stream =
-        client.open(
-            PeerAddresses.toSocketAddress(peer),
-            request,
-            new SingleResponse<>(result, parser, noAnswer));
-    Future<?> timer =
-        timing.schedule(
-            timeout,
-            () -> {
-              if (result.complete(noAnswer)) {
-                stream.cancel();
-              }
-            });
-    result.whenComplete((value, failure) -> timer.cancel(false));
+    client.call(
+        peer,
+        request,
+        limits,
+        answer -> result.complete(answer.response().map(parser).orElse(noAnswer)));
     return result;
   }
 
@@ -128,24 +130,4 @@
         ? new FetchResult.Fetched(response.getFetched().getValue().toByteArray())
         : new FetchResult.NotFound();
   }
-
-  private record SingleResponse<T>(
-      CompletableFuture<T> result, Function<Response, T> parser, T noAnswer)
-      implements ResponseListener {
-
-    @Override
-    public void onResponse(Response response) {
-      result.complete(noAnswer);
-    }
-
-    @Override
-    public void onEnd(Response response) {
-      result.complete(parser.apply(response));
-    }
-
-    @Override
-    public void onLoss(StreamLoss loss) {
-      result.complete(noAnswer);
-    }
-  }
 }
