HttpPlatform reports a response that stalls halfway as NO_ANSWER again

Cause: fault FROZEN of HttpPlatformTest sends half of a response. The callers of HttpPlatform make no use of the difference, so it reports both as before; the store's client keeps INCOMPLETE_ANSWER for its log. Tests are unchanged and pass.

--- a/adapters/src/main/java/dev/apricotmill/adapters/PlatformFailures.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/PlatformFailures.java
@@ -13,8 +13,7 @@
     }
     if (result instanceof ExchangeResult.Interrupted interrupted) {
       return switch (interrupted.failure()) {
-        case CONNECTION_LOST, TIMEOUT -> PlatformFailure.NO_ANSWER;
-        case INCOMPLETE -> PlatformFailure.INCOMPLETE_ANSWER;
+        case CONNECTION_LOST, TIMEOUT, INCOMPLETE -> PlatformFailure.NO_ANSWER;
         case OVERSIZE, MALFORMED -> PlatformFailure.MALFORMED_ANSWER;
       };
     }
