--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
@@ -104,7 +104,7 @@
     return send(peer, call, maximumBytes, ResponseLimits.within(timeout));
   }
 
-  /** Sends a request and buffers the complete response body, of at most {@code maximumBytes}. */
+  /** Sends a request as above, with limits that tell a large response from a stalled one. */
   public CompletableFuture<ExchangeResult> send(
       PeerAddress peer, HttpCall call, int maximumBytes, ResponseLimits limits) {
     BufferedExchange exchange = new BufferedExchange(peer, call, maximumBytes);
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
@@ -287,7 +287,7 @@
     return backoff == null || backoff.untilNanos() - timing.nanoTime() <= 0;
   }
 
-  /** A peer that does not respond is left out of the ranking; one that is only behind stays. */
+  /** A peer whose response does not arrive loses its rank; one that is only behind keeps it. */
   private boolean keepsRank(Member member) {
     PeerBackoff backoff = backoffs.get(member);
     return backoff == null || backoff.fault() == PeerFault.BEHIND;
--- a/coordination/src/main/java/dev/apricotmill/coordination/time/ResponseTimer.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/time/ResponseTimer.java
@@ -48,9 +48,11 @@
     }
   }
 
+  /** Waits for the next arrival if there was one; returns whether there was. */
   private synchronized boolean rescheduleAfterProgress() {
-    if (closed || !progressed || totalTask == null) {
-      return closed;
+    boolean limitsWholeResponse = totalTask == null;
+    if (closed || !progressed || limitsWholeResponse) {
+      return false;
     }
     progressed = false;
     Duration sinceProgress = Duration.ofNanos(timing.nanoTime() - lastProgressNanos);
