--- a/daemon/src/test/java/dev/apricotmill/daemon/inner/InnerUnaryClientTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/inner/InnerUnaryClientTest.java
@@ -2,10 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.google.common.base.Ticker;
 import com.google.common.io.Closer;
 import com.google.protobuf.ByteString;
 import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.testing.CountingTicker;
 import dev.apricotmill.coordination.testing.VirtualTime;
 import dev.apricotmill.coordination.time.ResponseLimits;
 import dev.apricotmill.coordination.time.Timing;
@@ -31,7 +31,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -52,19 +51,9 @@
   private final VirtualTime time = new VirtualTime();
 
   /** The timer of a call reads the clock once for each part. */
-  private final AtomicInteger clockReads = new AtomicInteger();
-
-  private final Timing timing =
-      new Timing(
-          time.clock(),
-          new Ticker() {
-            @Override
-            public long read() {
-              clockReads.incrementAndGet();
-              return time.nanoTime();
-            }
-          },
-          time.newScheduler());
+  private final CountingTicker ticker = new CountingTicker(time);
+
+  private final Timing timing = new Timing(time.clock(), ticker, time.newScheduler());
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final InnerClient client =
@@ -120,10 +109,10 @@
               .setHello(Hello.newBuilder().setVersion(ProtocolVersion.CURRENT).setDaemon("server"))
               .build());
       for (int i = 0; i < byteCount; i++) {
-        int readsBefore = clockReads.get();
+        int readsBefore = ticker.reads();
         boolean last = i == bytes.size() - 1;
         write(output, part(bytes.substring(i, i + 1), last));
-        while (!last && clockReads.get() == readsBefore) {
+        while (!last && ticker.reads() == readsBefore) {
           Thread.onSpinWait();
         }
         if (!last) {
