Log the parts of failed prompts, and whether a response had begun

The logs could not tell whether requests on the engines that ended had a prompt part in common. relay.send_failed and relay.ended now list the parts.

--- a/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
@@ -27,6 +27,7 @@
   private final AttemptListener listener;
   private BackendClient.@Nullable Exchange exchange;
   private boolean closed;
+  private boolean responseBegun;
   private boolean firstEventSeen;
 
   BackendAttempt(BackendServer server, Executor executor, AttemptListener listener) {
@@ -77,6 +78,11 @@
     }
   }
 
+  /** Returns whether the status and headers of a response have arrived. */
+  boolean hasResponseBegun() {
+    return responseBegun;
+  }
+
   /** Returns true on the first call only. */
   boolean markFirstEvent() {
     boolean first = !firstEventSeen;
@@ -86,7 +92,11 @@
 
   @Override
   public void onHead(BackendClient.Head head) {
-    run(() -> listener.onHead(this, head));
+    run(
+        () -> {
+          responseBegun = true;
+          listener.onHead(this, head);
+        });
   }
 
   @Override
--- a/node/src/main/java/dev/apricotmill/node/relay/CallLog.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CallLog.java
@@ -14,10 +14,12 @@
 
   private final RelayNode node;
   private final RequestId request;
+  private final ImmutableList<String> promptParts;
 
-  CallLog(RelayNode node, RequestId request) {
+  CallLog(RelayNode node, RelayRequest request) {
     this.node = node;
-    this.request = request;
+    this.request = request.id();
+    promptParts = request.promptParts().ids();
   }
 
   /** Logs that the request is sent to a server. */
@@ -45,13 +47,17 @@
                     .orElse(0L)));
   }
 
-  /** Logs that an attempt has failed. */
-  void attemptFailed(ReplicaId server, String reason, Duration remaining) {
+  /** Logs that an attempt has failed, and whether its response had begun. */
+  void attemptFailed(ReplicaId server, String reason, boolean responseBegun, Duration remaining) {
     node.log(
         "relay.send_failed",
         request,
         ImmutableMap.of(
-            "server", server.value(), "reason", reason, "left_ms", remaining.toMillis()));
+            "server", server.value(),
+            "reason", reason,
+            "response_begun", responseBegun,
+            "left_ms", remaining.toMillis(),
+            "prompt_parts", promptParts));
   }
 
   /** Logs the end of the request: its final response, or the caller's disconnect. */
@@ -67,12 +73,21 @@
         "relay.ended",
         request,
         ImmutableMap.of(
-            "outcome", outcome,
-            "route", route.name(),
-            "sends", attempts,
-            "may_have_run", mayHaveRun,
-            "first_event_ms", response.firstEventMillis(arrivedNanos),
-            "longest_pause_ms", response.longestEventGapMillis(),
-            "took_ms", Duration.ofNanos(tookNanos).toMillis()));
+            "outcome",
+            outcome,
+            "route",
+            route.name(),
+            "sends",
+            attempts,
+            "may_have_run",
+            mayHaveRun,
+            "first_event_ms",
+            response.firstEventMillis(arrivedNanos),
+            "longest_pause_ms",
+            response.longestEventGapMillis(),
+            "took_ms",
+            Duration.ofNanos(tookNanos).toMillis(),
+            "prompt_parts",
+            promptParts));
   }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -73,7 +73,7 @@
     deadlineNanos = arrivedNanos + timeout.toNanos();
     response = new RelayResponse(decision.route(), request.resumeAfterEvent(), caller, window);
     allocation = new EngineAllocation(node, this);
-    log = new CallLog(node, request.id());
+    log = new CallLog(node, request);
   }
 
   void start() {
@@ -378,7 +378,7 @@
   }
 
   private void logFailure(BackendAttempt attempt, String reason) {
-    log.attemptFailed(attempt.server().id(), reason, remaining());
+    log.attemptFailed(attempt.server().id(), reason, attempt.hasResponseBegun(), remaining());
   }
 
   private static void cancelTimer(@Nullable Future<?> timer) {
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayRequest.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayRequest.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.node.relay;
 
 import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.request.RequestId;
 import java.time.Duration;
@@ -19,6 +20,7 @@
  * @param customerKey the customer's key
  * @param callerTimeout how long the caller waits for the response
  * @param size the prompt and output sizes, if it requests generated text
+ * @param promptParts the parts of the prompt, if it requests generated text
  * @param resumeAfterEvent the last event that the caller has, if it resumes a stream
  */
 @SuppressWarnings("ArrayRecordComponent")
@@ -32,4 +34,5 @@
     Optional<String> customerKey,
     Optional<Duration> callerTimeout,
     Optional<GenerationSize> size,
+    PromptParts promptParts,
     OptionalLong resumeAfterEvent) {}
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -7,6 +7,7 @@
 import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.coordination.testing.VirtualTime;
 import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.CallerLimits;
 import dev.apricotmill.core.relay.EngineCostModel;
@@ -157,6 +158,7 @@
             path.startsWith("/stream/")
                 ? Optional.of(new GenerationSize(promptTokens, 100))
                 : Optional.empty(),
+            PromptParts.NONE,
             resumeAfterEvent),
         caller);
     time.runDue();
