Block prompt parts that crash engines

Cause: failures of different requests were never compared, so each new request with the part was placed like any other and crashed as many engines as its route allows attempts. The class is a cause that follows the request and not the server, handled as a fault of the server.

Nodes report responses that an engine broke off before, or within a second after, it began to write. The dispatcher of the pool, which sees all of them, blames a part under which four engines ended one after the other, with no response written on it in between; parts on which responses were written lately need more evidence, and an engine that ended under a blamed part speaks against no other. The part is blocked at once at the dispatcher, written to the store under blocked_parts, followed by all nodes and read again after a restart. Requests with it are refused as not run, open ones are ended. A new dispatcher gets the evidence and the parts that nodes know.

--- a/core/src/main/java/dev/apricotmill/core/pool/Placement.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/Placement.java
@@ -30,4 +30,11 @@
    * @param retryAfter the delay after which capacity is expected
    */
   record Full(Duration retryAfter) implements Placement {}
+
+  /**
+   * The prompt has a part that crashes engines, and is not placed.
+   *
+   * @param part the part
+   */
+  record Blocked(String part) implements Placement {}
 }
--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementRequest.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementRequest.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.core.pool;
 
 import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.RequestId;
@@ -13,6 +14,7 @@
  * @param requestId the request's identifier
  * @param service the pool
  * @param size the size of the prompt and of the response
+ * @param promptParts the parts of the prompt
  * @param firstEventTarget the time left until the first event would miss its latency target
  * @param eventGapTarget the longest gap between events of the response that is on time
  * @param remainingTime the time left until the request's deadline
@@ -22,6 +24,7 @@
     RequestId requestId,
     ServiceName service,
     GenerationSize size,
+    PromptParts promptParts,
     Duration firstEventTarget,
     Duration eventGapTarget,
     Duration remainingTime,
--- a/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
@@ -1,7 +1,10 @@
 package dev.apricotmill.core.pool;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import dev.apricotmill.coordination.identity.Zone;
+import dev.apricotmill.core.prompt.CrashAttribution;
+import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.EngineCostModel;
 import dev.apricotmill.core.request.ReplicaId;
@@ -11,7 +14,9 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * Tracks the requests placed on the engines of one pool and chooses engines for new ones.
@@ -25,7 +30,11 @@
    */
   private static final Duration FAILURE_COOL_DOWN = Duration.ofSeconds(3);
 
+  /** An engine that has written a response for this long does not crash under its prompt. */
+  public static final Duration WRITING_CLEARS_AFTER = Duration.ofSeconds(1);
+
   private final Map<ReplicaId, EngineState> engines = new LinkedHashMap<>();
+  private final CrashAttribution crashes = new CrashAttribution();
 
   /** Servers of a zone that become unreachable within this time count as one failure. */
   private static final Duration ZONE_FAILURE_WINDOW = Duration.ofMillis(1500);
@@ -49,8 +58,28 @@
    *
    * @param granted the placement
    * @param expiresMillis the request's deadline, after which the placement is dropped
+   * @param promptParts the parts of its prompt, until they are cleared
+   * @param firstEventMillis when the response began; infinite if it has not
    */
-  private record PlacedRequest(Placement.Granted granted, double expiresMillis) {}
+  private record PlacedRequest(
+      Placement.Granted granted,
+      double expiresMillis,
+      PromptParts promptParts,
+      double firstEventMillis) {
+
+    PlacedRequest withFirstEventAt(double atMillis) {
+      return new PlacedRequest(
+          granted, expiresMillis, promptParts, Math.min(firstEventMillis, atMillis));
+    }
+
+    PlacedRequest withClearedParts() {
+      return new PlacedRequest(granted, expiresMillis, PromptParts.NONE, firstEventMillis);
+    }
+
+    double clearedMillis() {
+      return firstEventMillis + WRITING_CLEARS_AFTER.toMillis();
+    }
+  }
 
   /** Replaces the servers of the pool; work on removed servers is dropped. */
   public void updateServers(Collection<BackendServer> servers, EngineCostModel newCostModel) {
@@ -116,20 +145,63 @@
     }
     placements.put(
         request.requestId(),
-        new PlacedRequest(granted, nowMillis + request.remainingTime().toMillis()));
+        new PlacedRequest(
+            granted,
+            nowMillis + request.remainingTime().toMillis(),
+            request.promptParts(),
+            Double.POSITIVE_INFINITY));
   }
 
   /** Records that the first event of a response has arrived, so that its prefill is complete. */
   public void onFirstEvent(RequestId request, long nowNanos) {
     forEachEngine(request, engine -> engine.endPrefill(request, millis(nowNanos)));
+    placements.computeIfPresent(request, (id, placed) -> placed.withFirstEventAt(millis(nowNanos)));
   }
 
   /** Records that a request no longer uses its engines. */
   public void onEnd(RequestId request, long nowNanos) {
-    forEachEngine(request, engine -> engine.remove(request, millis(nowNanos)));
+    clearIfWriting(request, millis(nowNanos));
+    remove(request, millis(nowNanos));
+  }
+
+  private void remove(RequestId request, double nowMillis) {
+    forEachEngine(request, engine -> engine.remove(request, nowMillis));
     placements.remove(request);
   }
 
+  /** Records that the response to a request was written to its end. */
+  public void onCompleted(RequestId request, long nowNanos) {
+    PlacedRequest placed = placements.get(request);
+    if (placed != null) {
+      crashes.onWritten(placed.promptParts(), millis(nowNanos));
+      placements.put(request, placed.withClearedParts());
+    }
+  }
+
+  /** Records that an engine broke off a response before or soon after it began to write it. */
+  public void onBrokenOff(ReplicaId server, PromptParts promptParts, long atNanos) {
+    crashes.onBrokenOff(server, promptParts, millis(atNanos));
+  }
+
+  /**
+   * Returns a part of prompts under which one engine after the other has ended.
+   *
+   * @param blocked the parts that are known to crash engines
+   */
+  public Optional<String> findCrashingPart(Predicate<String> blocked, long nowNanos) {
+    double nowMillis = millis(nowNanos);
+    ImmutableSet.copyOf(placements.keySet()).forEach(request -> clearIfWriting(request, nowMillis));
+    return crashes.findCrashingPart(blocked, nowMillis);
+  }
+
+  private void clearIfWriting(RequestId request, double nowMillis) {
+    PlacedRequest placed = placements.get(request);
+    if (placed != null && placed.clearedMillis() <= nowMillis) {
+      crashes.onWritten(placed.promptParts(), placed.clearedMillis());
+      placements.put(request, placed.withClearedParts());
+    }
+  }
+
   /**
    * Records that a server failed a request, and starts its cool-down. If several servers of a zone
    * become unreachable within a short time, the cool-down covers the whole zone.
@@ -185,8 +257,7 @@
             .filter(entry -> entry.getValue().expiresMillis() < nowMillis)
             .map(Map.Entry::getKey)
             .collect(ImmutableList.toImmutableList());
-    long nowNanos = (long) (nowMillis * TimeUnit.MILLISECONDS.toNanos(1));
-    expired.forEach(request -> onEnd(request, nowNanos));
+    expired.forEach(request -> remove(request, nowMillis));
   }
 
   private static double millis(long nanos) {
--- a/core/src/main/java/dev/apricotmill/core/pool/WorkReport.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/WorkReport.java
@@ -1,8 +1,10 @@
 package dev.apricotmill.core.pool;
 
+import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.RequestId;
 import dev.apricotmill.core.request.ServiceName;
+import java.time.Duration;
 
 /** A change in the state of placed work. */
 public sealed interface WorkReport {
@@ -31,14 +33,45 @@
    *
    * @param service the pool
    * @param request the identifier of the request
+   * @param completed whether the response was written to its end
    */
-  record Ended(ServiceName service, RequestId request) implements WorkReport {
+  record Ended(ServiceName service, RequestId request, boolean completed) implements WorkReport {
     @Override
     public void applyTo(PoolScheduler scheduler, long nowNanos) {
+      if (completed) {
+        scheduler.onCompleted(request, nowNanos);
+      }
       scheduler.onEnd(request, nowNanos);
     }
   }
 
+  /**
+   * An engine broke off a response before or soon after it began to write it.
+   *
+   * @param service the pool
+   * @param server the engine
+   * @param promptParts the parts of the prompt
+   * @param age how long ago
+   */
+  record BrokenOff(ServiceName service, ReplicaId server, PromptParts promptParts, Duration age)
+      implements WorkReport {
+    @Override
+    public void applyTo(PoolScheduler scheduler, long nowNanos) {
+      scheduler.onBrokenOff(server, promptParts, nowNanos - age.toNanos());
+    }
+  }
+
+  /**
+   * A part of prompts is known to crash engines. It changes no pool.
+   *
+   * @param service a pool
+   * @param part the part
+   */
+  record PartBlocked(ServiceName service, String part) implements WorkReport {
+    @Override
+    public void applyTo(PoolScheduler scheduler, long nowNanos) {}
+  }
+
   /**
    * A server failed a request.
    *
--- a/core/src/main/java/dev/apricotmill/core/relay/RelayRefusal.java
+++ b/core/src/main/java/dev/apricotmill/core/relay/RelayRefusal.java
@@ -16,6 +16,8 @@
   EXPIRED_UNSENT(503, Guarantee.NOT_RUN),
   /** The backend server refused the request, and it may not be retried at another one. */
   REFUSED_BY_SERVER(503, Guarantee.NOT_RUN),
+  /** A part of the prompt crashes engines. */
+  PROMPT_BLOCKED(503, Guarantee.NOT_RUN),
   /** The node is shutting down. */
   STOPPING(503, Guarantee.NOT_RUN),
   /** The connection to the backend server broke after the request was sent. */
--- a/core/src/test/java/dev/apricotmill/core/pool/PoolSchedulerTest.java
+++ b/core/src/test/java/dev/apricotmill/core/pool/PoolSchedulerTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import dev.apricotmill.coordination.identity.Zone;
 import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.EngineCostModel;
 import dev.apricotmill.core.relay.GenerationSize;
@@ -145,6 +146,7 @@
                     template.requestId(),
                     template.service(),
                     template.size(),
+                    template.promptParts(),
                     template.firstEventTarget(),
                     template.eventGapTarget(),
                     template.remainingTime(),
@@ -338,6 +340,7 @@
         request,
         POOL,
         new GenerationSize(promptTokens, 1_600),
+        PromptParts.NONE,
         Duration.ofMillis(firstEventTargetMillis),
         Duration.ofMillis(eventGapTargetMillis),
         Duration.ofMillis(remainingMillis),
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/PlacementMessages.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/PlacementMessages.java
@@ -5,10 +5,12 @@
 import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.pool.WorkReport;
+import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.RequestId;
 import dev.apricotmill.core.request.ServiceName;
+import dev.apricotmill.protocol.generated.BrokenOffWork;
 import dev.apricotmill.protocol.generated.GrantedWork;
 import dev.apricotmill.protocol.generated.PlaceWork;
 import dev.apricotmill.protocol.generated.RunningWork;
@@ -33,6 +35,7 @@
             .setPauseGoalMillis(request.eventGapTarget().toMillis())
             .setRemainingMillis(Math.max(0, request.remainingTime().toMillis()));
     request.excludedServers().forEach(server -> message.addAvoid(server.value()));
+    message.addAllPromptParts(request.promptParts().ids());
     return message.build();
   }
 
@@ -41,6 +44,7 @@
         new RequestId(message.getRequest()),
         new ServiceName(message.getService()),
         new GenerationSize(message.getPromptTokens(), message.getMaximumOutputTokens()),
+        new PromptParts(ImmutableList.copyOf(message.getPromptPartsList())),
         Duration.ofMillis(message.getGoalMillis()),
         Duration.ofMillis(message.getPauseGoalMillis()),
         Duration.ofMillis(message.getRemainingMillis()),
@@ -55,6 +59,8 @@
       message.setGranted(toMessage(granted));
     } else if (decision.get() instanceof Placement.Full full) {
       message.setComeBackMillis(full.retryAfter().toMillis());
+    } else if (decision.get() instanceof Placement.Blocked blocked) {
+      message.setBlockedPart(blocked.part());
     }
     return message.build();
   }
@@ -64,6 +70,7 @@
       case GRANTED -> Optional.of(fromMessage(message.getGranted()));
       case COME_BACK_MILLIS ->
           Optional.of(new Placement.Full(Duration.ofMillis(message.getComeBackMillis())));
+      case BLOCKED_PART -> Optional.of(new Placement.Blocked(message.getBlockedPart()));
       case DECLINED, DECISION_NOT_SET -> Optional.empty();
     };
   }
@@ -73,7 +80,7 @@
     if (report instanceof WorkReport.FirstEvent first) {
       message.setRequest(first.request().value()).setFirstEvent(true);
     } else if (report instanceof WorkReport.Ended ended) {
-      message.setRequest(ended.request().value()).setEnded(true);
+      message.setRequest(ended.request().value()).setEnded(true).setCompleted(ended.completed());
     } else if (report instanceof WorkReport.Failed failed) {
       message.setFailedServer(failed.server().value()).setUnreachable(failed.unreachable());
     } else if (report instanceof WorkReport.Running running) {
@@ -82,6 +89,14 @@
               .setAsk(toMessage(running.request()))
               .setGranted(toMessage(running.placement()))
               .setReading(running.prefilling()));
+    } else if (report instanceof WorkReport.BrokenOff broken) {
+      message.setBrokenOff(
+          BrokenOffWork.newBuilder()
+              .setServer(broken.server().value())
+              .addAllPromptParts(broken.promptParts().ids())
+              .setAgeMillis(broken.age().toMillis()));
+    } else if (report instanceof WorkReport.PartBlocked blocked) {
+      message.setBlockedPart(blocked.part());
     }
     return message.build();
   }
@@ -91,16 +106,27 @@
     RequestId request = new RequestId(message.getRequest());
     return switch (message.getEventCase()) {
       case FIRST_EVENT -> Optional.of(new WorkReport.FirstEvent(service, request));
-      case ENDED -> Optional.of(new WorkReport.Ended(service, request));
+      case ENDED -> Optional.of(new WorkReport.Ended(service, request, message.getCompleted()));
       case FAILED_SERVER ->
           Optional.of(
               new WorkReport.Failed(
                   service, new ReplicaId(message.getFailedServer()), message.getUnreachable()));
       case RUNNING -> Optional.of(fromMessage(message.getRunning()));
+      case BROKEN_OFF -> Optional.of(fromMessage(service, message.getBrokenOff()));
+      case BLOCKED_PART ->
+          Optional.of(new WorkReport.PartBlocked(service, message.getBlockedPart()));
       case EVENT_NOT_SET -> Optional.empty();
     };
   }
 
+  private static WorkReport fromMessage(ServiceName service, BrokenOffWork message) {
+    return new WorkReport.BrokenOff(
+        service,
+        new ReplicaId(message.getServer()),
+        new PromptParts(ImmutableList.copyOf(message.getPromptPartsList())),
+        Duration.ofMillis(message.getAgeMillis()));
+  }
+
   private static WorkReport fromMessage(RunningWork message) {
     return new WorkReport.Running(
         fromMessage(message.getAsk()), fromMessage(message.getGranted()), message.getReading());
--- a/daemon/src/test/java/dev/apricotmill/daemon/inner/PlacementMessagesTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/inner/PlacementMessagesTest.java
@@ -7,6 +7,7 @@
 import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.pool.WorkReport;
+import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.RequestId;
@@ -20,11 +21,13 @@
 
   private static final ServiceName POOL = new ServiceName("pool");
   private static final RequestId REQUEST = new RequestId("r1");
+  private static final PromptParts PROMPT_PARTS = new PromptParts(ImmutableList.of("5c1e", "91bd"));
   private static final PlacementRequest PLACEMENT_REQUEST =
       new PlacementRequest(
           REQUEST,
           POOL,
           new GenerationSize(210_000, 800),
+          PROMPT_PARTS,
           Duration.ofMillis(-20),
           Duration.ofMillis(800),
           Duration.ofMillis(12_000),
@@ -45,6 +48,7 @@
         ImmutableList.of(
             Optional.<Placement>of(GRANTED),
             Optional.<Placement>of(new Placement.Full(Duration.ofMillis(500))),
+            Optional.<Placement>of(new Placement.Blocked("5c1e")),
             Optional.<Placement>empty())) {
       assertThat(PlacementMessages.fromMessage(PlacementMessages.toMessage(decision)))
           .isEqualTo(decision);
@@ -56,7 +60,10 @@
     for (WorkReport report :
         ImmutableList.of(
             new WorkReport.FirstEvent(POOL, REQUEST),
-            new WorkReport.Ended(POOL, REQUEST),
+            new WorkReport.Ended(POOL, REQUEST, true),
+            new WorkReport.Ended(POOL, REQUEST, false),
+            new WorkReport.BrokenOff(POOL, new ReplicaId("a"), PROMPT_PARTS, Duration.ofMillis(30)),
+            new WorkReport.PartBlocked(POOL, "5c1e"),
             new WorkReport.Failed(POOL, new ReplicaId("a"), true),
             new WorkReport.Running(PLACEMENT_REQUEST, GRANTED, true))) {
       assertThat(PlacementMessages.fromMessage(PlacementMessages.toMessage(report)))
--- a/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
@@ -1,6 +1,8 @@
 package dev.apricotmill.node.relay;
 
 import dev.apricotmill.core.relay.BackendServer;
+import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import org.jspecify.annotations.Nullable;
 
@@ -19,7 +21,7 @@
     void onEnd(BackendAttempt attempt);
 
     /** Called when no complete response will come. */
-    void onFailure(BackendAttempt attempt, boolean maybeSent, String reason);
+    void onFailure(BackendAttempt attempt, boolean maybeSent, BackendFailure failure);
   }
 
   private final BackendServer server;
@@ -28,7 +30,7 @@
   private BackendClient.@Nullable Exchange exchange;
   private boolean closed;
   private boolean responseBegun;
-  private boolean firstEventSeen;
+  private OptionalLong firstEventNanos = OptionalLong.empty();
 
   BackendAttempt(BackendServer server, Executor executor, AttemptListener listener) {
     this.server = server;
@@ -84,10 +86,18 @@
   }
 
   /** Returns true on the first call only. */
-  boolean markFirstEvent() {
-    boolean first = !firstEventSeen;
-    firstEventSeen = true;
-    return first;
+  boolean markFirstEvent(long nowNanos) {
+    if (firstEventNanos.isPresent()) {
+      return false;
+    }
+    firstEventNanos = OptionalLong.of(nowNanos);
+    return true;
+  }
+
+  /** Returns whether the server has written its response for at least {@code duration}. */
+  boolean hasWrittenFor(Duration duration, long nowNanos) {
+    return firstEventNanos.isPresent()
+        && nowNanos - firstEventNanos.getAsLong() >= duration.toNanos();
   }
 
   @Override
@@ -110,8 +120,8 @@
   }
 
   @Override
-  public void onFailure(boolean maybeSent, String reason) {
-    run(() -> listener.onFailure(this, maybeSent, reason));
+  public void onFailure(boolean maybeSent, BackendFailure failure) {
+    run(() -> listener.onFailure(this, maybeSent, failure));
   }
 
   private void run(Runnable task) {
--- a/node/src/main/java/dev/apricotmill/node/relay/BackendClient.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendClient.java
@@ -113,8 +113,8 @@
      * Called when no complete response will come.
      *
      * @param maybeSent whether a byte of the request may have been sent
-     * @param reason the cause, for the log
+     * @param failure the cause
      */
-    void onFailure(boolean maybeSent, String reason);
+    void onFailure(boolean maybeSent, BackendFailure failure);
   }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/CallLog.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CallLog.java
@@ -4,7 +4,6 @@
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.Route;
-import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.RequestId;
 import dev.apricotmill.core.request.ServiceName;
 import java.time.Duration;
@@ -48,14 +47,14 @@
   }
 
   /** Logs that an attempt has failed, and whether its response had begun. */
-  void attemptFailed(ReplicaId server, String reason, boolean responseBegun, Duration remaining) {
+  void attemptFailed(BackendAttempt attempt, String reason, Duration remaining) {
     node.log(
         "relay.send_failed",
         request,
         ImmutableMap.of(
-            "server", server.value(),
+            "server", attempt.server().id().value(),
             "reason", reason,
-            "response_begun", responseBegun,
+            "response_begun", attempt.hasResponseBegun(),
             "left_ms", remaining.toMillis(),
             "prompt_parts", promptParts));
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
@@ -9,6 +9,7 @@
 import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.pool.WorkReport;
+import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.RequestId;
 import dev.apricotmill.core.request.ServiceName;
@@ -61,7 +62,10 @@
   private final LocalPlacer localPlacer;
   private final DispatcherClient client;
   private final Member self;
+  private final BlockedParts blockedParts;
+  private final CrashWatch crashWatch;
   private final EventLog log;
+  private final CrashEvidence evidence = new CrashEvidence();
   private final Map<RequestId, WorkReport.Running> running = new LinkedHashMap<>();
   private final Map<Member, Suspicion> suspicions = new HashMap<>();
   private final Map<ServiceName, Member> dispatchers = new HashMap<>();
@@ -73,11 +77,19 @@
 
   /** Creates the placer of a node that knows no other nodes. */
   public DispatcherPlacer(
-      Timing timing, LocalPlacer localPlacer, DispatcherClient client, Member self, EventLog log) {
+      Timing timing,
+      LocalPlacer localPlacer,
+      DispatcherClient client,
+      Member self,
+      BlockedParts blockedParts,
+      CrashWatch crashWatch,
+      EventLog log) {
     this.timing = timing;
     this.localPlacer = localPlacer;
     this.client = client;
     this.self = self;
+    this.blockedParts = blockedParts;
+    this.crashWatch = crashWatch;
     this.log = log;
   }
 
@@ -147,6 +159,8 @@
       suspicions.remove(dispatcher);
       if (reply.get() instanceof Placement.Granted granted) {
         localPlacer.recordReport(new WorkReport.Running(placementRequest, granted, true));
+      } else if (reply.get() instanceof Placement.Blocked blocked) {
+        blockedParts.block(blocked.part(), BlockedParts.Source.DISPATCHER);
       }
       onPlaced(placementRequest, reply.get(), callback);
       return;
@@ -179,9 +193,9 @@
   }
 
   @Override
-  public void ended(ServiceName service, RequestId request) {
+  public void ended(ServiceName service, RequestId request, boolean completed) {
     running.remove(request);
-    recordAndReport(new WorkReport.Ended(service, request));
+    recordAndReport(new WorkReport.Ended(service, request, completed));
   }
 
   @Override
@@ -189,6 +203,15 @@
     recordAndReport(new WorkReport.Failed(service, server, unreachable));
   }
 
+  @Override
+  public void brokenOff(ServiceName service, ReplicaId server, PromptParts promptParts) {
+    evidence.add(service, server, promptParts, timing.nanoTime());
+    recordAndReport(new WorkReport.BrokenOff(service, server, promptParts, Duration.ZERO));
+    if (dispatcher(service).equals(self)) {
+      crashWatch.onEvidence(service);
+    }
+  }
+
   private void recordAndReport(WorkReport report) {
     localPlacer.recordReport(report);
     report(report);
@@ -217,7 +240,10 @@
     pendingReports.clear();
   }
 
-  /** Returns the dispatcher of a pool. A new one receives the requests that run in the pool. */
+  /**
+   * Returns the dispatcher of a pool. A new one receives the requests that run in the pool, and
+   * what this node knows of prompts that crash engines.
+   */
   private Member dispatcher(ServiceName service) {
     long now = timing.nanoTime();
     Member dispatcher =
@@ -252,8 +278,21 @@
             "before", previous.incarnation().toString(),
             "now", dispatcher.incarnation().toString(),
             "running", work.size()));
-    if (!dispatcher.equals(self) && !work.isEmpty()) {
-      client.report(dispatcher.address(), work);
+    if (dispatcher.equals(self)) {
+      crashWatch.onEvidence(service);
+      return;
+    }
+    ImmutableList<WorkReport> reports =
+        ImmutableList.<WorkReport>builder()
+            .addAll(work)
+            .addAll(evidence.reports(service, timing.nanoTime()))
+            .addAll(
+                blockedParts.parts().stream()
+                    .map(part -> new WorkReport.PartBlocked(service, part))
+                    .iterator())
+            .build();
+    if (!reports.isEmpty()) {
+      client.report(dispatcher.address(), reports);
     }
   }
 
--- a/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
@@ -29,6 +29,9 @@
 
     /** Called when no engine accepts the request now. */
     void onFull(Duration retryAfter);
+
+    /** Called when the prompt has a part that crashes engines. */
+    void onBlocked(String part);
   }
 
   private final RelayNode node;
@@ -57,6 +60,10 @@
 
   /** Releases engines and memory; {@link #allocate} may be called again. */
   void release() {
+    release(false);
+  }
+
+  private void release(boolean completed) {
     HelperReservations currentReservations = reservations;
     if (currentReservations != null) {
       reservations = null;
@@ -65,24 +72,30 @@
     PlacementRequest request = activeRequest;
     if (request != null) {
       activeRequest = null;
-      node.placer().ended(request.service(), request.requestId());
+      node.placer().ended(request.service(), request.requestId(), completed);
     }
   }
 
-  /** Releases everything; engines that are granted later are released at once. */
-  void close() {
+  /**
+   * Releases everything; engines that are granted later are released at once.
+   *
+   * @param completed whether the response is complete
+   */
+  void close(boolean completed) {
     closed = true;
-    release();
+    release(completed);
   }
 
   private void onPlaced(PlacementRequest placementRequest, Placement placement) {
     if (closed) {
-      node.placer().ended(placementRequest.service(), placementRequest.requestId());
+      node.placer().ended(placementRequest.service(), placementRequest.requestId(), false);
     } else if (placement instanceof Placement.Granted granted) {
       activeRequest = placementRequest;
       onGranted(placementRequest, granted);
     } else if (placement instanceof Placement.Full full) {
       callback.onFull(full.retryAfter());
+    } else if (placement instanceof Placement.Blocked blocked) {
+      callback.onBlocked(blocked.part());
     }
   }
 
--- a/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
@@ -6,6 +6,7 @@
 import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.pool.PoolScheduler;
 import dev.apricotmill.core.pool.WorkReport;
+import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.EngineCostModel;
 import dev.apricotmill.core.relay.ServiceProfile;
 import dev.apricotmill.core.request.ReplicaId;
@@ -76,12 +77,17 @@
   }
 
   @Override
-  public void ended(ServiceName service, RequestId request) {
-    recordReport(new WorkReport.Ended(service, request));
+  public void ended(ServiceName service, RequestId request, boolean completed) {
+    recordReport(new WorkReport.Ended(service, request, completed));
   }
 
   @Override
   public void failed(ServiceName service, ReplicaId server, boolean unreachable) {
     recordReport(new WorkReport.Failed(service, server, unreachable));
   }
+
+  @Override
+  public void brokenOff(ServiceName service, ReplicaId server, PromptParts promptParts) {
+    recordReport(new WorkReport.BrokenOff(service, server, promptParts, Duration.ZERO));
+  }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/PlacementEndpoint.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/PlacementEndpoint.java
@@ -14,6 +14,8 @@
 
   private final Timing timing;
   private final LocalPlacer localPlacer;
+  private final BlockedParts blockedParts;
+  private final CrashWatch crashWatch;
   private final BooleanSupplier leaving;
 
   /**
@@ -21,9 +23,16 @@
    *
    * @param leaving whether the node is shutting down and no longer dispatches
    */
-  public PlacementEndpoint(Timing timing, LocalPlacer localPlacer, BooleanSupplier leaving) {
+  public PlacementEndpoint(
+      Timing timing,
+      LocalPlacer localPlacer,
+      BlockedParts blockedParts,
+      CrashWatch crashWatch,
+      BooleanSupplier leaving) {
     this.timing = timing;
     this.localPlacer = localPlacer;
+    this.blockedParts = blockedParts;
+    this.crashWatch = crashWatch;
     this.leaving = leaving;
   }
 
@@ -33,7 +42,11 @@
         .scheduler()
         .execute(
             () -> {
-              if (leaving.getAsBoolean()
+              Optional<String> blockedPart =
+                  blockedParts.blockedPartOf(placementRequest.promptParts());
+              if (blockedPart.isPresent()) {
+                callback.accept(blockedPart.map(Placement.Blocked::new));
+              } else if (leaving.getAsBoolean()
                   || localPlacer.poolScheduler(placementRequest.service()).isEmpty()) {
                 callback.accept(Optional.empty());
               } else {
@@ -45,6 +58,15 @@
 
   /** Records reports on the requests of another node. */
   public void report(List<WorkReport> reports) {
-    timing.scheduler().execute(() -> reports.forEach(localPlacer::recordReport));
+    timing.scheduler().execute(() -> reports.forEach(this::record));
+  }
+
+  private void record(WorkReport report) {
+    localPlacer.recordReport(report);
+    if (report instanceof WorkReport.BrokenOff) {
+      crashWatch.onEvidence(report.service());
+    } else if (report instanceof WorkReport.PartBlocked blocked) {
+      blockedParts.block(blocked.part(), BlockedParts.Source.PEER);
+    }
   }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import dev.apricotmill.core.pool.PlacementRequest;
+import dev.apricotmill.core.pool.PoolScheduler;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.relay.RelayRefusal;
@@ -13,7 +14,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.Future;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,12 +27,6 @@
         EngineAllocation.Callback,
         CallerConnection.ConnectionListener {
 
-  /** Attempts that may fail before a byte is sent; each failure takes a connect timeout. */
-  private static final int MAX_FAILED_CONNECTIONS = 3;
-
-  /** With less time remaining, another attempt cannot get a response. */
-  private static final Duration MIN_TIME_FOR_RETRY = Duration.ofMillis(50);
-
   private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
 
   private final RelayNode node;
@@ -46,11 +40,10 @@
   private final CallLog log;
   private final EngineAllocation allocation;
   private final FlowControlWindow window = new FlowControlWindow();
-  private @Nullable Future<?> deadlineTimer;
-  private @Nullable Future<?> silenceTimer;
+  private final AttemptLimits limits;
+  private final ResettableTimer deadlineTimer;
+  private final ResettableTimer silenceTimer;
   private @Nullable BackendAttempt currentAttempt;
-  private int attempts;
-  private int failedConnections;
   private boolean mayHaveRun;
   private boolean ended;
 
@@ -74,11 +67,14 @@
     response = new RelayResponse(decision.route(), request.resumeAfterEvent(), caller, window);
     allocation = new EngineAllocation(node, this);
     log = new CallLog(node, request);
+    limits = new AttemptLimits(node, route(), service(), this::remaining);
+    deadlineTimer = new ResettableTimer(node.timing(), this::onDeadline);
+    silenceTimer = new ResettableTimer(node.timing(), this::onSilenceTimeout);
   }
 
   void start() {
     caller.setListener(this);
-    deadlineTimer = node.timing().schedule(remaining(), this::onDeadline);
+    deadlineTimer.restart(remaining());
     startAttempt();
   }
 
@@ -95,6 +91,11 @@
   }
 
   private void startAttempt() {
+    Optional<String> blockedPart = node.blockedParts().blockedPartOf(request.promptParts());
+    if (blockedPart.isPresent()) {
+      onBlocked(blockedPart.get());
+      return;
+    }
     if (request.size().isPresent() && decision.service().engine().isPresent()) {
       allocation.allocate(placementRequest(request.size().get()));
       return;
@@ -118,6 +119,7 @@
         request.id(),
         service(),
         size,
+        request.promptParts(),
         route().latencyTarget().minusNanos(waitedNanos),
         route().eventGapTarget().orElse(route().latencyTarget()),
         remaining(),
@@ -141,55 +143,61 @@
     endWithFailure(RelayRefusal.OVERLOADED, retryAfter);
   }
 
+  @Override
+  public void onBlocked(String part) {
+    endWithFailure(RelayRefusal.PROMPT_BLOCKED, node.blockedParts().remaining(part));
+  }
+
+  /** Ends the request if it has this part, unless it evidently crashes no engine. */
+  void onPartBlocked(String part) {
+    BackendAttempt attempt = currentAttempt;
+    if (ended || !request.promptParts().shared().contains(part)) {
+      return;
+    }
+    if (attempt != null) {
+      if (hasWrittenLong(attempt)) {
+        return;
+      }
+      mayHaveRun = true;
+    }
+    onBlocked(part);
+  }
+
+  private boolean hasWrittenLong(BackendAttempt attempt) {
+    return attempt.hasWrittenFor(PoolScheduler.WRITING_CLEARS_AFTER, node.timing().nanoTime());
+  }
+
   private void send(
       BackendServer server, ImmutableList<BackendClient.Helper> helpers, Duration expected) {
     if (remaining().compareTo(Duration.ofMillis(1)) < 0) {
       onDeadline();
       return;
     }
-    attempts++;
+    limits.onSend();
     BackendAttempt attempt = new BackendAttempt(server, node.timing().scheduler(), this);
     currentAttempt = attempt;
     node.balancer().requestStarted(server.id());
-    log.sent(server, service(), helpers, attempts, remaining(), expected);
+    log.sent(server, service(), helpers, limits.attempts(), remaining(), expected);
     attempt.start(
         node.backends(),
         new BackendClient.BackendRequest(
             request, server, decision.customer(), remaining(), helpers, response.lastEventId()));
     if (route().resumable()) {
-      restartSilenceTimer(SilenceTimeouts.firstEventTimeout(route(), expected));
+      silenceTimer.restart(SilenceTimeouts.firstEventTimeout(route(), expected));
     }
   }
 
-  private void restartSilenceTimer(Duration limit) {
-    cancelTimer(silenceTimer);
-    silenceTimer = node.timing().schedule(limit, this::onSilenceTimeout);
-  }
-
   private void onSilenceTimeout() {
     BackendAttempt attempt = currentAttempt;
-    if (attempt != null && !ended && canRetry()) {
-      failAttempt(attempt, true, "silent", true);
+    if (attempt != null && !ended && limits.canRetry()) {
+      failAttempt(attempt, true, BackendFailure.SILENT, true);
     }
   }
 
-  private boolean canRetry() {
-    return attempts < route().maximumAttempts() && remaining().compareTo(MIN_TIME_FOR_RETRY) > 0;
-  }
-
-  private boolean tryTakeRetry() {
-    if (!canRetry() || !node.retryBudget(service()).tryTake()) {
-      return false;
-    }
-    node.metrics().recordRetry();
-    return true;
-  }
-
   /** Tries another server outside the retry budget, since nothing was sent to the last one. */
   private void tryNextServer(RelayRefusal refusal) {
     allocation.release();
-    if (++failedConnections < MAX_FAILED_CONNECTIONS
-        && remaining().compareTo(MIN_TIME_FOR_RETRY) > 0) {
+    if (limits.tryTakeReplacement()) {
       startAttempt();
     } else {
       endWithFailure(refusal, DEFAULT_RETRY_AFTER);
@@ -198,7 +206,7 @@
 
   private void retryOrRefuse(RelayRefusal refusal) {
     allocation.release();
-    if (route().retryPolicy().allowsRetry(mayHaveRun) && tryTakeRetry()) {
+    if (route().retryPolicy().allowsRetry(mayHaveRun) && limits.tryTakeRetry()) {
       if (response.isStreamBegun()) {
         node.metrics().recordResume();
       }
@@ -212,7 +220,7 @@
     if (ended) {
       return;
     }
-    finish(refusal.name());
+    finish(refusal.name(), false);
     if (response.sendFallback()) {
       return;
     }
@@ -229,7 +237,8 @@
   private void onDeadline() {
     if (!ended) {
       endWithFailure(
-          attempts > 0 ? RelayRefusal.EXPIRED : RelayRefusal.EXPIRED_UNSENT, DEFAULT_RETRY_AFTER);
+          limits.attempts() > 0 ? RelayRefusal.EXPIRED : RelayRefusal.EXPIRED_UNSENT,
+          DEFAULT_RETRY_AFTER);
     }
   }
 
@@ -244,7 +253,7 @@
     BackendAttempt attempt = currentAttempt;
     if (attempt != null) {
       attempt.resumeReading();
-      restartSilenceTimer(SilenceTimeouts.eventGapTimeout(route()));
+      silenceTimer.restart(SilenceTimeouts.eventGapTimeout(route()));
     }
   }
 
@@ -256,29 +265,29 @@
   private void endAfterDisconnect() {
     if (!ended) {
       node.metrics().recordCallerGone();
-      finish("CALLER_GONE");
+      finish("CALLER_GONE", false);
     }
   }
 
-  private void finish(String outcome) {
+  private void finish(String outcome, boolean completed) {
     ended = true;
-    cancelTimer(deadlineTimer);
-    cancelTimer(silenceTimer);
+    deadlineTimer.cancel();
+    silenceTimer.cancel();
     BackendAttempt attempt = currentAttempt;
     if (attempt != null) {
       cancel(attempt);
     }
-    allocation.close();
+    allocation.close(completed);
     long tookNanos = node.timing().nanoTime() - arrivedNanos;
-    log.ended(outcome, route(), attempts, mayHaveRun, response, arrivedNanos, tookNanos);
+    log.ended(outcome, route(), limits.attempts(), mayHaveRun, response, arrivedNanos, tookNanos);
     node.metrics().recordEnd(tookNanos);
-    node.requestEnded();
+    node.callEnded(this);
   }
 
   @Override
   public void onHead(BackendAttempt attempt, BackendClient.Head head) {
     if (head.notRun()) {
-      logFailure(attempt, "not_run " + head.status());
+      log.attemptFailed(attempt, "not_run " + head.status(), remaining());
       // A refusal is short: reading it to the end lets the connection be reused.
       close(attempt);
       excludeFaultyServer(attempt, head.faultyServer());
@@ -302,21 +311,21 @@
   public void onBody(BackendAttempt attempt, byte[] chunk) {
     int sentBytes = response.onBody(chunk, node.timing().nanoTime());
     if (response.isTooLong()) {
-      failAttempt(attempt, true, "answer too long", false);
+      failAttempt(attempt, true, BackendFailure.TOO_LONG, false);
     } else if (response.isOutOfOrder()) {
-      failAttempt(attempt, true, "events out of order", false);
+      failAttempt(attempt, true, BackendFailure.OUT_OF_ORDER, false);
     } else if (sentBytes > 0 && response.isStream()) {
-      if (attempt.markFirstEvent()) {
+      if (attempt.markFirstEvent(node.timing().nanoTime())) {
         allocation.onFirstEvent();
       }
       if (response.hasFirstEventInChunk()) {
         node.metrics().recordFirstEvent(node.timing().nanoTime() - arrivedNanos);
       }
       if (window.isFull()) {
-        cancelTimer(silenceTimer);
+        silenceTimer.cancel();
         attempt.pauseReading();
       } else {
-        restartSilenceTimer(SilenceTimeouts.eventGapTimeout(route()));
+        silenceTimer.restart(SilenceTimeouts.eventGapTimeout(route()));
       }
     }
   }
@@ -324,41 +333,50 @@
   @Override
   public void onEnd(BackendAttempt attempt) {
     if (response.isIncomplete()) {
-      failAttempt(attempt, true, "ended within an event", false);
+      failAttempt(
+          attempt,
+          true,
+          response.isStream() ? BackendFailure.ENDED_WITHIN_EVENT : BackendFailure.NOT_A_STREAM,
+          false);
       return;
     }
     close(attempt);
-    if (response.isServerError() && route().retryPolicy().allowsRetry(true) && tryTakeRetry()) {
-      logFailure(attempt, "server error");
+    if (response.isServerError()
+        && route().retryPolicy().allowsRetry(true)
+        && limits.tryTakeRetry()) {
+      log.attemptFailed(attempt, "server error", remaining());
       response.keepAsFallback();
       excludedServers.add(attempt.server().id());
       allocation.release();
       startAttempt();
       return;
     }
-    finish("ANSWERED");
+    finish("ANSWERED", response.isSuccess());
     response.complete();
   }
 
   @Override
-  public void onFailure(BackendAttempt attempt, boolean maybeSent, String reason) {
-    failAttempt(attempt, maybeSent, reason, !maybeSent);
+  public void onFailure(BackendAttempt attempt, boolean maybeSent, BackendFailure failure) {
+    failAttempt(attempt, maybeSent, failure, !maybeSent);
   }
 
   private void failAttempt(
-      BackendAttempt attempt, boolean maybeSent, String reason, boolean unreachable) {
-    logFailure(attempt, reason);
+      BackendAttempt attempt, boolean maybeSent, BackendFailure failure, boolean unreachable) {
+    log.attemptFailed(attempt, failure.logValue(), remaining());
     cancel(attempt);
-    cancelTimer(silenceTimer);
+    silenceTimer.cancel();
     ReplicaId server = attempt.server().id();
     excludedServers.add(server);
     node.placer().failed(service(), server, unreachable);
     node.balancer().requestFailed(server, node.timing().nanoTime());
     if (!maybeSent) {
-      attempts--;
+      limits.onNotSent();
       tryNextServer(RelayRefusal.NO_SERVER);
       return;
     }
+    if (failure.isPossibleCrash() && !hasWrittenLong(attempt)) {
+      node.placer().brokenOff(service(), server, request.promptParts());
+    }
     mayHaveRun = true;
     response.discardPartial();
     retryOrRefuse(RelayRefusal.BROKEN);
@@ -376,14 +394,4 @@
       node.balancer().requestEnded(attempt.server().id());
     }
   }
-
-  private void logFailure(BackendAttempt attempt, String reason) {
-    log.attemptFailed(attempt.server().id(), reason, attempt.hasResponseBegun(), remaining());
-  }
-
-  private static void cancelTimer(@Nullable Future<?> timer) {
-    if (timer != null) {
-      timer.cancel(false);
-    }
-  }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -12,7 +12,9 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -33,11 +35,13 @@
   private final RelaySettings settings;
   private final BackendClient backends;
   private final RequestPlacer placer;
+  private final BlockedParts blockedParts;
   private final EventLog log;
   private final RelayMetrics metrics;
   private final RequestAuthorizer authorizer;
   private final LeastRequestBalancer balancer = new LeastRequestBalancer();
   private final AtomicReference<ServingView> view = new AtomicReference<>(ServingView.EMPTY);
+  private final Set<RelayCall> openCalls = new LinkedHashSet<>();
   private final AtomicInteger openRequestCount = new AtomicInteger();
   private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
   private int budgetNodeCount = 1;
@@ -49,12 +53,15 @@
       RelaySettings settings,
       BackendClient backends,
       RequestPlacer placer,
+      BlockedParts blockedParts,
       EventLog log,
       MeterRegistry registry) {
     this.timing = timing;
     this.settings = settings;
     this.backends = backends;
     this.placer = placer;
+    this.blockedParts = blockedParts;
+    blockedParts.addListener(new BlockedCallsEnder());
     this.log = log;
     metrics = new RelayMetrics(registry, openRequestCount);
     authorizer =
@@ -121,10 +128,24 @@
       refuse(request, caller, refused.refusal(), currentView);
     } else if (decision instanceof RequestAuthorizer.Decision.Allowed allowed) {
       retryBudget(allowed.service().name()).onRequest();
-      new RelayCall(this, request, caller, allowed, arrivedNanos).start();
+      RelayCall call = new RelayCall(this, request, caller, allowed, arrivedNanos);
+      openCalls.add(call);
+      call.start();
     }
   }
 
+  /** Ends the open requests whose prompts are blocked, before they crash another engine. */
+  private final class BlockedCallsEnder implements BlockedParts.BlockListener {
+
+    @Override
+    public void onBlocked(String part, BlockedParts.Source source) {
+      ImmutableList.copyOf(openCalls).forEach(call -> call.onPartBlocked(part));
+    }
+
+    @Override
+    public void onExpired(String part) {}
+  }
+
   private void refuse(
       RelayRequest request,
       CallerConnection caller,
@@ -150,8 +171,13 @@
     requestEnded();
   }
 
-  /** Records the end of a request; called once for each. */
-  void requestEnded() {
+  /** Records the end of a call; called once for each. */
+  void callEnded(RelayCall call) {
+    openCalls.remove(call);
+    requestEnded();
+  }
+
+  private void requestEnded() {
     openRequestCount.decrementAndGet();
   }
 
@@ -191,6 +217,10 @@
     return backends;
   }
 
+  BlockedParts blockedParts() {
+    return blockedParts;
+  }
+
   RequestPlacer placer() {
     return placer;
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
@@ -77,7 +77,12 @@
 
   /** Returns whether the response that is being received is a stream of events. */
   boolean isStream() {
-    return route.responseKind() == Route.ResponseKind.STREAM && status() / 100 == SUCCESS_CLASS;
+    return route.responseKind() == Route.ResponseKind.STREAM && isSuccess();
+  }
+
+  /** Returns whether the status of the response that is being received is a success. */
+  boolean isSuccess() {
+    return status() / 100 == SUCCESS_CLASS;
   }
 
   /** Returns whether the last chunk passed on contained the first event. */
--- a/node/src/test/java/dev/apricotmill/node/relay/DispatcherPlacerTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/DispatcherPlacerTest.java
@@ -14,6 +14,7 @@
 import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.pool.WorkReport;
+import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.RequestId;
@@ -28,6 +29,7 @@
 
   private final RelayFixture relay = new RelayFixture(1);
   private final LocalPlacer localPlacer = new LocalPlacer(relay.timing());
+  private final BlockedParts blockedParts = new BlockedParts(relay.timing(), (event, fields) -> {});
   private final ScriptedDispatchers dispatchers = new ScriptedDispatchers();
   private final List<String> events = new ArrayList<>();
   private final ImmutableList<Member> ranked = rankedMembers();
@@ -37,6 +39,8 @@
           localPlacer,
           dispatchers,
           ranked.get(2),
+          blockedParts,
+          new CrashWatch(relay.timing(), localPlacer, blockedParts),
           (event, fields) -> events.add(event));
   private final List<Placement> decisions = new ArrayList<>();
 
@@ -171,13 +175,13 @@
     dispatchers.answer(Optional.of(granted("pool2")));
 
     placer.firstEvent(RelayFixture.POOL, new RequestId("r1"));
-    placer.ended(RelayFixture.POOL, new RequestId("r1"));
+    placer.ended(RelayFixture.POOL, new RequestId("r1"), true);
     relay.time().advance(Duration.ofMillis(20));
 
     assertThat(dispatchers.reports)
         .containsExactly(
             new WorkReport.FirstEvent(RelayFixture.POOL, new RequestId("r1")),
-            new WorkReport.Ended(RelayFixture.POOL, new RequestId("r1")))
+            new WorkReport.Ended(RelayFixture.POOL, new RequestId("r1"), true))
         .inOrder();
   }
 
@@ -191,6 +195,7 @@
         new RequestId(request),
         RelayFixture.POOL,
         new GenerationSize(5_000, 100),
+        PromptParts.NONE,
         Duration.ofMillis(300),
         Duration.ofMillis(200),
         Duration.ofSeconds(5),
--- a/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
@@ -252,7 +252,7 @@
     private void fail(boolean maybeSent) {
       if (!ended) {
         ended = true;
-        listener.onFailure(maybeSent, "CONNECTION_LOST");
+        listener.onFailure(maybeSent, BackendFailure.CONNECTION_LOST);
       }
     }
 
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -62,6 +62,7 @@
                 MAX_STALENESS, CONFIGURATION_BOUND, Duration.ofSeconds(10), 0, retryReserve),
             new ScriptedBackends(),
             placer,
+            new BlockedParts(timing, (event, fields) -> log.add(event + " " + fields)),
             (event, fields) -> log.add(event + " " + fields),
             new SimpleMeterRegistry());
     node.update(view -> view.withConfiguration(configuration(1), Optional.of(validatedNow())));
@@ -293,7 +294,7 @@
     }
 
     void fail(boolean maybeSent) {
-      listener.onFailure(maybeSent, "test");
+      listener.onFailure(maybeSent, BackendFailure.CONNECTION_LOST);
       time.runDue();
     }
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
@@ -2,7 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.follow.FollowObserver;
 import dev.apricotmill.coordination.follow.ReadTimestamp;
+import dev.apricotmill.coordination.follow.SharedFollower;
 import dev.apricotmill.coordination.identity.DaemonId;
 import dev.apricotmill.coordination.identity.Incarnation;
 import dev.apricotmill.coordination.identity.Zone;
@@ -10,6 +12,8 @@
 import dev.apricotmill.coordination.membership.MemberState;
 import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.coordination.membership.RendezvousHash;
+import dev.apricotmill.coordination.platform.Platform;
+import dev.apricotmill.coordination.testing.FakePlatform;
 import dev.apricotmill.coordination.testing.VirtualScheduler;
 import dev.apricotmill.coordination.testing.VirtualTime;
 import dev.apricotmill.coordination.time.Timing;
@@ -37,6 +41,7 @@
 
   private final VirtualTime time = new VirtualTime();
   private final Timing network = time.newTiming();
+  private final FakePlatform store = new FakePlatform(time);
   private final Random random;
   private final EngineFleet engines;
   private final List<Node> nodes = new ArrayList<>();
@@ -157,8 +162,24 @@
               new Zone("a"),
               new PeerAddress("10.0.1.1", 1000 + number),
               MemberState.ALIVE);
-      placer = new DispatcherPlacer(timing, localPlacer, this, member, log);
-      endpoint = new PlacementEndpoint(timing, localPlacer, () -> false);
+      BlockedParts blockedParts = new BlockedParts(timing, log);
+      CrashWatch crashWatch = new CrashWatch(timing, localPlacer, blockedParts);
+      placer =
+          new DispatcherPlacer(timing, localPlacer, this, member, blockedParts, crashWatch, log);
+      endpoint = new PlacementEndpoint(timing, localPlacer, blockedParts, crashWatch, () -> false);
+      Platform storeClient = store.clientFor("n" + number, new Zone("a"), scheduler);
+      SharedFollower follower =
+          new SharedFollower(
+              storeClient,
+              timing,
+              member,
+              (peer, request, limits, callback) -> {},
+              FollowObserver.NONE);
+      follower.follow(
+          BlockedPartDirectory.KIND,
+          BlockedPartDirectory.FOLLOW_SETTINGS,
+          new BlockedPartDirectory(storeClient, timing, blockedParts));
+      follower.start();
       relay =
           new RelayNode(
               timing,
@@ -170,6 +191,7 @@
                   RETRY_RESERVE),
               engines,
               placer,
+              blockedParts,
               log,
               new SimpleMeterRegistry());
       relay.update(
