--- a/adapters/src/main/java/dev/apricotmill/adapters/StreamedExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/StreamedExchange.java
@@ -11,6 +11,7 @@
   private final StreamedResponseListener listener;
   private final StreamWindow window = new StreamWindow();
   private volatile boolean readingPaused;
+  private boolean rejected;
 
   StreamedExchange(PeerAddress peer, HttpCall call, StreamedResponseListener listener) {
     super(peer, call);
@@ -35,7 +36,10 @@
 
   @Override
   void onHead(HttpResponse head) {
-    listener.onHead(head);
+    if (!listener.onHead(head)) {
+      rejected = true;
+      close();
+    }
   }
 
   @Override
@@ -50,7 +54,10 @@
   public void consume(ByteBuffer source) {
     byte[] chunk = new byte[source.remaining()];
     source.get(chunk);
-    listener.onBody(chunk);
+    // What came with a rejected head is read in the same pass.
+    if (!rejected) {
+      listener.onBody(chunk);
+    }
   }
 
   @Override
--- a/adapters/src/main/java/dev/apricotmill/adapters/StreamedResponseListener.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/StreamedResponseListener.java
@@ -5,8 +5,13 @@
 /** Receives a response in chunks, on an I/O thread. */
 public interface StreamedResponseListener {
 
-  /** Handles the status and headers. */
-  void onHead(HttpResponse head);
+  /**
+   * Handles the status and headers.
+   *
+   * @return whether the response is accepted; if not, the connection is closed and no other method
+   *     is called
+   */
+  boolean onHead(HttpResponse head);
 
   /** Handles a chunk of the body. */
   void onBody(byte[] chunk);
--- a/adapters/src/test/java/dev/apricotmill/adapters/BrokenOffResponseTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/BrokenOffResponseTest.java
@@ -149,7 +149,9 @@
     }
 
     @Override
-    public void onHead(HttpResponse head) {}
+    public boolean onHead(HttpResponse head) {
+      return true;
+    }
 
     @Override
     public void onBody(byte[] chunk) {
--- a/adapters/src/test/java/dev/apricotmill/adapters/StreamedExchangeTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/StreamedExchangeTest.java
@@ -125,7 +125,9 @@
   private final class ByteCounter implements StreamedResponseListener {
 
     @Override
-    public void onHead(HttpResponse head) {}
+    public boolean onHead(HttpResponse head) {
+      return true;
+    }
 
     @Override
     public void onBody(byte[] chunk) {
