Pass nothing on in a stream that is no event of it

After a stream had begun and broken off, the next server answered with something else. A success without content ended the stream as if it were complete, events of a 204 went on into it, and the text of an error in a 200 became a part of it.

A server that is to resume a stream must answer with the status with which it began; anything else fails the attempt with its head, without waiting for its body. In a stream whose events have ids, an event without one fails the attempt.

RelayCallTest: nothingOfAnErrorReachesAStreamThatASecondServerWasToResume, anErrorWithoutAnEventIdIsNotPartOfAStream and aServerThatCannotResumeAStreamIsLeftAtOnce failed before.

--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -296,6 +296,9 @@
     }
     mayHaveRun = true;
     response.onHead(head);
+    if (response.isFailedResume()) {
+      failAttempt(attempt, true, BackendFailure.NOT_A_STREAM, false);
+    }
   }
 
   /** Excludes the helper that a refusal names as its cause, or else the refusing server. */
@@ -333,11 +336,7 @@
   @Override
   public void onEnd(BackendAttempt attempt) {
     if (response.isIncomplete()) {
-      failAttempt(
-          attempt,
-          true,
-          response.isStream() ? BackendFailure.ENDED_WITHIN_EVENT : BackendFailure.NOT_A_STREAM,
-          false);
+      failAttempt(attempt, true, BackendFailure.ENDED_WITHIN_EVENT, false);
       return;
     }
     close(attempt);
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
@@ -30,6 +30,7 @@
   private BackendClient.@Nullable Head fallbackHead;
   private byte @Nullable [] fallbackBody;
   private boolean streamBegun;
+  private int streamStatus;
   private boolean firstEventInChunk;
   private long firstEventNanos = -1;
   private long lastEventNanos = -1;
@@ -64,6 +65,7 @@
     firstEventInChunk = !streamBegun;
     if (firstEventInChunk) {
       streamBegun = true;
+      streamStatus = status();
       firstEventNanos = nowNanos;
       caller.beginStream(status(), headers());
     } else {
@@ -77,7 +79,9 @@
 
   /** Returns whether the response that is being received is a stream of events. */
   boolean isStream() {
-    return route.responseKind() == Route.ResponseKind.STREAM && isSuccess();
+    return route.responseKind() == Route.ResponseKind.STREAM
+        && isSuccess()
+        && (!streamBegun || status() == streamStatus);
   }
 
   /** Returns whether the status of the response that is being received is a success. */
@@ -102,13 +106,14 @@
     return body.size() > MAX_BUFFERED_BYTES || assembler.isTooLong();
   }
 
+  /** Returns whether a server that was to resume a stream has sent something else instead. */
+  boolean isFailedResume() {
+    return streamBegun && !isStream();
+  }
+
   /** Returns whether a response that ends now is visibly incomplete. */
   boolean isIncomplete() {
-    if (streamBegun) {
-      // A server that was to resume a stream may have sent an error response instead.
-      return !isStream() || assembler.hasPartial();
-    }
-    return isStream();
+    return isStream() && (!streamBegun || assembler.hasPartial());
   }
 
   boolean isServerError() {
--- a/node/src/main/java/dev/apricotmill/node/relay/SseEventAssembler.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/SseEventAssembler.java
@@ -12,6 +12,7 @@
 final class SseEventAssembler {
 
   private static final String ID_FIELD = "id:";
+  private static final String COMMENT = ":";
   private static final byte[] NO_BYTES = {};
 
   /** An event holds a few dozen tokens; anything much longer is not a valid event. */
@@ -60,16 +61,31 @@
     return lastId;
   }
 
-  /** Returns whether an event had an id that is not a number above the previous id. */
+  /** Returns whether an event had no id, or one that is not a number above the previous id. */
   boolean isOutOfOrder() {
     return outOfOrder;
   }
 
   private void readIds(byte[] completeEvents) {
-    new String(completeEvents, StandardCharsets.ISO_8859_1)
-        .lines()
-        .filter(line -> line.startsWith(ID_FIELD))
-        .forEach(line -> readId(line.substring(ID_FIELD.length()).strip()));
+    boolean hasField = false;
+    boolean hasId = false;
+    for (String line :
+        new String(completeEvents, StandardCharsets.ISO_8859_1).split("\\r?\\n", -1)) {
+      if (line.startsWith(ID_FIELD)) {
+        readId(line.substring(ID_FIELD.length()).strip());
+        hasId = true;
+      } else if (line.isEmpty()) {
+        onEventEnd(hasField, hasId);
+        hasField = false;
+        hasId = false;
+      }
+      hasField |= !line.isEmpty() && !line.startsWith(COMMENT);
+    }
+  }
+
+  /** What has no id where events have one is an error's text, for example. */
+  private void onEventEnd(boolean hasField, boolean hasId) {
+    outOfOrder |= hasField && !hasId && lastId.isPresent();
   }
 
   private void readId(String text) {
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayCallTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayCallTest.java
@@ -6,6 +6,7 @@
 import dev.apricotmill.node.relay.RelayFixture.RecordedCaller;
 import dev.apricotmill.node.relay.RelayFixture.SentExchange;
 import java.time.Duration;
+import java.util.List;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
@@ -299,4 +300,55 @@
     assertThat(caller.ended()).isFalse();
     assertThat(caller.aborted()).isTrue();
   }
+
+  @Test
+  void nothingOfAnErrorReachesAStreamThatASecondServerWasToResume() {
+    for (int status : new int[] {204, 302, 404, 429, 500, 503}) {
+      RelayFixture fixture = new RelayFixture(RETRY_RESERVE);
+      RecordedCaller caller = acceptAndBreakStream(fixture);
+
+      fixture.last().head(status, false);
+      fixture.last().body("id: 2\ndata: error\n\n");
+      fixture.last().end();
+
+      assertThat(caller.body()).isEqualTo("id: 1\ndata: a\n\n");
+      assertThat(caller.ended()).isFalse();
+      assertThat(caller.aborted()).isTrue();
+    }
+  }
+
+  @Test
+  void anErrorWithoutAnEventIdIsNotPartOfAStream() {
+    for (String error : List.of("{\"error\": \"no memory\"}\n\n", "HTTP/1.1 500 Error\r\n\r\n")) {
+      RelayFixture fixture = new RelayFixture(RETRY_RESERVE);
+      RecordedCaller caller = acceptAndBreakStream(fixture);
+
+      fixture.last().head(200, false);
+      fixture.last().body(error);
+      fixture.last().end();
+
+      assertThat(caller.body()).isEqualTo("id: 1\ndata: a\n\n");
+      assertThat(caller.ended()).isFalse();
+      assertThat(caller.aborted()).isTrue();
+    }
+  }
+
+  @Test
+  void aServerThatCannotResumeAStreamIsLeftAtOnce() {
+    RecordedCaller caller = acceptAndBreakStream(relay);
+
+    relay.last().head(500, false);
+
+    assertThat(relay.last().cancelled()).isTrue();
+    assertThat(caller.aborted()).isTrue();
+  }
+
+  /** Begins a stream, breaks it off after an event, and lets a second server be asked. */
+  private static RecordedCaller acceptAndBreakStream(RelayFixture relay) {
+    RecordedCaller caller = relay.accept("/stream/1");
+    relay.last().head(200, false);
+    relay.last().body("id: 1\ndata: a\n\n");
+    relay.last().fail(true);
+    return caller;
+  }
 }
