Tell the part that crashes engines from those that only come with it

Nodes now also tell a new dispatcher on which parts most responses were written. Five engines have to end before a part is blamed; it must not be missing on most engines that ended, the one that is missing on fewest comes first, and of parts that nothing tells apart none is blamed before twelve engines have ended.

--- a/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
@@ -183,6 +183,21 @@
     crashes.onBrokenOff(server, promptParts, millis(atNanos));
   }
 
+  /**
+   * Records responses to prompts with a part that another node has seen.
+   *
+   * @param weight their number, in which earlier ones count less
+   * @param lastNanos when the last of them was written
+   */
+  public void onWritten(String part, double weight, long lastNanos) {
+    crashes.onWritten(part, weight, millis(lastNanos));
+  }
+
+  /** Returns the parts of prompts to which most responses were written. */
+  public ImmutableList<CrashAttribution.WrittenPart> mostWritten(int limit, long nowNanos) {
+    return crashes.mostWritten(limit, millis(nowNanos));
+  }
+
   /**
    * Returns a part of prompts under which one engine after the other has ended.
    *
--- a/core/src/main/java/dev/apricotmill/core/pool/WorkReport.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/WorkReport.java
@@ -61,6 +61,22 @@
     }
   }
 
+  /**
+   * Responses that were written on a part of prompts, for a new dispatcher.
+   *
+   * @param service the pool
+   * @param part the part
+   * @param weight the number of responses, in which earlier ones count less
+   * @param age how long ago the last of them was written
+   */
+  record PartWritten(ServiceName service, String part, double weight, Duration age)
+      implements WorkReport {
+    @Override
+    public void applyTo(PoolScheduler scheduler, long nowNanos) {
+      scheduler.onWritten(part, weight, nowNanos - age.toNanos());
+    }
+  }
+
   /**
    * A part of prompts is known to crash engines. It changes no pool.
    *
--- a/core/src/main/java/dev/apricotmill/core/prompt/CrashAttribution.java
+++ b/core/src/main/java/dev/apricotmill/core/prompt/CrashAttribution.java
@@ -24,8 +24,9 @@
  * engine that begins to write its response, and with it many sound requests. A part is blamed if
  * requests with it were broken off on several engines, one after the other, and no response to a
  * prompt with it was written in between. A part on which many responses were written lately, such
- * as a common first part, needs more evidence. Engines that ended while a blamed part was on them
- * speak against no other part.
+ * as a common first part, needs more evidence, and no part is blamed that is missing on most
+ * engines that ended. Engines that ended while a blamed part was on them speak against no other
+ * part.
  *
  * <p>Times are in milliseconds of a monotonic clock. Not thread-safe.
  */
@@ -34,9 +35,12 @@
   /** How long after a crash all nodes with requests on the engine have reported it. */
   public static final Duration SETTLE_TIME = Duration.ofMillis(100);
 
-  private static final int MIN_CRASHES = 4;
+  private static final int MIN_CRASHES = 5;
   private static final int MAX_EXTRA_CRASHES = 8;
 
+  /** Parts that nothing tells apart are not blamed before this many engines have ended. */
+  private static final int MAX_AMBIGUOUS_CRASHES = 12;
+
   /** A request that is repeated must not count as several. */
   private static final int MIN_DIFFERENT_PROMPTS = 2;
 
@@ -53,6 +57,12 @@
   /** The time in which the weight of an earlier response falls to half. */
   private static final double HALF_LIFE_MILLIS = 30_000;
 
+  private static final Comparator<Suspect> LIKELIEST_FIRST =
+      Comparator.comparingDouble(Suspect::weight)
+          .thenComparingInt(Suspect::otherCrashes)
+          .thenComparing(Comparator.comparingInt(Suspect::position).reversed())
+          .thenComparing(Comparator.comparingInt(Suspect::crashes).reversed());
+
   private final Deque<Crash> crashes = new ArrayDeque<>();
   private final Map<String, PartHistory> histories =
       new LinkedHashMap<>(16, 0.75f, true) {
@@ -94,9 +104,9 @@
       return weight == 0 ? 0 : weight * Math.pow(0.5, (nowMillis - lastMillis) / HALF_LIFE_MILLIS);
     }
 
-    PartHistory withResponseAt(double atMillis) {
-      double latest = Math.max(lastMillis, atMillis);
-      return new PartHistory(latest, weightAt(latest) + 1);
+    PartHistory plus(PartHistory other) {
+      double latest = Math.max(lastMillis, other.lastMillis);
+      return new PartHistory(latest, weightAt(latest) + other.weightAt(latest));
     }
   }
 
@@ -105,21 +115,48 @@
    *
    * @param part the part
    * @param crashes the number of engines that ended under it
+   * @param otherCrashes engines that ended without it in the same time
    * @param weight the weight of responses that were written on it
    * @param position its greatest index in a prompt; what comes later is shared by fewer prompts
    */
-  private record Suspect(String part, int crashes, double weight, int position) {}
+  private record Suspect(String part, int crashes, int otherCrashes, double weight, int position) {}
+
+  /**
+   * The responses that were written on a part.
+   *
+   * @param part the part
+   * @param weight their number, in which earlier ones count less
+   * @param lastMillis when the last of them was written
+   */
+  public record WrittenPart(String part, double weight, double lastMillis) {}
 
   /** Records that a response was written to its end, or long enough to clear its prompt's parts. */
   public void onWritten(PromptParts prompt, double atMillis) {
-    prompt
-        .shared()
-        .forEach(
-            part ->
-                histories.compute(
-                    part,
-                    (id, history) ->
-                        (history == null ? PartHistory.NONE : history).withResponseAt(atMillis)));
+    prompt.shared().forEach(part -> onWritten(part, 1, atMillis));
+  }
+
+  /**
+   * Records responses that another dispatcher knew of.
+   *
+   * @param weight their number, in which earlier ones count less
+   * @param lastMillis when the last of them was written
+   */
+  public void onWritten(String part, double weight, double lastMillis) {
+    histories.merge(part, new PartHistory(lastMillis, weight), PartHistory::plus);
+  }
+
+  /** Returns the parts on which most responses were written. */
+  public ImmutableList<WrittenPart> mostWritten(int limit, double nowMillis) {
+    return histories.entrySet().stream()
+        .sorted(
+            Comparator.comparingDouble(
+                (Map.Entry<String, PartHistory> entry) -> -entry.getValue().weightAt(nowMillis)))
+        .limit(limit)
+        .map(
+            entry ->
+                new WrittenPart(
+                    entry.getKey(), entry.getValue().weight(), entry.getValue().lastMillis()))
+        .collect(ImmutableList.toImmutableList());
   }
 
   /** Records that an engine broke off a response before, or soon after, it began to write it. */
@@ -150,13 +187,16 @@
             .filter(crash -> !crash.containsAny(blamed))
             .sorted(Comparator.comparingDouble(Crash::atMillis))
             .collect(ImmutableList.toImmutableList());
-    return parts(unexplained).stream()
-        .flatMap(part -> suspect(part, unexplained, nowMillis).stream())
-        .max(
-            Comparator.comparingDouble((Suspect suspect) -> -suspect.weight())
-                .thenComparingInt(Suspect::position)
-                .thenComparingInt(Suspect::crashes)
-                .thenComparing(Suspect::part))
+    ImmutableList<Suspect> suspects =
+        parts(unexplained).stream()
+            .flatMap(part -> suspect(part, unexplained, nowMillis).stream())
+            .sorted(LIKELIEST_FIRST)
+            .collect(ImmutableList.toImmutableList());
+    boolean ambiguous =
+        suspects.size() > 1 && LIKELIEST_FIRST.compare(suspects.get(0), suspects.get(1)) == 0;
+    return suspects.stream()
+        .findFirst()
+        .filter(likeliest -> !ambiguous || likeliest.crashes() >= MAX_AMBIGUOUS_CRASHES)
         .map(Suspect::part);
   }
 
@@ -169,16 +209,15 @@
 
   private Optional<Suspect> suspect(String part, List<Crash> unexplained, double nowMillis) {
     PartHistory history = histories.getOrDefault(part, PartHistory.NONE);
-    List<Crash> counted = new ArrayList<>();
-    for (Crash crash : unexplained) {
-      boolean simultaneous =
-          !counted.isEmpty()
-              && crash.atMillis() - counted.get(counted.size() - 1).atMillis()
-                  < SIMULTANEOUS_MILLIS;
-      if (crash.atMillis() > history.lastMillis() && crash.contains(part) && !simultaneous) {
-        counted.add(crash);
-      }
-    }
+    List<Crash> since =
+        unexplained.stream().filter(crash -> crash.atMillis() > history.lastMillis()).toList();
+    List<Crash> counted =
+        oneAfterTheOther(since.stream().filter(crash -> crash.contains(part)).toList());
+    List<Crash> others =
+        oneAfterTheOther(
+            since.stream()
+                .filter(crash -> !crash.contains(part) && crash.prompts().size() > 1)
+                .toList());
     double weight = history.weightAt(nowMillis);
     ImmutableSet<PromptParts> prompts =
         counted.stream()
@@ -186,11 +225,26 @@
             .filter(prompt -> prompt.shared().contains(part))
             .collect(ImmutableSet.toImmutableSet());
     int required = MIN_CRASHES + (int) Math.min(MAX_EXTRA_CRASHES, weight);
-    if (counted.size() < required || prompts.size() < MIN_DIFFERENT_PROMPTS) {
+    if (counted.size() < required
+        || counted.size() < others.size()
+        || prompts.size() < MIN_DIFFERENT_PROMPTS) {
       return Optional.empty();
     }
     int position =
         prompts.stream().mapToInt(prompt -> prompt.shared().indexOf(part)).max().orElse(0);
-    return Optional.of(new Suspect(part, counted.size(), weight, position));
+    return Optional.of(new Suspect(part, counted.size(), others.size(), weight, position));
+  }
+
+  /** Returns crashes without those that came too soon after another to have a cause of its own. */
+  private static List<Crash> oneAfterTheOther(List<Crash> crashes) {
+    List<Crash> separate = new ArrayList<>();
+    for (Crash crash : crashes) {
+      if (separate.isEmpty()
+          || crash.atMillis() - separate.get(separate.size() - 1).atMillis()
+              >= SIMULTANEOUS_MILLIS) {
+        separate.add(crash);
+      }
+    }
+    return separate;
   }
 }
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/PlacementMessages.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/PlacementMessages.java
@@ -16,6 +16,7 @@
 import dev.apricotmill.protocol.generated.RunningWork;
 import dev.apricotmill.protocol.generated.WorkEvent;
 import dev.apricotmill.protocol.generated.WorkPlaced;
+import dev.apricotmill.protocol.generated.WrittenPart;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -95,6 +96,12 @@
               .setServer(broken.server().value())
               .addAllPromptParts(broken.promptParts().ids())
               .setAgeMillis(broken.age().toMillis()));
+    } else if (report instanceof WorkReport.PartWritten written) {
+      message.setWrittenPart(
+          WrittenPart.newBuilder()
+              .setPart(written.part())
+              .setWeight(written.weight())
+              .setAgeMillis(written.age().toMillis()));
     } else if (report instanceof WorkReport.PartBlocked blocked) {
       message.setBlockedPart(blocked.part());
     }
@@ -113,6 +120,7 @@
                   service, new ReplicaId(message.getFailedServer()), message.getUnreachable()));
       case RUNNING -> Optional.of(fromMessage(message.getRunning()));
       case BROKEN_OFF -> Optional.of(fromMessage(service, message.getBrokenOff()));
+      case WRITTEN_PART -> Optional.of(fromMessage(service, message.getWrittenPart()));
       case BLOCKED_PART ->
           Optional.of(new WorkReport.PartBlocked(service, message.getBlockedPart()));
       case EVENT_NOT_SET -> Optional.empty();
@@ -127,6 +135,11 @@
         Duration.ofMillis(message.getAgeMillis()));
   }
 
+  private static WorkReport fromMessage(ServiceName service, WrittenPart message) {
+    return new WorkReport.PartWritten(
+        service, message.getPart(), message.getWeight(), Duration.ofMillis(message.getAgeMillis()));
+  }
+
   private static WorkReport fromMessage(RunningWork message) {
     return new WorkReport.Running(
         fromMessage(message.getAsk()), fromMessage(message.getGranted()), message.getReading());
--- a/daemon/src/test/java/dev/apricotmill/daemon/inner/PlacementMessagesTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/inner/PlacementMessagesTest.java
@@ -63,6 +63,7 @@
             new WorkReport.Ended(POOL, REQUEST, true),
             new WorkReport.Ended(POOL, REQUEST, false),
             new WorkReport.BrokenOff(POOL, new ReplicaId("a"), PROMPT_PARTS, Duration.ofMillis(30)),
+            new WorkReport.PartWritten(POOL, "5c1e", 2.5, Duration.ofMillis(30)),
             new WorkReport.PartBlocked(POOL, "5c1e"),
             new WorkReport.Failed(POOL, new ReplicaId("a"), true),
             new WorkReport.Running(PLACEMENT_REQUEST, GRANTED, true))) {
--- a/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
@@ -48,6 +48,9 @@
   /** A zone with at least this many suspected nodes counts as unreachable. */
   private static final int SUSPECTED_NODES_OF_LOST_ZONE = 2;
 
+  /** The parts of prompts that a new dispatcher must not blame for crashes by mistake. */
+  private static final int MAX_REPORTED_PARTS = 64;
+
   private static final Duration MIN_SUSPICION = Duration.ofMillis(500);
 
   /** How often a silent node is probed; limits how late the end of a partition is detected. */
@@ -285,6 +288,7 @@
     ImmutableList<WorkReport> reports =
         ImmutableList.<WorkReport>builder()
             .addAll(work)
+            .addAll(localPlacer.mostWrittenParts(service, MAX_REPORTED_PARTS))
             .addAll(evidence.reports(service, timing.nanoTime()))
             .addAll(
                 blockedParts.parts().stream()
--- a/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.node.relay;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.pool.Placement;
@@ -16,6 +17,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** Places requests by the state that this node alone has. Runs on the relay's executor. */
@@ -58,6 +60,22 @@
     return Optional.ofNullable(poolSchedulers.get(service));
   }
 
+  /** Returns reports on the parts of prompts to which most responses of a pool were written. */
+  ImmutableList<WorkReport> mostWrittenParts(ServiceName service, int limit) {
+    long now = timing.nanoTime();
+    return poolScheduler(service).stream()
+        .flatMap(pool -> pool.mostWritten(limit, now).stream())
+        .map(
+            written ->
+                new WorkReport.PartWritten(
+                    service,
+                    written.part(),
+                    written.weight(),
+                    Duration.ofMillis(
+                        TimeUnit.NANOSECONDS.toMillis(now) - (long) written.lastMillis())))
+        .collect(ImmutableList.toImmutableList());
+  }
+
   @Override
   public void place(PlacementRequest placementRequest, Consumer<Placement> callback) {
     callback.accept(
