--- a/node/src/test/java/dev/apricotmill/node/relay/CrashingPromptPartSoakTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/CrashingPromptPartSoakTest.java
@@ -6,7 +6,6 @@
 import com.google.common.collect.Sets;
 import dev.apricotmill.core.prompt.PromptParts;
 import java.time.Duration;
-import java.util.List;
 import java.util.Random;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -19,9 +18,6 @@
 final class CrashingPromptPartSoakTest {
 
   private static final String CRASHING_PART = "bad";
-  private static final Duration LEARNING_TIME = Duration.ofSeconds(3);
-  private static final int LEARNING_CRASHES = 5;
-  private static final int MAX_LATER_ARRIVALS = 3;
   private static final Duration TICK = Duration.ofMillis(10);
   private static final Duration CALM = Duration.ofSeconds(5);
   private static final Duration TROUBLE = Duration.ofSeconds(25);
@@ -45,20 +41,8 @@
         .that(Sets.difference(fleet.blockedParts(), ImmutableSet.of(CRASHING_PART)))
         .isEmpty();
     assertWithMessage("later arrivals, seed %s", seed)
-        .that(laterArrivals(fleet))
-        .isAtMost(MAX_LATER_ARRIVALS);
-  }
-
-  private static long laterArrivals(RelayFleet fleet) {
-    List<Duration> crashes = fleet.engines().crashes();
-    if (crashes.size() < LEARNING_CRASHES) {
-      return 0;
-    }
-    Duration from = crashes.get(LEARNING_CRASHES - 1).plus(LEARNING_TIME);
-    return fleet.engines().arrivals().stream()
-        .filter(arrival -> arrival.parts().ids().contains(CRASHING_PART))
-        .filter(arrival -> arrival.at().compareTo(from) > 0)
-        .count();
+        .that(fleet.engines().arrivalsAfterLearning())
+        .isAtMost(EngineFleet.MAX_ARRIVALS_AFTER_LEARNING);
   }
 
   /** Sends prompts and disturbs the fleet at random. */
--- a/node/src/test/java/dev/apricotmill/node/relay/CrashingPromptPartTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/CrashingPromptPartTest.java
@@ -20,11 +20,6 @@
   private static final String SHARED_FIRST_PART = "f0";
   private static final String CRASHING_PART = "bad";
 
-  /** The fifth crash and this time later, no more than three requests with the part are sent. */
-  private static final Duration LEARNING_TIME = Duration.ofSeconds(3);
-
-  private static final int LEARNING_CRASHES = 5;
-  private static final int MAX_LATER_ARRIVALS = 3;
   private static final Duration TICK = Duration.ofMillis(10);
 
   private final List<Sound> soundRequests = new ArrayList<>();
@@ -86,8 +81,7 @@
     Duration calmEnd = fleet.now();
     fleet.engines().addCrashingPart(CRASHING_PART);
     playWithCrashingPrompts(fleet, Duration.ofSeconds(5));
-    Duration from = fleet.engines().crashes().get(LEARNING_CRASHES - 1).plus(LEARNING_TIME);
-    from = from.plus(LEARNING_TIME);
+    Duration from = fleet.engines().learningEnd().orElseThrow().plus(EngineFleet.LEARNING_TIME);
 
     playWithCrashingPrompts(fleet, Duration.ofSeconds(15));
 
@@ -151,20 +145,11 @@
   }
 
   private static void assertLaterArrivalsAreFew(RelayFleet fleet) {
-    List<Duration> crashes = fleet.engines().crashes();
-    assertThat(crashes.size()).isAtLeast(1);
-    if (crashes.size() < LEARNING_CRASHES) {
-      return;
-    }
-    Duration from = crashes.get(LEARNING_CRASHES - 1).plus(LEARNING_TIME);
-    long later =
-        fleet.engines().arrivals().stream()
-            .filter(arrival -> arrival.parts().ids().contains(CRASHING_PART))
-            .filter(arrival -> arrival.at().compareTo(from) > 0)
-            .count();
-    assertWithMessage("sends after the fifth of %s crashes", crashes.size())
-        .that(later)
-        .isAtMost(MAX_LATER_ARRIVALS);
+    int crashes = fleet.engines().crashes().size();
+    assertThat(crashes).isAtLeast(1);
+    assertWithMessage("sends after the fifth of %s crashes", crashes)
+        .that(fleet.engines().arrivalsAfterLearning())
+        .isAtMost(EngineFleet.MAX_ARRIVALS_AFTER_LEARNING);
   }
 
   private static boolean begunAtFirstAttempt(Sound sound) {
--- a/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
@@ -31,6 +31,14 @@
   /** The header with the number of the attempt that a response belongs to. */
   static final String ATTEMPT = "attempt";
 
+  /** The crashes after which a part is to be known, and the time from the last of them. */
+  private static final int LEARNING_CRASHES = 5;
+
+  static final Duration LEARNING_TIME = Duration.ofSeconds(3);
+
+  /** Requests with a crashing part that may still be sent once it is to be known. */
+  static final int MAX_ARRIVALS_AFTER_LEARNING = 3;
+
   private static final Duration NETWORK_DELAY = Duration.ofMillis(1);
   private static final Duration MIN_FIRST_TOKEN_DELAY = Duration.ofMillis(50);
   private static final int FIRST_TOKEN_SPREAD_MILLIS = 100;
@@ -65,18 +73,28 @@
    * A request that reached an engine.
    *
    * @param at when it was sent
-   * @param request the request's identifier
    * @param parts the parts of its prompt
    */
-  record Arrival(Duration at, String request, PromptParts parts) {}
+  private record Arrival(Duration at, PromptParts parts) {}
 
   void addCrashingPart(String part) {
     crashingParts.add(part);
   }
 
-  /** Returns the requests that were sent to engines, in order. */
-  List<Arrival> arrivals() {
-    return arrivals;
+  /** Returns when a crashing part was to be known; empty while too few engines have crashed. */
+  Optional<Duration> learningEnd() {
+    return crashes.stream()
+        .skip(LEARNING_CRASHES - 1)
+        .findFirst()
+        .map(crash -> crash.plus(LEARNING_TIME));
+  }
+
+  /** Returns how many requests with a crashing part were sent once it was to be known. */
+  long arrivalsAfterLearning() {
+    return learningEnd().stream()
+        .flatMap(end -> arrivals.stream().filter(arrival -> arrival.at().compareTo(end) > 0))
+        .filter(arrival -> arrival.parts().ids().stream().anyMatch(crashingParts::contains))
+        .count();
   }
 
   /** Returns when engines have ended because of a prompt. */
@@ -110,8 +128,7 @@
       Run run = new Run(request, attempt, listener);
       runs.removeIf(open -> open.ended);
       runs.add(run);
-      arrivals.add(
-          new Arrival(now(), request.request().id().value(), request.request().promptParts()));
+      arrivals.add(new Arrival(now(), request.request().promptParts()));
       timing.schedule(NETWORK_DELAY, () -> arrive(run));
       return run;
     }
