--- a/node/src/test/java/dev/apricotmill/node/relay/CrashingPromptPartTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/CrashingPromptPartTest.java
@@ -73,7 +73,7 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"1, 6, 31", "8, 26, 32", "30, 60, 33"})
+  @CsvSource({"1, 6, 31", "8, 26, 32", "30, 60, 33", "95, 80, 34"})
   void soundRequestsThatShareTheOtherPartsBeginAtTheFirstAttempt(
       int nodeCount, int engineCount, long seed) {
     RelayFleet fleet = fleet(nodeCount, engineCount, seed);
