--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
@@ -61,15 +61,16 @@
     HttpAsyncRequester requester =
         new HttpAsyncRequester(
             reactorConfig(settings),
-            new ClientHttp1IOEventHandlerFactory(connectionFactory(), null, null),
-            null,
-            null,
+            new ClientHttp1IOEventHandlerFactory(
+                connectionFactory(), /* tlsStrategy= */ null, /* handshakeTimeout= */ null),
+            /* ioSessionDecorator= */ null,
+            /* exceptionCallback= */ null,
             new IdleTimeoutRemover(),
             connectionPool(settings),
-            null,
-            null,
-            null,
-            null);
+            /* tlsStrategy= */ null,
+            /* handshakeTimeout= */ null,
+            /* threadPoolListener= */ null,
+            /* workerSelector= */ null);
     requester.setMaxTotal(settings.connections());
     requester.start();
     return new HttpClients(requester, settings, timing);
@@ -93,7 +94,7 @@
         DefaultConnectionReuseStrategy.INSTANCE,
         CompleteHeadParser.factory(new DefaultHttpResponseParserFactory(config)),
         DefaultHttpRequestWriterFactory.INSTANCE,
-        null);
+        /* streamListener= */ null);
   }
 
   private static LaxConnPool<HttpHost, IOSession> connectionPool(HttpClientSettings settings) {
@@ -102,7 +103,7 @@
         timeout(settings.connectionLifetime()),
         PoolReusePolicy.LIFO,
         new DefaultDisposalCallback<>(),
-        null);
+        /* connPoolListener= */ null);
   }
 
   private static Http1Config http1Config() {
