Log the status that a caller was told, and which server wrote it

After the REFUSED report nobody could tell from the logs whether a refusal was the node's own or a server's response that was passed on: relay.ended says ANSWERED for both a success and a 503. It now has the status that the caller was told and the last server asked, and apricotmill_relay_passed_on_total counts the responses of servers by status. A line with the outcome ANSWERED and status 503 shows the first hypothesis, REFUSED_BY_SERVER for a request that ran the second.

--- a/node/src/main/java/dev/apricotmill/node/relay/CallLog.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CallLog.java
@@ -11,9 +11,13 @@
 /** Logs the decisions on one request, one line each. */
 final class CallLog {
 
+  /** The status of a request whose caller left before it was told one. */
+  static final int NO_STATUS = 0;
+
   private final RelayNode node;
   private final RequestId request;
   private final ImmutableList<String> promptParts;
+  private String lastServer = "";
 
   CallLog(RelayNode node, RelayRequest request) {
     this.node = node;
@@ -29,11 +33,12 @@
       int attemptNumber,
       Duration remaining,
       Duration expected) {
+    lastServer = server.id().value();
     node.log(
         "relay.sent",
         request,
         ImmutableMap.of(
-            "server", server.id().value(),
+            "server", lastServer,
             "service", service.value(),
             "helpers", helpers.stream().map(helper -> helper.address().toString()).toList(),
             "send", attemptNumber,
@@ -59,34 +64,33 @@
             "prompt_parts", promptParts));
   }
 
+  /**
+   * How a request ended.
+   *
+   * @param outcome the name of the refusal, or what else ended it
+   * @param status the status that the caller was told; {@link #NO_STATUS} if it had left
+   * @param attempts the number of attempts of which a byte may have been sent
+   * @param mayHaveRun whether a server may have run it
+   * @param tookNanos the time since it arrived
+   */
+  record Ending(String outcome, int status, int attempts, boolean mayHaveRun, long tookNanos) {}
+
   /** Logs the end of the request: its final response, or the caller's disconnect. */
-  void ended(
-      String outcome,
-      Route route,
-      int attempts,
-      boolean mayHaveRun,
-      RelayResponse response,
-      long arrivedNanos,
-      long tookNanos) {
+  void ended(Ending ending, Route route, RelayResponse response, long arrivedNanos) {
     node.log(
         "relay.ended",
         request,
-        ImmutableMap.of(
-            "outcome",
-            outcome,
-            "route",
-            route.name(),
-            "sends",
-            attempts,
-            "may_have_run",
-            mayHaveRun,
-            "first_event_ms",
-            response.firstEventMillis(arrivedNanos),
-            "longest_pause_ms",
-            response.longestEventGapMillis(),
-            "took_ms",
-            Duration.ofNanos(tookNanos).toMillis(),
-            "prompt_parts",
-            promptParts));
+        ImmutableMap.<String, Object>builder()
+            .put("outcome", ending.outcome())
+            .put("status", ending.status())
+            .put("server", lastServer)
+            .put("route", route.name())
+            .put("sends", ending.attempts())
+            .put("may_have_run", ending.mayHaveRun())
+            .put("first_event_ms", response.firstEventMillis(arrivedNanos))
+            .put("longest_pause_ms", response.longestEventGapMillis())
+            .put("took_ms", Duration.ofNanos(ending.tookNanos()).toMillis())
+            .put("prompt_parts", promptParts)
+            .buildOrThrow());
   }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -1,7 +1,6 @@
 package dev.apricotmill.node.relay;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.pool.PoolScheduler;
 import dev.apricotmill.core.relay.BackendServer;
@@ -11,9 +10,7 @@
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.ServiceName;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -35,7 +32,7 @@
   private final RequestAuthorizer.Decision.Allowed decision;
   private final long arrivedNanos;
   private final long deadlineNanos;
-  private final Set<ReplicaId> excludedServers = new HashSet<>();
+  private final FailedServers failedServers;
   private final RelayResponse response;
   private final CallLog log;
   private final EngineAllocation allocation;
@@ -67,6 +64,7 @@
     response = new RelayResponse(decision.route(), request.resumeAfterEvent(), caller, window);
     allocation = new EngineAllocation(node, this);
     log = new CallLog(node, request);
+    failedServers = new FailedServers(node, service());
     limits = new AttemptLimits(node, route(), service(), this::remaining);
     deadlineTimer = new ResettableTimer(node.timing(), this::onDeadline);
     silenceTimer = new ResettableTimer(node.timing(), this::onSilenceTimeout);
@@ -104,7 +102,7 @@
         node.balancer()
             .choose(
                 node.view().readyServers(service()),
-                ImmutableSet.copyOf(excludedServers),
+                failedServers.excluded(),
                 node.timing().nanoTime());
     if (server.isPresent()) {
       send(server.get(), ImmutableList.of(), route().timeout());
@@ -123,7 +121,7 @@
         route().latencyTarget().minusNanos(waitedNanos),
         route().eventGapTarget().orElse(route().latencyTarget()),
         remaining(),
-        ImmutableSet.copyOf(excludedServers));
+        failedServers.excluded());
   }
 
   @Override
@@ -134,7 +132,7 @@
 
   @Override
   public void onUnusable(Optional<ReplicaId> server, RelayRefusal reason) {
-    server.ifPresent(excludedServers::add);
+    server.ifPresent(failedServers::exclude);
     tryNextServer(reason);
   }
 
@@ -220,7 +218,9 @@
     if (ended) {
       return;
     }
-    finish(refusal.name(), false);
+    RelayRefusal reportedRefusal =
+        mayHaveRun && refusal.guaranteesNotRun() ? RelayRefusal.BROKEN : refusal;
+    finish(refusal.name(), response.statusToCaller().orElse(reportedRefusal.status()), false);
     if (response.sendFallback()) {
       return;
     }
@@ -228,8 +228,6 @@
       caller.abort();
       return;
     }
-    RelayRefusal reportedRefusal =
-        mayHaveRun && refusal.guaranteesNotRun() ? RelayRefusal.BROKEN : refusal;
     node.metrics().recordRefusal(reportedRefusal);
     caller.refuse(reportedRefusal, retryAfter);
   }
@@ -265,11 +263,11 @@
   private void endAfterDisconnect() {
     if (!ended) {
       node.metrics().recordCallerGone();
-      finish("CALLER_GONE", false);
+      finish("CALLER_GONE", CallLog.NO_STATUS, false);
     }
   }
 
-  private void finish(String outcome, boolean completed) {
+  private void finish(String outcome, int status, boolean completed) {
     ended = true;
     deadlineTimer.cancel();
     silenceTimer.cancel();
@@ -279,7 +277,11 @@
     }
     allocation.close(completed);
     long tookNanos = node.timing().nanoTime() - arrivedNanos;
-    log.ended(outcome, route(), limits.attempts(), mayHaveRun, response, arrivedNanos, tookNanos);
+    log.ended(
+        new CallLog.Ending(outcome, status, limits.attempts(), mayHaveRun, tookNanos),
+        route(),
+        response,
+        arrivedNanos);
     node.metrics().recordEnd(tookNanos);
     node.callEnded(this);
   }
@@ -290,7 +292,7 @@
       log.attemptFailed(attempt, "not_run " + head.status(), remaining());
       // A refusal is short: reading it to the end lets the connection be reused.
       close(attempt);
-      excludeFaultyServer(attempt, head.faultyServer());
+      failedServers.onRefusal(attempt.server().id(), head.faultyServer());
       retryOrRefuse(RelayRefusal.REFUSED_BY_SERVER);
       return;
     }
@@ -301,15 +303,6 @@
     }
   }
 
-  /** Excludes the helper that a refusal names as its cause, or else the refusing server. */
-  private void excludeFaultyServer(BackendAttempt attempt, Optional<String> faultyServer) {
-    ReplicaId refusing = attempt.server().id();
-    ReplicaId excluded =
-        faultyServer.flatMap(name -> node.view().findServer(service(), name)).orElse(refusing);
-    excludedServers.add(excluded);
-    node.placer().failed(service(), excluded, !excluded.equals(refusing));
-  }
-
   @Override
   public void onBody(BackendAttempt attempt, byte[] chunk) {
     int sentBytes = response.onBody(chunk, node.timing().nanoTime());
@@ -345,12 +338,13 @@
         && limits.tryTakeRetry()) {
       log.attemptFailed(attempt, "server error", remaining());
       response.keepAsFallback();
-      excludedServers.add(attempt.server().id());
+      failedServers.exclude(attempt.server().id());
       allocation.release();
       startAttempt();
       return;
     }
-    finish("ANSWERED", response.isSuccess());
+    finish("ANSWERED", response.status(), response.isSuccess());
+    node.metrics().recordPassedOn(response.status());
     response.complete();
   }
 
@@ -365,9 +359,7 @@
     cancel(attempt);
     silenceTimer.cancel();
     ReplicaId server = attempt.server().id();
-    excludedServers.add(server);
-    node.placer().failed(service(), server, unreachable);
-    node.balancer().requestFailed(server, node.timing().nanoTime());
+    failedServers.onFailure(server, unreachable);
     if (!maybeSent) {
       limits.onNotSent();
       tryNextServer(RelayRefusal.NO_SERVER);
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
@@ -12,6 +12,7 @@
 final class RelayMetrics {
 
   private static final String REFUSALS_COUNTER = "apricotmill.relay.refused";
+  private static final String PASSED_ON_COUNTER = "apricotmill.relay.passed_on";
 
   private final MeterRegistry registry;
   private final Timer firstEventTimer;
@@ -54,6 +55,11 @@
     registry.counter(REFUSALS_COUNTER, "reason", refusal.name()).increment();
   }
 
+  /** Counts a server's response that was passed on to its caller. */
+  void recordPassedOn(int status) {
+    registry.counter(PASSED_ON_COUNTER, "status", Integer.toString(status)).increment();
+  }
+
   void recordRetry() {
     retries.increment();
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
@@ -4,6 +4,7 @@
 import dev.apricotmill.core.relay.Route;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 
@@ -89,6 +90,21 @@
     return status() / 100 == SUCCESS_CLASS;
   }
 
+  /** Returns the status of the response that is being received, or 0 before its head. */
+  int status() {
+    BackendClient.Head currentHead = head;
+    return currentHead == null ? 0 : currentHead.status();
+  }
+
+  /** Returns the status that a caller gets if no further response comes; empty if it is refused. */
+  OptionalInt statusToCaller() {
+    if (streamBegun) {
+      return OptionalInt.of(streamStatus);
+    }
+    BackendClient.Head keptHead = fallbackHead;
+    return keptHead == null ? OptionalInt.empty() : OptionalInt.of(keptHead.status());
+  }
+
   /** Returns whether the last chunk passed on contained the first event. */
   boolean hasFirstEventInChunk() {
     return firstEventInChunk;
@@ -166,11 +182,6 @@
     }
   }
 
-  private int status() {
-    BackendClient.Head currentHead = head;
-    return currentHead == null ? 0 : currentHead.status();
-  }
-
   private ImmutableMap<String, String> headers() {
     BackendClient.Head currentHead = head;
     return currentHead == null ? ImmutableMap.of() : currentHead.headers();
