--- a/node/src/test/java/dev/apricotmill/node/relay/RelayInvariantsTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayInvariantsTest.java
@@ -31,6 +31,7 @@
 
   private static final int RETRY_RESERVE = 3;
   private static final List<String> PATHS = List.of("/order/1", "/read/1", "/stream/1", "/once/1");
+  private static final List<Integer> STATUSES_THAT_MEAN_NOT_RUN = List.of(408, 421, 429, 503);
   private static final Duration LONGER_THAN_ANY_TIMEOUT = Duration.ofSeconds(30);
 
   private final RelayFixture relay = new RelayFixture(RETRY_RESERVE);
@@ -143,8 +144,7 @@
       assertWithMessage("runs").that(attemptsThatMayHaveRun(call).size()).isAtMost(1);
     }
     assertWithMessage("servers").that(countPossiblySent(call)).isAtMost(route.maximumAttempts());
-    RelayRefusal refusal = caller.refusal();
-    if (refusal != null && refusal.guaranteesNotRun()) {
+    if (isToldNotRun(caller)) {
       assertWithMessage("attempts that may have run a request refused as not run")
           .that(attemptsThatMayHaveRun(call))
           .isEmpty();
@@ -161,6 +161,14 @@
     }
   }
 
+  /** Returns whether the caller was told that its request did not run, by whichever path. */
+  private static boolean isToldNotRun(RecordedCaller caller) {
+    RelayRefusal refusal = caller.refusal();
+    return refusal == null
+        ? STATUSES_THAT_MEAN_NOT_RUN.contains(caller.status())
+        : refusal.guaranteesNotRun();
+  }
+
   private static boolean isStream(Call call) {
     return call.route().equals("stream") || call.route().equals("once");
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/ScriptedResponse.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ScriptedResponse.java
@@ -13,6 +13,7 @@
     HEAD,
     REFUSAL,
     SERVER_ERROR,
+    ERROR_LIKE_A_REFUSAL,
     CHUNK,
     LONG_CHUNK,
     END,
@@ -76,14 +77,8 @@
           exchange.end();
         }
       }
-      case SERVER_ERROR -> {
-        if (!head) {
-          ended = true;
-          head(500, false);
-          exchange.body("error");
-          exchange.end();
-        }
-      }
+      case SERVER_ERROR -> endWithError(500);
+      case ERROR_LIKE_A_REFUSAL -> endWithError(503);
       case CHUNK -> sendChunk(7);
       case LONG_CHUNK -> sendChunk(40);
       case END -> {
@@ -113,6 +108,16 @@
     }
   }
 
+  /** Ends a run of the request with an error. */
+  private void endWithError(int status) {
+    if (!head) {
+      ended = true;
+      head(status, false);
+      exchange.body("error");
+      exchange.end();
+    }
+  }
+
   private boolean isWithinAnEvent() {
     String passed = bytes.substring(0, position);
     return !bytes.equals(COMPLETE_BODY) && !passed.isEmpty() && !passed.endsWith("\n\n");
