Do not pass a server's error on with a status that means "not run"

Callers were told 503, 429 or 408 for requests that a server had run, and sent them again: REFUSED, for requests that may run once at most. The relay knew that the request may have run, since the server did not state the contrary, but passed the server's response on as it was; an error that was kept while another server was tried took the same way.

A request that may be repeated goes to another server; any other caller gets 502 of the node itself, without the seal of the server. The connection is kept, as after a refusal.

--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -5,6 +5,7 @@
 import dev.apricotmill.core.pool.PoolScheduler;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.GenerationSize;
+import dev.apricotmill.core.relay.NotRunStatuses;
 import dev.apricotmill.core.relay.RelayRefusal;
 import dev.apricotmill.core.relay.Route;
 import dev.apricotmill.core.request.ReplicaId;
@@ -152,13 +153,9 @@
     if (ended || !request.promptParts().shared().contains(part)) {
       return;
     }
-    if (attempt != null) {
-      if (hasWrittenLong(attempt)) {
-        return;
-      }
-      mayHaveRun = true;
+    if (attempt == null || !hasWrittenLong(attempt)) {
+      onBlocked(part);
     }
-    onBlocked(part);
   }
 
   private boolean hasWrittenLong(BackendAttempt attempt) {
@@ -218,6 +215,7 @@
     if (ended) {
       return;
     }
+    mayHaveRun |= currentAttempt != null;
     RelayRefusal reportedRefusal =
         mayHaveRun && refusal.guaranteesNotRun() ? RelayRefusal.BROKEN : refusal;
     finish(refusal.name(), response.statusToCaller().orElse(reportedRefusal.status()), false);
@@ -300,6 +298,10 @@
     response.onHead(head);
     if (response.isFailedResume()) {
       failAttempt(attempt, true, BackendFailure.NOT_A_STREAM, false);
+    } else if (NotRunStatuses.contains(head.status())) {
+      // An error is short: reading it to the end lets the connection be reused.
+      close(attempt);
+      failAttempt(attempt, true, BackendFailure.UNSTATED_REFUSAL, false);
     }
   }
 
@@ -356,7 +358,9 @@
   private void failAttempt(
       BackendAttempt attempt, boolean maybeSent, BackendFailure failure, boolean unreachable) {
     log.attemptFailed(attempt, failure.logValue(), remaining());
-    cancel(attempt);
+    if (!attempt.isClosed()) {
+      cancel(attempt);
+    }
     silenceTimer.cancel();
     ReplicaId server = attempt.server().id();
     failedServers.onFailure(server, unreachable);
