--- a/core/src/main/java/dev/apricotmill/core/pool/WorkReport.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/WorkReport.java
@@ -88,6 +88,19 @@
     public void applyTo(PoolScheduler scheduler, long nowNanos) {}
   }
 
+  /**
+   * A server has said that it is leaving. It changes no pool.
+   *
+   * @param service the server's service
+   * @param server the server
+   * @param startedMillis when the instance that said so was started, in milliseconds of the Unix
+   *     epoch
+   */
+  record Leaving(ServiceName service, ReplicaId server, long startedMillis) implements WorkReport {
+    @Override
+    public void applyTo(PoolScheduler scheduler, long nowNanos) {}
+  }
+
   /**
    * A server failed a request.
    *
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/PlacementMessages.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/PlacementMessages.java
@@ -12,6 +12,7 @@
 import dev.apricotmill.core.request.ServiceName;
 import dev.apricotmill.protocol.generated.BrokenOffWork;
 import dev.apricotmill.protocol.generated.GrantedWork;
+import dev.apricotmill.protocol.generated.LeavingServer;
 import dev.apricotmill.protocol.generated.PlaceWork;
 import dev.apricotmill.protocol.generated.RunningWork;
 import dev.apricotmill.protocol.generated.WorkEvent;
@@ -104,6 +105,11 @@
               .setAgeMillis(written.age().toMillis()));
     } else if (report instanceof WorkReport.PartBlocked blocked) {
       message.setBlockedPart(blocked.part());
+    } else if (report instanceof WorkReport.Leaving leaving) {
+      message.setLeavingServer(
+          LeavingServer.newBuilder()
+              .setServer(leaving.server().value())
+              .setStartedMillis(leaving.startedMillis()));
     }
     return message.build();
   }
@@ -123,6 +129,7 @@
       case WRITTEN_PART -> Optional.of(fromMessage(service, message.getWrittenPart()));
       case BLOCKED_PART ->
           Optional.of(new WorkReport.PartBlocked(service, message.getBlockedPart()));
+      case LEAVING_SERVER -> Optional.of(fromMessage(service, message.getLeavingServer()));
       case EVENT_NOT_SET -> Optional.empty();
     };
   }
@@ -140,6 +147,11 @@
         service, message.getPart(), message.getWeight(), Duration.ofMillis(message.getAgeMillis()));
   }
 
+  private static WorkReport fromMessage(ServiceName service, LeavingServer message) {
+    return new WorkReport.Leaving(
+        service, new ReplicaId(message.getServer()), message.getStartedMillis());
+  }
+
   private static WorkReport fromMessage(RunningWork message) {
     return new WorkReport.Running(
         fromMessage(message.getAsk()), fromMessage(message.getGranted()), message.getReading());
--- a/daemon/src/test/java/dev/apricotmill/daemon/inner/PlacementMessagesTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/inner/PlacementMessagesTest.java
@@ -65,6 +65,7 @@
             new WorkReport.BrokenOff(POOL, new ReplicaId("a"), PROMPT_PARTS, Duration.ofMillis(30)),
             new WorkReport.PartWritten(POOL, "5c1e", 2.5, Duration.ofMillis(30)),
             new WorkReport.PartBlocked(POOL, "5c1e"),
+            new WorkReport.Leaving(POOL, new ReplicaId("a"), 1_784_505_600_000L),
             new WorkReport.Failed(POOL, new ReplicaId("a"), true),
             new WorkReport.Running(PLACEMENT_REQUEST, GRANTED, true))) {
       assertThat(PlacementMessages.fromMessage(PlacementMessages.toMessage(report)))
