--- a/daemon/src/test/java/dev/apricotmill/daemon/callers/CallerHandlerTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/callers/CallerHandlerTest.java
@@ -129,6 +129,32 @@
     assertThat(received.body()).contains("\"reason\":\"overloaded\"");
   }
 
+  /** A service may run a call and end it with a status that reads as a refusal. */
+  @Test
+  void aServicesOwnErrorIsNeverToldAsNotRun() throws Exception {
+    for (int status : new int[] {408, 421, 429, 503}) {
+      CompletableFuture<HttpResponse<String>> response =
+          callers.send(callers.request("/services/booking/huts/7").GET());
+      FakeNode.Call call = callers.node().calls().take();
+      call.answer()
+          .complete(
+              new CallResponse(
+                  call.submission().id(),
+                  new Outcome.Answered(status),
+                  Optional.of(
+                      new CallResult.Response(
+                          status,
+                          ImmutableMap.of("apricotmill-outcome", "not-run"),
+                          new byte[] {'x'})),
+                  false,
+                  HOPS));
+
+      HttpResponse<String> received = response.get();
+      assertThat(received.statusCode()).isEqualTo(status);
+      assertThat(received.headers().allValues("Apricotmill-Outcome")).containsExactly("answered");
+    }
+  }
+
   @Test
   void aPlainServiceCallIsRelayedInBothDirections() throws Exception {
     CompletableFuture<HttpResponse<String>> response =
