--- a/core/src/main/java/dev/apricotmill/core/relay/BackendServer.java
+++ b/core/src/main/java/dev/apricotmill/core/relay/BackendServer.java
@@ -23,4 +23,10 @@
     Zone zone,
     int slots,
     boolean ready,
-    long startedMillis) {}
+    long startedMillis) {
+
+  /** Returns whether this text is the server's identifier or its address. */
+  public boolean isNamed(String idOrAddress) {
+    return id.value().equals(idOrAddress) || address.toString().equals(idOrAddress);
+  }
+}
--- a/node/src/main/java/dev/apricotmill/node/relay/ServingView.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServingView.java
@@ -57,10 +57,7 @@
   /** Returns the server of a service that has this identifier or address. */
   public Optional<ReplicaId> findServer(ServiceName service, String idOrAddress) {
     return serversOf(service).stream()
-        .filter(
-            server ->
-                server.id().value().equals(idOrAddress)
-                    || server.address().toString().equals(idOrAddress))
+        .filter(server -> server.isNamed(idOrAddress))
         .findFirst()
         .map(BackendServer::id);
   }
