Do not read the rest of a refusal without bounds

An attempt whose response is ignored reads 64 KB more and waits 500 ms more, for the sake of its connection, and is then cancelled.

UnboundedResponsesTest: theEndlessBodyOfARefusalIsNotReadToItsEnd and theBodyOfARefusalThatDoesNotComeIsNotWaitedFor failed before; aRefusalThatEndsInTimeKeepsItsConnection passed and passes.

--- a/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.node.relay;
 
+import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.relay.BackendServer;
 import java.time.Duration;
 import java.util.OptionalLong;
@@ -24,12 +25,19 @@
     void onFailure(BackendAttempt attempt, boolean maybeSent, BackendFailure failure);
   }
 
+  /** A refusal is shorter, and its server writes it at once. */
+  private static final int MAX_DISCARDED_BYTES = 64 << 10;
+
+  private static final Duration MAX_DISCARD_TIME = Duration.ofMillis(500);
+
   private final BackendServer server;
   private final Executor executor;
   private final AttemptListener listener;
   private BackendClient.@Nullable Exchange exchange;
   private boolean closed;
   private boolean responseBegun;
+  private boolean responseEnded;
+  private long discardedBytes;
   private OptionalLong firstEventNanos = OptionalLong.empty();
 
   BackendAttempt(BackendServer server, Executor executor, AttemptListener listener) {
@@ -50,11 +58,26 @@
     return closed;
   }
 
-  /** Ignores the rest of the response, but lets it finish, so that the connection can be reused. */
+  /** Ignores all further events of the response. */
   void close() {
     closed = true;
   }
 
+  /**
+   * Ignores all further events, but reads the rest of the response, so that the connection can be
+   * reused. A rest that is long or does not come is not waited for.
+   */
+  void discardRest(Timing timing) {
+    close();
+    timing.schedule(MAX_DISCARD_TIME, this::cancelUnlessEnded);
+  }
+
+  private void cancelUnlessEnded() {
+    if (!responseEnded) {
+      cancel();
+    }
+  }
+
   /** Ends the attempt and closes its connection. */
   void cancel() {
     close();
@@ -111,17 +134,36 @@
 
   @Override
   public void onBody(byte[] chunk) {
-    run(() -> listener.onBody(this, chunk));
+    executor.execute(
+        () -> {
+          if (closed) {
+            discard(chunk.length);
+          } else {
+            listener.onBody(this, chunk);
+          }
+        });
+  }
+
+  private void discard(int bytes) {
+    discardedBytes += bytes;
+    if (discardedBytes > MAX_DISCARDED_BYTES) {
+      cancelUnlessEnded();
+    }
   }
 
   @Override
   public void onEnd() {
-    run(() -> listener.onEnd(this));
+    end(() -> listener.onEnd(this));
   }
 
   @Override
   public void onFailure(boolean maybeSent, BackendFailure failure) {
-    run(() -> listener.onFailure(this, maybeSent, failure));
+    end(() -> listener.onFailure(this, maybeSent, failure));
+  }
+
+  private void end(Runnable task) {
+    executor.execute(() -> responseEnded = true);
+    run(task);
   }
 
   private void run(Runnable task) {
--- a/node/src/main/java/dev/apricotmill/node/relay/BackendFailure.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendFailure.java
@@ -12,11 +12,6 @@
   TIMEOUT("TIMEOUT", false),
   /** The timeout passed while a response was arriving. */
   INCOMPLETE("INCOMPLETE", false),
-  /**
-   * The status means that the request did not run, but the server did not state that; it may have
-   * run the request.
-   */
-  UNSTATED_REFUSAL("status of a refusal, but not stated as not run", false),
   /** The server sent nothing for too long. */
   SILENT("silent", false),
   /** The response exceeded the size limit of the transport. */
--- a/node/src/main/java/dev/apricotmill/node/relay/FailedServers.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/FailedServers.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.node.relay;
 
 import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.ServiceName;
 import java.util.HashSet;
@@ -29,11 +30,14 @@
   }
 
   /** Excludes the helper that a refusal names as its cause, or else the refusing server. */
-  void onRefusal(ReplicaId refusing, Optional<String> faultyServer) {
+  void onRefusal(BackendServer refusing, Optional<String> faultyServer) {
     ReplicaId faulty =
-        faultyServer.flatMap(name -> node.view().findServer(service, name)).orElse(refusing);
+        faultyServer
+            .filter(name -> !refusing.isNamed(name))
+            .flatMap(name -> node.view().findServer(service, name))
+            .orElse(refusing.id());
     excluded.add(faulty);
-    node.placer().failed(service, faulty, !faulty.equals(refusing));
+    node.placer().failed(service, faulty, !faulty.equals(refusing.id()));
   }
 
   /** Excludes a server that failed an attempt; other requests avoid it for a while. */
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -287,24 +287,31 @@
   @Override
   public void onHead(BackendAttempt attempt, BackendClient.Head head) {
     if (head.notRun()) {
-      log.attemptFailed(attempt, "not_run " + head.status(), remaining());
-      // A refusal is short: reading it to the end lets the connection be reused.
-      close(attempt);
-      failedServers.onRefusal(attempt.server().id(), head.faultyServer());
-      retryOrRefuse(RelayRefusal.REFUSED_BY_SERVER);
+      onRefused(attempt, head, "not_run " + head.status(), RelayRefusal.REFUSED_BY_SERVER);
       return;
     }
     mayHaveRun = true;
+    if (NotRunStatuses.contains(head.status())) {
+      failedServers.exclude(attempt.server().id());
+      onRefused(attempt, head, "not stated as not run " + head.status(), RelayRefusal.BROKEN);
+      return;
+    }
     response.onHead(head);
     if (response.isFailedResume()) {
       failAttempt(attempt, true, BackendFailure.NOT_A_STREAM, false);
-    } else if (NotRunStatuses.contains(head.status())) {
-      // An error is short: reading it to the end lets the connection be reused.
-      close(attempt);
-      failAttempt(attempt, true, BackendFailure.UNSTATED_REFUSAL, false);
     }
   }
 
+  private void onRefused(
+      BackendAttempt attempt, BackendClient.Head head, String reason, RelayRefusal refusal) {
+    log.attemptFailed(attempt, reason, remaining());
+    close(attempt);
+    attempt.discardRest(node.timing());
+    response.discardPartial();
+    failedServers.onRefusal(attempt.server(), head.faultyServer());
+    retryOrRefuse(refusal);
+  }
+
   @Override
   public void onBody(BackendAttempt attempt, byte[] chunk) {
     int sentBytes = response.onBody(chunk, node.timing().nanoTime());
@@ -358,9 +365,7 @@
   private void failAttempt(
       BackendAttempt attempt, boolean maybeSent, BackendFailure failure, boolean unreachable) {
     log.attemptFailed(attempt, failure.logValue(), remaining());
-    if (!attempt.isClosed()) {
-      cancel(attempt);
-    }
+    cancel(attempt);
     silenceTimer.cancel();
     ReplicaId server = attempt.server().id();
     failedServers.onFailure(server, unreachable);
--- a/node/src/test/java/dev/apricotmill/node/relay/UnboundedResponsesTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/UnboundedResponsesTest.java
@@ -62,6 +62,43 @@
     assertThat(RelayRefusal.BROKEN.guaranteesNotRun()).isFalse();
   }
 
+  @Test
+  void theEndlessBodyOfARefusalIsNotReadToItsEnd() {
+    for (boolean notRun : new boolean[] {true, false}) {
+      relay.accept("/order/1");
+      relay.last().head(503, notRun);
+
+      sendEndlessBody(relay.last());
+    }
+  }
+
+  @Test
+  void theBodyOfARefusalThatDoesNotComeIsNotWaitedFor() {
+    for (boolean notRun : new boolean[] {true, false}) {
+      relay.accept("/order/1");
+      relay.last().head(503, notRun);
+      assertThat(relay.last().cancelled()).isFalse();
+
+      relay.time().advance(Duration.ofMillis(600));
+
+      assertThat(relay.last().cancelled()).isTrue();
+    }
+  }
+
+  @Test
+  void aRefusalThatEndsInTimeKeepsItsConnection() {
+    for (boolean notRun : new boolean[] {true, false}) {
+      relay.accept("/order/1");
+      relay.last().head(503, notRun);
+      relay.last().body("busy");
+      relay.last().end();
+
+      relay.time().advance(Duration.ofSeconds(5));
+
+      assertThat(relay.last().cancelled()).isFalse();
+    }
+  }
+
   @Test
   void aStreamThatTricklesBytesWithoutCompletingAnEventCountsAsSilent() {
     relay.accept("/stream/1");
