Do not tell the repeat of a running order that it did not run

On the product's own interface the repeat of an order whose time ended while the first one ran was told "not-run" (503, expired), and so was one whose claim could no longer be settled. A caller who takes this for the order's fate sends it again under a new key. From the moment at which the first order is seen, a repeat that cannot be settled gets "unknown" (first still running).

AtMostOnceCallTest.aRepeatThatExpiresWhileTheFirstOrderRunsIsNotToldAsNotRun failed before, for time limits of 600 ms and less.

--- a/node/src/main/java/dev/apricotmill/node/call/AtMostOnceCall.java
+++ b/node/src/main/java/dev/apricotmill/node/call/AtMostOnceCall.java
@@ -39,6 +39,7 @@
   private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.CLAIMING);
   private final CompletableFuture<CompletedCall> result = new CompletableFuture<>();
   private int claimRetries;
+  private volatile boolean firstIsRunning;
 
   AtMostOnceCall(CallContext context, ServiceCall call, ClaimRequest claim) {
     this.context = context;
@@ -63,13 +64,23 @@
     context.claims().claim(claim).thenAccept(this::onClaim);
   }
 
-  /** A call that is still being claimed was not dispatched, so it certainly did not run. */
   private void expire() {
     if (phase.compareAndSet(Phase.CLAIMING, Phase.ENDED)) {
-      complete(refused(RefusalReason.EXPIRED));
+      complete(notDispatched(RefusalReason.EXPIRED));
     }
   }
 
+  /**
+   * A call that is still being claimed was not dispatched, so it certainly did not run, unless it
+   * is the repeat of one that runs.
+   */
+  private CompletedCall notDispatched(RefusalReason reason) {
+    return firstIsRunning
+        ? CompletedCall.repeatWithoutResponse(
+            new Outcome.Unknown(UnknownReason.FIRST_STILL_RUNNING))
+        : refused(reason);
+  }
+
   private void onClaim(ClaimResult result) {
     if (result instanceof ClaimResult.Claimed claimed) {
       onClaimed(claimed);
@@ -77,7 +88,7 @@
       onAlreadyClaimed(claimed.runner());
     } else if (result instanceof ClaimResult.Undetermined) {
       withdraw();
-      completeClaiming(refused(RefusalReason.CLAIMS_UNAVAILABLE));
+      completeClaiming(notDispatched(RefusalReason.CLAIMS_UNAVAILABLE));
     } else {
       completeClaiming(completedCallFor(result));
     }
@@ -99,19 +110,18 @@
 
   /** The daemon that keeps the ledger may learn later than this one that the runner has died. */
   private void onAlreadyClaimed(Incarnation runner) {
+    firstIsRunning = true;
     if (!context.mayBeRunning().test(runner)) {
       completeClaiming(completedCallFor(new ClaimResult.RunnerGone(runner)));
     } else if (phase.get() == Phase.CLAIMING && claimRetries < MAXIMUM_CLAIM_RETRIES) {
       claimRetries++;
       context.timing().schedule(CLAIM_RETRY_DELAY, this::claim);
     } else {
-      completeClaiming(
-          CompletedCall.repeatWithoutResponse(
-              new Outcome.Unknown(UnknownReason.FIRST_STILL_RUNNING)));
+      completeClaiming(notDispatched(RefusalReason.REQUEST_IN_PROGRESS));
     }
   }
 
-  private static CompletedCall completedCallFor(ClaimResult result) {
+  private CompletedCall completedCallFor(ClaimResult result) {
     if (result instanceof ClaimResult.AlreadyFinished finished) {
       return CallOutcomeCodec.decode(finished.outcome());
     }
@@ -125,10 +135,9 @@
     if (result instanceof ClaimResult.KeyReused) {
       return refused(RefusalReason.KEY_REUSED);
     }
-    return refused(
-        result instanceof ClaimResult.FromFuture
-            ? RefusalReason.KEY_FROM_FUTURE
-            : RefusalReason.CLAIMS_UNAVAILABLE);
+    return result instanceof ClaimResult.FromFuture
+        ? refused(RefusalReason.KEY_FROM_FUTURE)
+        : notDispatched(RefusalReason.CLAIMS_UNAVAILABLE);
   }
 
   /** Tries the replicas in order until one was reached; no other is tried after that. */
--- a/node/src/test/java/dev/apricotmill/node/call/AtMostOnceCallTest.java
+++ b/node/src/test/java/dev/apricotmill/node/call/AtMostOnceCallTest.java
@@ -99,6 +99,24 @@
     assertThat(executions()).isEqualTo(1);
   }
 
+  /** A repeat that is told "not run" would be sent again, under a new key. */
+  @Test
+  void aRepeatThatExpiresWhileTheFirstOrderRunsIsNotToldAsNotRun() {
+    for (int millis : new int[] {200, 600, 900, 3_000}) {
+      Deployment daemons = Deployment.started(3);
+      TestClient callers = new TestClient(daemons);
+      daemons.service().setServiceTime(Duration.ofSeconds(4));
+      RecordedCall first = callers.placeOrder(daemons.daemon(0), KEY, TIME_LIMIT);
+      daemons.advance(Duration.ofSeconds(1));
+
+      RecordedCall repeat = callers.placeOrder(daemons.daemon(1), KEY, Duration.ofMillis(millis));
+      daemons.advance(TIME_LIMIT);
+
+      assertThat(repeat.outcome()).hasValue(new Outcome.Unknown(UnknownReason.FIRST_STILL_RUNNING));
+      assertThat(first.outcome()).hasValue(new Outcome.Answered(201));
+    }
+  }
+
   @Test
   void anOrderThatWasClaimedBeforeAPauseIsNotDispatchedAfterIt() {
     deployment.platform().setResponseDelay(Duration.ofMillis(400));
