Leave the connection of an engine's refusal to no other sequence

An engine that writes a refusal once more, late, on a kept connection made the next sequence on it count as not started, while the engine ran it: callers were told 503 or the sequence was forwarded to another engine. A refusal of an engine names no sequence, so a copy cannot be told from the refusal of the next one; its connection is now closed. Streams are checked for request and position, and keep theirs. Found by review, shown there with real sockets; GenerationExchangeTest has the rule. A plain service's response names no request either; that stays open.

--- a/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
@@ -114,9 +114,14 @@
     return before == Phase.SENT;
   }
 
+  /** Returns whether the connection may carry another exchange after this complete response. */
+  boolean allowsReuse() {
+    return true;
+  }
+
   private void complete() {
     if (phase.getAndSet(Phase.ENDED) != Phase.ENDED) {
-      releaseConnection(true);
+      releaseConnection(allowsReuse());
       onComplete();
     }
   }
--- a/adapters/src/main/java/dev/apricotmill/adapters/GenerationExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/GenerationExchange.java
@@ -101,6 +101,15 @@
     return response != null && response.getCode() == 200;
   }
 
+  /**
+   * A refusal names no sequence: a copy of it that came late would be taken for the refusal of the
+   * next sequence on the connection.
+   */
+  @Override
+  boolean allowsReuse() {
+    return isStream();
+  }
+
   private void onEvent(String data) {
     if (ended.get()) {
       return;
--- a/adapters/src/test/java/dev/apricotmill/adapters/GenerationExchangeTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/GenerationExchangeTest.java
@@ -43,6 +43,16 @@
     exchange.consume(ByteBuffer.wrap(event.getBytes(UTF_8)));
   }
 
+  /** A copy of a refusal that comes late ends the next sequence on the connection as refused. */
+  @Test
+  void aRefusalLeavesItsConnectionToNoOtherSequence() {
+    exchange.onHead(new BasicHttpResponse(503));
+    assertThat(exchange.allowsReuse()).isFalse();
+
+    exchange.onHead(new BasicHttpResponse(200));
+    assertThat(exchange.allowsReuse()).isTrue();
+  }
+
   @Test
   void noFurtherBytesAreReadUntilTheListenerHasUnmetDemand() {
     exchange.onHead(new BasicHttpResponse(200));
