Do not take a connection for idle while a pipelined request runs

The connection table keeps every open exchange of a connection now, and counts each of them as open, so that a stop waits for it.

HttpListenerTest.closeIdleLeavesARequestThatWasSentBeforeTheResponseToTheOneBefore failed before.

--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ConnectionTable.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ConnectionTable.java
@@ -6,11 +6,11 @@
 import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
-import org.jspecify.annotations.Nullable;
 
 /**
  * The open connections of a server, with their limits. Requests on a connection above the limit are
@@ -37,7 +37,10 @@
 
   /** Returns the number of dispatched requests whose response is not completely written yet. */
   long openResponses() {
-    return entries.values().stream().filter(Entry::awaitsResponse).count();
+    return entries.values().stream()
+        .flatMap(entry -> entry.exchanges.stream())
+        .filter(ServerExchange::isDispatched)
+        .count();
   }
 
   /** Records that a request arrived on a connection; returns whether it may be served. */
@@ -46,24 +49,23 @@
     if (entry == null) {
       return true;
     }
-    entry.exchange = exchange;
+    entry.exchanges.add(exchange);
     return !entry.overLimit;
   }
 
-  /** Records that the exchange on a connection has ended; the idle time starts now. */
-  void endRequest(SocketAddress remote) {
+  /** Records that an exchange on a connection has ended; the idle time starts with the last one. */
+  void endRequest(SocketAddress remote, ServerExchange exchange) {
     Entry entry = entries.get(remote);
     if (entry != null) {
       entry.idleSinceNanos = timing.nanoTime();
-      entry.exchange = null;
+      entry.exchanges.remove(exchange);
     }
   }
 
   /** Closes a connection whose caller ended its side before the response was fully queued. */
   void onEndOfInput(SocketAddress remote) {
     Entry entry = entries.get(remote);
-    ServerExchange exchange = entry == null ? null : entry.exchange;
-    if (entry != null && exchange != null && !exchange.responseIsQueued()) {
+    if (entry != null && !entry.exchanges.stream().allMatch(ServerExchange::responseIsQueued)) {
       entry.session.close(CloseMode.IMMEDIATE);
     }
   }
@@ -86,7 +88,7 @@
   void closeIdleFor(Duration idleTime) {
     long now = timing.nanoTime();
     for (Entry entry : entries.values()) {
-      if (entry.exchange == null && now - entry.idleSinceNanos > idleTime.toNanos()) {
+      if (entry.exchanges.isEmpty() && now - entry.idleSinceNanos > idleTime.toNanos()) {
         entry.session.close(CloseMode.GRACEFUL);
       }
     }
@@ -131,13 +133,11 @@
   private static final class Entry {
     private final IOSession session;
     private final boolean overLimit;
-    private volatile @Nullable ServerExchange exchange;
-    private volatile long idleSinceNanos;
 
-    boolean awaitsResponse() {
-      ServerExchange current = exchange;
-      return current != null && current.isDispatched();
-    }
+    /** More than one if the caller does not wait for a response before its next request. */
+    private final Set<ServerExchange> exchanges = ConcurrentHashMap.newKeySet();
+
+    private volatile long idleSinceNanos;
 
     Entry(IOSession session, boolean overLimit, long nowNanos) {
       this.session = session;
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
@@ -195,7 +195,7 @@
   public void releaseResources() {
     stopTimer();
     body.release();
-    environment.connections().endRequest(remote);
+    environment.connections().endRequest(remote, this);
     if (!chunks.endWritten()) {
       notifyDisconnected();
     }
--- a/daemon/src/test/java/dev/apricotmill/daemon/http/HttpListenerTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/http/HttpListenerTest.java
@@ -2,11 +2,17 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.core.engine.GenerationEnd.FinishReason;
+import dev.apricotmill.core.outcome.Outcome;
+import dev.apricotmill.core.outcome.RefusalReason;
+import dev.apricotmill.core.peer.ForwardEnd;
 import dev.apricotmill.daemon.testing.Eventually;
 import dev.apricotmill.daemon.testing.FakeNode;
 import dev.apricotmill.daemon.testing.ManualScheduler;
 import dev.apricotmill.daemon.testing.PublicApiFixture;
 import dev.apricotmill.daemon.testing.RawConnection;
+import dev.apricotmill.node.api.GenerationResponseEnd;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -169,6 +175,36 @@
     assertServes();
   }
 
+  /** The end of the first response used to make the connection count as idle. */
+  @Test
+  void closeIdleLeavesARequestThatWasSentBeforeTheResponseToTheOneBefore() throws Exception {
+    try (RawConnection connection = callers.connect()) {
+      connection.send(VALID_REQUEST + VALID_REQUEST);
+      FakeNode.Generation first = callers.node().generations().take();
+      FakeNode.Generation second = callers.node().generations().take();
+      refuse(first);
+      assertThat(connection.readUntil("request_id")).startsWith("HTTP/1.1 503");
+      time.advance(Duration.ofMillis(400));
+
+      callers.listener().closeIdle(Duration.ofMillis(300));
+
+      assertThat(callers.listener().openResponses()).isEqualTo(1);
+      refuse(second);
+      assertThat(connection.readUntil("request_id")).contains("HTTP/1.1 503");
+    }
+  }
+
+  private static void refuse(FakeNode.Generation generation) {
+    generation
+        .listener()
+        .onEnd(
+            new GenerationResponseEnd(
+                generation.submission().id(),
+                new Outcome.Refused(RefusalReason.OVERLOADED, Duration.ofSeconds(1)),
+                new ForwardEnd.Usage(0, 0, FinishReason.STOP),
+                ImmutableList.of()));
+  }
+
   private void assertRefused(String request, String status, String reason) throws Exception {
     try (RawConnection connection = callers.connect()) {
       connection.send(request);
