Notify a listener that is set while its caller disconnects

Between the read of the listener and the mark of the disconnect a listener could be set that was never told: the server went on with a request whose caller had gone, until its deadline. The mark comes first now, and the listener is told once. A response that ends after the disconnect no longer arms a timer that could close another connection with the same address. Found by review, by reading; not reproduced, since no test can hold the two threads between these lines.

--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
@@ -42,11 +42,12 @@
   private final RequestBody body;
   private final OutgoingChunks chunks = new OutgoingChunks();
   private final AtomicBoolean responseStarted = new AtomicBoolean();
-  private final AtomicBoolean disconnected = new AtomicBoolean();
+  private final AtomicBoolean disconnectNotified = new AtomicBoolean();
   private @Nullable HttpRequest request;
   private @Nullable ResponseChannel responseChannel;
   private @Nullable HttpContext context;
   private volatile @Nullable ResponseProgressListener listener;
+  private volatile boolean disconnected;
   private final AtomicReference<@Nullable Future<?>> timer = new AtomicReference<>();
   private final AtomicReference<RequestState> state = new AtomicReference<>(RequestState.READING);
 
@@ -129,8 +130,8 @@
   @Override
   public void setListener(ResponseProgressListener newListener) {
     listener = newListener;
-    if (disconnected.get()) {
-      newListener.onDisconnected();
+    if (disconnected) {
+      notifyListener(newListener);
     }
   }
 
@@ -163,6 +164,10 @@
   @Override
   public void end() {
     startTimer(() -> environment.connections().abort(remote));
+    if (disconnected) {
+      // Another connection may have the address by the time the timer fires.
+      stopTimer();
+    }
     chunks.end();
   }
 
@@ -202,8 +207,15 @@
   }
 
   private void notifyDisconnected() {
+    disconnected = true;
     ResponseProgressListener current = listener;
-    if (disconnected.compareAndSet(false, true) && current != null) {
+    if (current != null) {
+      notifyListener(current);
+    }
+  }
+
+  private void notifyListener(ResponseProgressListener current) {
+    if (disconnectNotified.compareAndSet(false, true)) {
       current.onDisconnected();
     }
   }
