--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Relays requests to backend servers.
@@ -45,7 +46,7 @@
   private final AtomicInteger openRequestCount = new AtomicInteger();
   private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
   private int budgetNodeCount = 1;
-  private volatile boolean stopped;
+  private volatile @Nullable PlannedStop stop;
 
   /** Creates a relay with an empty view. */
   public RelayNode(
@@ -99,9 +100,22 @@
             .isPresent();
   }
 
-  /** Refuses all further requests as not run; open requests continue. */
-  public void stopAccepting() {
-    stopped = true;
+  /** Begins a planned stop; the process is killed after {@code grace}. */
+  public void beginStop(Duration grace) {
+    stop = new PlannedStop(timing.nanoTime(), grace);
+  }
+
+  /**
+   * Advances the stop that has begun and returns its phase; to be called often.
+   *
+   * @param openResponses responses that callers have not received completely
+   */
+  public PlannedStop.Phase advanceStop(long openResponses) {
+    PlannedStop current = stop;
+    if (current == null) {
+      throw new IllegalStateException("no stop has begun");
+    }
+    return current.advance(timing.nanoTime(), Math.max(openRequests(), openResponses));
   }
 
   /** Accepts a request; its response goes to {@code caller}. */
@@ -113,7 +127,8 @@
 
   private void begin(RelayRequest request, CallerConnection caller, long arrivedNanos) {
     ServingView currentView = view.get();
-    if (stopped) {
+    PlannedStop currentStop = stop;
+    if (currentStop != null && !currentStop.isAccepting()) {
       refuse(request, caller, RelayRefusal.STOPPING, currentView);
       return;
     }
--- a/node/src/test/java/dev/apricotmill/node/relay/RequestAuthorizerTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RequestAuthorizerTest.java
@@ -101,8 +101,11 @@
 
   @Test
   void aStoppingNodeRefusesNewRequestsAndCompletesOpenOnes() {
+    relay.node().beginStop(Duration.ofSeconds(8));
+    relay.time().advance(Duration.ofSeconds(2));
     RecordedCaller open = relay.accept("/order/1");
-    relay.node().stopAccepting();
+    relay.time().advance(Duration.ofMillis(1_001));
+    relay.node().advanceStop(1);
 
     RecordedCaller late = relay.accept("/order/2");
 
