Planned stop: every request that is accepted gets a final answer

Callers of a node that was stopped saw connections that ended without an answer, also for requests that may run only once and had been sent to a server.

Causes, all in the stop of a node: - When nothing was open after 2.5 s the process ended without ending acceptance first: a request that came between the last look and the end of the process was sent to a server and cut. - Acceptance lasted 3 s whatever the grace time was; with 3.3 s or less it never ended. - A request that may run only once was accepted even if its time limit reached beyond the grace time. - Requests that were open at the end of the grace time were cut without an answer.

A request that may run only once and might not end in time is refused as not run, and refused callers may come back at once, since another node can serve them. 0.5 s before the end of the grace time the relay ends the open requests: 503 if nothing was sent, 502 if a server may have run it, a stream that has begun is broken off.

--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -58,12 +58,8 @@
     this.caller = caller;
     this.decision = decision;
     this.arrivedNanos = arrivedNanos;
-    Duration callerTimeout = request.callerTimeout().orElse(node.settings().defaultTimeout());
-    Duration timeout =
-        callerTimeout.compareTo(decision.route().timeout()) < 0
-            ? callerTimeout
-            : decision.route().timeout();
-    deadlineNanos = arrivedNanos + timeout.toNanos();
+    Duration timeLimit = request.timeLimit(decision.route(), node.settings().defaultTimeout());
+    deadlineNanos = arrivedNanos + timeLimit.toNanos();
     response = new RelayResponse(decision.route(), request.resumeAfterEvent(), caller, window);
     allocation = new EngineAllocation(node, this);
     log = new CallLog(node, request);
@@ -163,6 +159,12 @@
     onBlocked(part);
   }
 
+  /** Ends the request before the process ends; a server may have run an open attempt. */
+  void endForStop() {
+    mayHaveRun |= currentAttempt != null;
+    endWithFailure(RelayRefusal.STOPPING, Duration.ZERO);
+  }
+
   private boolean hasWrittenLong(BackendAttempt attempt) {
     return attempt.hasWrittenFor(PoolScheduler.WRITING_CLEARS_AFTER, node.timing().nanoTime());
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -115,7 +115,16 @@
     if (current == null) {
       throw new IllegalStateException("no stop has begun");
     }
-    return current.advance(timing.nanoTime(), Math.max(openRequests(), openResponses));
+    PlannedStop.Phase phase =
+        current.advance(timing.nanoTime(), Math.max(openRequests(), openResponses));
+    if (phase == PlannedStop.Phase.RESPONDING) {
+      timing.scheduler().execute(this::endOpenCalls);
+    }
+    return phase;
+  }
+
+  private void endOpenCalls() {
+    ImmutableList.copyOf(openCalls).forEach(RelayCall::endForStop);
   }
 
   /** Accepts a request; its response goes to {@code caller}. */
@@ -128,7 +137,7 @@
   private void begin(RelayRequest request, CallerConnection caller, long arrivedNanos) {
     ServingView currentView = view.get();
     PlannedStop currentStop = stop;
-    if (currentStop != null && !currentStop.isAccepting()) {
+    if (currentStop != null && !currentStop.isAccepting(timing.nanoTime())) {
       refuse(request, caller, RelayRefusal.STOPPING, currentView);
       return;
     }
@@ -142,6 +151,12 @@
     if (decision instanceof RequestAuthorizer.Decision.Refused refused) {
       refuse(request, caller, refused.refusal(), currentView);
     } else if (decision instanceof RequestAuthorizer.Decision.Allowed allowed) {
+      Duration timeLimit = request.timeLimit(allowed.route(), settings.defaultTimeout());
+      if (currentStop != null
+          && !currentStop.fits(allowed.route().retryPolicy(), arrivedNanos, timeLimit)) {
+        refuse(request, caller, RelayRefusal.STOPPING, currentView);
+        return;
+      }
       retryBudget(allowed.service().name()).onRequest();
       RelayCall call = new RelayCall(this, request, caller, allowed, arrivedNanos);
       openCalls.add(call);
@@ -181,7 +196,8 @@
                 .orElse(-1L),
             "path",
             request.path()));
-    caller.refuse(refusal, DEFAULT_RETRY_AFTER);
+    // Another node can take the request at once.
+    caller.refuse(refusal, refusal == RelayRefusal.STOPPING ? Duration.ZERO : DEFAULT_RETRY_AFTER);
     metrics.recordRefusal(refusal);
     requestEnded();
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayRequest.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayRequest.java
@@ -1,8 +1,10 @@
 package dev.apricotmill.node.relay;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.GenerationSize;
+import dev.apricotmill.core.relay.Route;
 import dev.apricotmill.core.request.RequestId;
 import java.time.Duration;
 import java.util.Optional;
@@ -35,4 +37,10 @@
     Optional<Duration> callerTimeout,
     Optional<GenerationSize> size,
     PromptParts promptParts,
-    OptionalLong resumeAfterEvent) {}
+    OptionalLong resumeAfterEvent) {
+
+  /** Returns how long the request may take on {@code route}, counted from its arrival. */
+  Duration timeLimit(Route route, Duration defaultCallerTimeout) {
+    return Comparators.min(callerTimeout.orElse(defaultCallerTimeout), route.timeout());
+  }
+}
