Daemon: requests that are open when the drain time is over get a final answer

Callers of a daemon whose drain time ran out saw their connection end without an answer, also for orders that had been sent to a service: the process closed its listener with requests open.

Shortly before the drain time is over (a tenth of it, at most 1 s) the node now ends the open requests of callers. The exit code stays 75.

--- a/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.daemon.process;
 
+import com.google.common.collect.Comparators;
 import com.google.common.io.Closer;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import dev.apricotmill.coordination.membership.PeerAddress;
@@ -53,6 +54,11 @@
   private static final Duration TLS_RELOAD_PERIOD = Duration.ofSeconds(10);
   private static final long RESPONSE_POLL_INTERVAL_NANOS = 5_000_000;
   private static final long EVENT_LOOP_SHUTDOWN_TIMEOUT_MILLIS = 500;
+
+  /** The part of the drain time that is reserved for sending final responses. */
+  private static final Duration MAX_FINAL_RESPONSE_TIME = Duration.ofSeconds(1);
+
+  private static final int MIN_DRAIN_PER_RESPONSE_TIME = 10;
   private static final ServerLimits OPERATORS_LIMITS =
       new ServerLimits(
           16 << 10, 64 << 10, 1 << 20, 64, Duration.ofSeconds(10), Duration.ofSeconds(10));
@@ -142,22 +148,51 @@
     return operatorsListener.address();
   }
 
-  /** Waits at most the drain time for open requests to end; returns whether all ended. */
+  /**
+   * Waits at most the drain time for open requests to end; returns whether all ended.
+   *
+   * <p>Requests that are open shortly before the drain time is over are ended, so that their
+   * callers get a final response.
+   */
   public boolean drain() {
     LOGGER.log(Level.INFO, "daemon: draining for at most {0}", settings.drainTime());
+    Duration responseTime =
+        Comparators.min(
+            MAX_FINAL_RESPONSE_TIME, settings.drainTime().dividedBy(MIN_DRAIN_PER_RESPONSE_TIME));
     Deadline deadline = timing.deadlineAfter(settings.drainTime());
+    Deadline waitDeadline = timing.deadlineAfter(settings.drainTime().minus(responseTime));
+    try {
+      if (awaitDrained(waitDeadline) && awaitResponsesWritten(waitDeadline)) {
+        return true;
+      }
+      LOGGER.log(
+          Level.WARNING,
+          "daemon: drain time over, {0} requests are ended",
+          publicListener.openResponses());
+      node.endOpenRequests();
+      if (!awaitResponsesWritten(deadline)) {
+        LOGGER.log(
+            Level.WARNING,
+            "daemon: {0} responses are cut off: their callers did not read them",
+            publicListener.openResponses());
+      }
+    } catch (ExecutionException e) {
+      LOGGER.log(Level.WARNING, "daemon: drain did not complete: {0}", e.toString());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return false;
+  }
+
+  private boolean awaitDrained(Deadline deadline) throws ExecutionException, InterruptedException {
     try {
       NodeStatus status =
           node.drain()
               .toCompletableFuture()
-              .get(settings.drainTime().toMillis(), TimeUnit.MILLISECONDS);
+              .get(deadline.remaining(timing.nanoTime()).toMillis(), TimeUnit.MILLISECONDS);
       LOGGER.log(Level.INFO, "daemon: drained, {0} requests open", status.openRequests());
-      return awaitResponsesWritten(deadline);
-    } catch (TimeoutException | ExecutionException e) {
-      LOGGER.log(Level.WARNING, "daemon: drain did not complete: {0}", e.toString());
-      return false;
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+      return true;
+    } catch (TimeoutException e) {
       return false;
     }
   }
@@ -171,10 +206,6 @@
   private boolean awaitResponsesWritten(Deadline deadline) {
     while (publicListener.openResponses() > 0) {
       if (deadline.hasPassed(timing.nanoTime())) {
-        LOGGER.log(
-            Level.WARNING,
-            "daemon: drain time over, {0} responses are cut off",
-            publicListener.openResponses());
         return false;
       }
       LockSupport.parkNanos(RESPONSE_POLL_INTERVAL_NANOS);
--- a/daemon/src/test/java/dev/apricotmill/daemon/client/DaemonWithBackends.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/client/DaemonWithBackends.java
@@ -36,6 +36,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.SplittableRandom;
+import java.util.UUID;
 
 /** One daemon on ephemeral ports, with a platform, an engine and a service replica. */
 final class DaemonWithBackends implements AutoCloseable {
@@ -107,6 +108,12 @@
     return new DaemonWithBackends();
   }
 
+  /** Returns a UUID version 7 (RFC 9562) with the current time. */
+  static String newTimedKey() {
+    long high = (System.currentTimeMillis() << 16) | 0x7000L;
+    return new UUID(high, 0x8000_0000_0000_0001L).toString();
+  }
+
   private void applyConfiguration(Timing timing, Platform platform) throws Exception {
     String text = CONFIGURATION.formatted(CUSTOMER_KEY, engine.address(), service.address());
     CheckResult check = ConfigurationFile.check(text.getBytes(UTF_8), ImmutableList.of());
@@ -136,11 +143,17 @@
                 "--platform-address", platformAddress,
                 "--public-port", "0",
                 "--inner-port", "0",
-                "--operators-port", "0"),
+                "--operators-port", "0",
+                "--drain-time", "2"),
             ImmutableMap.of());
     return ((SettingsResult.Valid) result).settings();
   }
 
+  /** Drains the daemon as a termination signal does; returns whether all requests ended. */
+  boolean drain() {
+    return daemon.drain();
+  }
+
   InetSocketAddress publicAddress() {
     return daemon.publicAddress();
   }
--- a/daemon/src/test/java/dev/apricotmill/daemon/client/HttpClientLibraryTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/client/HttpClientLibraryTest.java
@@ -15,7 +15,6 @@
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
 import java.util.List;
-import java.util.UUID;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
 import org.apache.hc.client5.http.classic.methods.HttpPost;
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
@@ -243,7 +242,7 @@
 
   @Test
   void aRepeatedKeyGetsTheFirstResponseAndRunsOnce() throws Exception {
-    String key = newTimedKey();
+    String key = DaemonWithBackends.newTimedKey();
     ReceivedResponse first = send(order(key));
     ReceivedResponse second = send(order(key));
 
@@ -257,7 +256,7 @@
 
   @Test
   void anOrderWhoseResponseIsCutIsReportedAsUnknownAndNeverRepeated() throws Exception {
-    String key = newTimedKey();
+    String key = DaemonWithBackends.newTimedKey();
     daemon.service().faults().once(ServiceOperation.ORDER, Fault.CUT);
     ReceivedResponse first = send(order(key));
     ReceivedResponse second = send(order(key));
@@ -273,12 +272,6 @@
     return request;
   }
 
-  /** Returns a UUID version 7 (RFC 9562) with the current time. */
-  private static String newTimedKey() {
-    long high = (System.currentTimeMillis() << 16) | 0x7000L;
-    return new UUID(high, 0x8000_0000_0000_0001L).toString();
-  }
-
   @Test
   void aCallThatNoRuleAllowsIsRefusedAsNotRun() throws Exception {
     ReceivedResponse response = send(completion("/services/dispatch/administration", "{}"));
--- a/daemon/src/test/java/dev/apricotmill/daemon/testing/FakeNode.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/testing/FakeNode.java
@@ -96,6 +96,9 @@
     return CompletableFuture.completedFuture(status());
   }
 
+  @Override
+  public void endOpenRequests() {}
+
   @Override
   public void close() {}
 
--- a/node/src/main/java/dev/apricotmill/node/Node.java
+++ b/node/src/main/java/dev/apricotmill/node/Node.java
@@ -28,6 +28,12 @@
   /** Stops accepting requests; the stage completes when the last open request has ended. */
   CompletionStage<NodeStatus> drain();
 
+  /**
+   * Ends the open requests of callers, before the process ends: as refused if they certainly did
+   * not run. Requests that peers have forwarded continue; the peers resume them elsewhere.
+   */
+  void endOpenRequests();
+
   /** Stops all roles immediately; open requests are lost as if the process had died. */
   @Override
   void close();
--- a/node/src/main/java/dev/apricotmill/node/ServingNode.java
+++ b/node/src/main/java/dev/apricotmill/node/ServingNode.java
@@ -200,6 +200,12 @@
     return drainResult;
   }
 
+  @Override
+  public void endOpenRequests() {
+    generationEntry.endOpenRequests();
+    callEntry.endOpenRequests();
+  }
+
   @Override
   public void close() {
     Future<?> scheduledHousekeeping = housekeeping;
--- a/node/src/main/java/dev/apricotmill/node/call/CallEntry.java
+++ b/node/src/main/java/dev/apricotmill/node/call/CallEntry.java
@@ -7,7 +7,9 @@
 import dev.apricotmill.core.configuration.Service;
 import dev.apricotmill.core.outcome.Outcome;
 import dev.apricotmill.core.outcome.RefusalReason;
+import dev.apricotmill.core.outcome.UnknownReason;
 import dev.apricotmill.core.request.CustomerId;
+import dev.apricotmill.core.request.RequestId;
 import dev.apricotmill.core.request.ServiceCall;
 import dev.apricotmill.node.api.CallResponse;
 import dev.apricotmill.node.api.CallSubmission;
@@ -22,6 +24,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 import java.util.function.Supplier;
 
 /** Accepts callers' calls of plain services. Thread-safe. */
@@ -37,6 +41,8 @@
   private final Tracer tracer;
   private final AtMostOnceCalls atMostOnceCalls;
   private final IdempotentCalls idempotentCalls;
+  private final ConcurrentMap<RequestId, CompletableFuture<CompletedCall>> openCalls =
+      new ConcurrentHashMap<>();
 
   /** Creates an entry; {@code phase} supplies the daemon's current phase. */
   public CallEntry(
@@ -81,11 +87,25 @@
     if (limitRefusal.isPresent()) {
       return refuse(submission, span, limitRefusal.get());
     }
-    return run(submission, admitted, pool, span)
+    CompletableFuture<CompletedCall> call =
+        run(submission, admitted, pool, span).toCompletableFuture().copy();
+    openCalls.put(submission.id(), call);
+    return call.whenComplete((completed, failure) -> openCalls.remove(submission.id()))
         .thenApply(
             completed -> completeCall(submission, admitted.customer().id(), span, completed));
   }
 
+  /**
+   * Ends all open calls with an unknown outcome: one that has not been sent to a replica yet may
+   * still be sent before the process ends.
+   */
+  public void endOpenRequests() {
+    CompletedCall stopped =
+        CompletedCall.withoutResponse(
+            new Outcome.Unknown(UnknownReason.DAEMON_STOPPED), ImmutableList.of());
+    openCalls.values().forEach(call -> call.complete(stopped));
+  }
+
   private CompletionStage<CompletedCall> run(
       CallSubmission submission,
       Admission.Admitted admitted,
--- a/node/src/main/java/dev/apricotmill/node/entry/GenerationEntry.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/GenerationEntry.java
@@ -11,6 +11,7 @@
 import dev.apricotmill.core.peer.ForwardEnd;
 import dev.apricotmill.core.request.GenerationRequest;
 import dev.apricotmill.core.request.PrefixFingerprint;
+import dev.apricotmill.core.request.RequestId;
 import dev.apricotmill.node.api.GenerationResponseEnd;
 import dev.apricotmill.node.api.GenerationResponseListener;
 import dev.apricotmill.node.api.GenerationSubmission;
@@ -19,6 +20,8 @@
 import io.opentelemetry.api.trace.Tracer;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.Flow;
 import java.util.function.Supplier;
 
@@ -36,6 +39,7 @@
   private final RequestMeters meters;
   private final Tracer tracer;
   private final LengthEstimator lengthEstimator = new LengthEstimator();
+  private final ConcurrentMap<RequestId, GenerationRelay> openRelays = new ConcurrentHashMap<>();
 
   /** Creates an entry; {@code phase} supplies the daemon's current phase. */
   public GenerationEntry(
@@ -53,6 +57,11 @@
     this.tracer = tracer;
   }
 
+  /** Ends all open requests, as refused if they certainly did not run. */
+  public void endOpenRequests() {
+    openRelays.values().forEach(GenerationRelay::endBeforeStop);
+  }
+
   /** Submits a request; see {@link dev.apricotmill.node.api.RequestEntry#generate}. */
   public Flow.Subscription generate(
       GenerationSubmission submission, GenerationResponseListener listener) {
@@ -98,6 +107,7 @@
 
           @Override
           public void onEnd(GenerationRequest ended, Outcome outcome, ForwardEnd.Usage usage) {
+            openRelays.remove(ended.id());
             requestLimiter.release(ended.customer());
             lengthEstimator.observe(ended.service(), ended.prompt().length(), usage.promptTokens());
             recorder.recordEnd(outcome);
@@ -105,6 +115,7 @@
         };
     context.retryBudget().onRequest();
     GenerationRelay relay = new GenerationRelay(context, request, listener, span, observer);
+    openRelays.put(request.id(), relay);
     relay.start();
     return relay;
   }
--- a/node/src/main/java/dev/apricotmill/node/entry/GenerationRelay.java
+++ b/node/src/main/java/dev/apricotmill/node/entry/GenerationRelay.java
@@ -100,6 +100,21 @@
         () -> finish(new Outcome.Failed(FailureReason.CALLER_GONE), Notify.NO_ONE));
   }
 
+  /** Ends the request, as refused if it certainly did not run. */
+  void endBeforeStop() {
+    serialExecutor.execute(
+        () ->
+            finish(
+                isForwarded()
+                    ? new Outcome.Failed(FailureReason.STREAM_BROKEN)
+                    : refusedUnlessStarted(RefusalReason.DRAINING),
+                Notify.CALLER));
+  }
+
+  private boolean isForwarded() {
+    return mayHaveStarted || currentAttempt != null;
+  }
+
   private void tryNextReplica(Outcome fallback) {
     if (ended) {
       return;
@@ -239,9 +254,8 @@
   }
 
   private void onDeadline() {
-    boolean forwarded = mayHaveStarted || currentAttempt != null;
     finish(
-        forwarded
+        isForwarded()
             ? new Outcome.Failed(FailureReason.TIMED_OUT)
             : refusedUnlessStarted(RefusalReason.EXPIRED),
         Notify.CALLER);
--- a/node/src/test/java/dev/apricotmill/node/ServingNodeTest.java
+++ b/node/src/test/java/dev/apricotmill/node/ServingNodeTest.java
@@ -5,6 +5,7 @@
 
 import dev.apricotmill.coordination.membership.MemberState;
 import dev.apricotmill.core.configuration.Rule;
+import dev.apricotmill.core.outcome.FailureReason;
 import dev.apricotmill.core.outcome.Outcome;
 import dev.apricotmill.core.outcome.RefusalReason;
 import dev.apricotmill.core.request.ReplicaId;
@@ -145,6 +146,23 @@
     assertThat(deployment.daemon(1).node().status().phase()).isEqualTo(NodeStatus.Phase.DRAINED);
   }
 
+  @Test
+  void aGenerationThatIsOpenWhenADrainEndsIsReportedAsFailed() {
+    RecordedGeneration generation =
+        client.generate(
+            deployment.daemon(0), "how high is the post?", 5_000, Duration.ofMinutes(5));
+    deployment.advance(Duration.ofMillis(300));
+    deployment.daemon(0).run(() -> deployment.daemon(0).node().drain());
+    assertThat(generation.outcome()).isEmpty();
+
+    deployment.daemon(0).run(() -> deployment.daemon(0).node().endOpenRequests());
+    deployment.advance(Duration.ofSeconds(1));
+
+    assertThat(generation.outcome()).hasValue(new Outcome.Failed(FailureReason.STREAM_BROKEN));
+    assertThat(generation.ends()).hasSize(1);
+    assertThat(deployment.daemon(0).node().status().openRequests()).isEqualTo(0);
+  }
+
   private static MemberState stateOf(SimulatedDaemon daemon, String name) {
     return daemon.node().status().members().stream()
         .filter(member -> member.incarnation().daemon().name().equals(name))
