--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Relays requests to backend servers.
@@ -45,7 +46,7 @@
   private final AtomicInteger openRequestCount = new AtomicInteger();
   private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
   private int budgetNodeCount = 1;
-  private volatile boolean stopped;
+  private volatile @Nullable PlannedStop stop;
 
   /** Creates a relay with an empty view. */
   public RelayNode(
@@ -99,9 +100,31 @@
             .isPresent();
   }
 
-  /** Refuses all further requests as not run; open requests continue. */
-  public void stopAccepting() {
-    stopped = true;
+  /** Begins a planned stop; the process is killed after {@code grace}. */
+  public void beginStop(Duration grace) {
+    stop = new PlannedStop(timing.nanoTime(), grace);
+  }
+
+  /**
+   * Advances the stop that has begun and returns its phase; to be called often.
+   *
+   * @param openResponses responses that callers have not received completely
+   */
+  public PlannedStop.Phase advanceStop(long openResponses) {
+    PlannedStop current = stop;
+    if (current == null) {
+      throw new IllegalStateException("no stop has begun");
+    }
+    PlannedStop.Phase phase =
+        current.advance(timing.nanoTime(), Math.max(openRequests(), openResponses));
+    if (phase == PlannedStop.Phase.RESPONDING) {
+      timing.scheduler().execute(this::endOpenCalls);
+    }
+    return phase;
+  }
+
+  private void endOpenCalls() {
+    ImmutableList.copyOf(openCalls).forEach(RelayCall::endForStop);
   }
 
   /** Accepts a request; its response goes to {@code caller}. */
@@ -113,7 +136,8 @@
 
   private void begin(RelayRequest request, CallerConnection caller, long arrivedNanos) {
     ServingView currentView = view.get();
-    if (stopped) {
+    PlannedStop currentStop = stop;
+    if (currentStop != null && !currentStop.isAccepting(timing.nanoTime())) {
       refuse(request, caller, RelayRefusal.STOPPING, currentView);
       return;
     }
@@ -127,6 +151,12 @@
     if (decision instanceof RequestAuthorizer.Decision.Refused refused) {
       refuse(request, caller, refused.refusal(), currentView);
     } else if (decision instanceof RequestAuthorizer.Decision.Allowed allowed) {
+      Duration timeLimit = request.timeLimit(allowed.route(), settings.defaultTimeout());
+      if (currentStop != null
+          && !currentStop.fits(allowed.route().retryPolicy(), arrivedNanos, timeLimit)) {
+        refuse(request, caller, RelayRefusal.STOPPING, currentView);
+        return;
+      }
       retryBudget(allowed.service().name()).onRequest();
       RelayCall call = new RelayCall(this, request, caller, allowed, arrivedNanos);
       openCalls.add(call);
@@ -166,7 +196,8 @@
                 .orElse(-1L),
             "path",
             request.path()));
-    caller.refuse(refusal, DEFAULT_RETRY_AFTER);
+    // Another node can take the request at once.
+    caller.refuse(refusal, refusal == RelayRefusal.STOPPING ? Duration.ZERO : DEFAULT_RETRY_AFTER);
     metrics.recordRefusal(refusal);
     requestEnded();
   }
