Close idle connections on their I/O thread

A request that arrived between the check that its connection is idle and the close was dispatched and cut without an answer, in a planned stop for example, where idle connections are closed every 20 ms. Found by reading; the window is microseconds wide, and no test can hold it open. The I/O thread gets the order to close now and carries it out between requests: a request that it has begun to read is served first. Tests of the listener, of back-pressure and of client libraries pass.

closeIdleClosesConnectionsWithoutARequest waits until its connection is accepted: the listener has two I/O threads, and the one that accepts it may be later than the other is with a whole request. Nothing else of the test changes.

--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ConnectionTable.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ConnectionTable.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.Command;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
 
@@ -89,7 +91,8 @@
     long now = timing.nanoTime();
     for (Entry entry : entries.values()) {
       if (entry.exchanges.isEmpty() && now - entry.idleSinceNanos > idleTime.toNanos()) {
-        entry.session.close(CloseMode.GRACEFUL);
+        // The I/O thread closes it, unless it has begun to read a request by then.
+        entry.session.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
       }
     }
   }
--- a/daemon/src/test/java/dev/apricotmill/daemon/http/HttpListenerTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/http/HttpListenerTest.java
@@ -165,6 +165,8 @@
   @Test
   void closeIdleClosesConnectionsWithoutARequest() throws Exception {
     try (RawConnection idle = callers.connect()) {
+      // Another I/O thread may accept it after the next connection has been served.
+      Eventually.holds(() -> callers.listener().connectionCount() == 1);
       assertServes();
       time.advance(Duration.ofMillis(400));
 
