Send nothing new to a server that has said that it is leaving

Callers' requests went on to a server that had said in a response that it was about to end, until the platform's list said so as well: never while the node was cut off, and again whenever a list still named the server as ready. Nothing remembered the notice; PlatformNode dropped it.

LeavingServers keeps the instances (identifier and start time) that have said so. A node that reads it in a response tells the dispatcher of the pool at once, tells a new dispatcher all that it knows, and tells a dispatcher again that still grants such a server; what a peer reported is not reported back. A request without another server is refused at once (NO_SERVER, OVERLOADED).

--- a/core/src/main/java/dev/apricotmill/core/relay/BackendServer.java
+++ b/core/src/main/java/dev/apricotmill/core/relay/BackendServer.java
@@ -23,4 +23,10 @@
     Zone zone,
     int slots,
     boolean ready,
-    long startedMillis) {}
+    long startedMillis) {
+
+  /** Returns the server as one that takes no new requests. */
+  public BackendServer asLeaving() {
+    return new BackendServer(id, service, address, zone, slots, false, startedMillis);
+  }
+}
--- a/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -66,6 +67,7 @@
   private final DispatcherClient client;
   private final Member self;
   private final BlockedParts blockedParts;
+  private final LeavingServers leavingServers;
   private final CrashWatch crashWatch;
   private final EventLog log;
   private final CrashEvidence evidence = new CrashEvidence();
@@ -85,6 +87,7 @@
       DispatcherClient client,
       Member self,
       BlockedParts blockedParts,
+      LeavingServers leavingServers,
       CrashWatch crashWatch,
       EventLog log) {
     this.timing = timing;
@@ -92,8 +95,10 @@
     this.client = client;
     this.self = self;
     this.blockedParts = blockedParts;
+    this.leavingServers = leavingServers;
     this.crashWatch = crashWatch;
     this.log = log;
+    leavingServers.addListener(this::onLeaving);
   }
 
   /**
@@ -162,6 +167,7 @@
       suspicions.remove(dispatcher);
       if (reply.get() instanceof Placement.Granted granted) {
         localPlacer.recordReport(new WorkReport.Running(placementRequest, granted, true));
+        reportLeavingServers(dispatcher, granted);
       } else if (reply.get() instanceof Placement.Blocked blocked) {
         blockedParts.block(blocked.part(), BlockedParts.Source.DISPATCHER);
       }
@@ -215,6 +221,33 @@
     }
   }
 
+  /** Reports at once, since each placement there until then must be made again. */
+  private void onLeaving(LeavingServers.Instance instance, LeavingServers.Source source) {
+    if (source == LeavingServers.Source.PEER
+        || localPlacer.poolScheduler(instance.service()).isEmpty()) {
+      return;
+    }
+    Member dispatcher = dispatcher(instance.service());
+    if (!dispatcher.equals(self)) {
+      client.report(dispatcher.address(), ImmutableList.of(instance.toReport()));
+    }
+  }
+
+  /** Reports the leaving servers of a placement again; the dispatcher does not know of them. */
+  private void reportLeavingServers(Member dispatcher, Placement.Granted granted) {
+    if (leavingServers.isEmpty()) {
+      return;
+    }
+    ImmutableList<WorkReport> reports =
+        Stream.concat(Stream.of(granted.server()), granted.helpers().stream())
+            .flatMap(server -> leavingServers.find(server).stream())
+            .map(LeavingServers.Instance::toReport)
+            .collect(ImmutableList.toImmutableList());
+    if (!reports.isEmpty()) {
+      client.report(dispatcher.address(), reports);
+    }
+  }
+
   private void recordAndReport(WorkReport report) {
     localPlacer.recordReport(report);
     report(report);
@@ -245,7 +278,7 @@
 
   /**
    * Returns the dispatcher of a pool. A new one receives the requests that run in the pool, and
-   * what this node knows of prompts that crash engines.
+   * what this node knows of prompts that crash engines and of servers that are leaving.
    */
   private Member dispatcher(ServiceName service) {
     long now = timing.nanoTime();
@@ -294,6 +327,10 @@
                 blockedParts.parts().stream()
                     .map(part -> new WorkReport.PartBlocked(service, part))
                     .iterator())
+            .addAll(
+                leavingServers.instancesOf(service).stream()
+                    .map(LeavingServers.Instance::toReport)
+                    .iterator())
             .build();
     if (!reports.isEmpty()) {
       client.report(dispatcher.address(), reports);
--- a/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -118,7 +119,7 @@
       callback.onAllocated(
           server, toHelpers(helpers, Optional.empty()), granted.expectedFirstEvent());
     } else if (helpers.size() < granted.helpers().size()) {
-      callback.onUnusable(Optional.empty(), RelayRefusal.NO_SERVER);
+      callback.onUnusable(firstUnusableHelper(granted, helpers), RelayRefusal.NO_SERVER);
     } else {
       reserve(placementRequest, server, helpers, granted);
     }
@@ -137,7 +138,14 @@
           if (closed) {
             return;
           }
-          if (allReserved) {
+          Optional<ReplicaId> unusable =
+              Stream.concat(Stream.of(server), helpers.stream())
+                  .filter(engine -> !isStillReady(engine))
+                  .map(BackendServer::id)
+                  .findFirst();
+          if (unusable.isPresent()) {
+            callback.onUnusable(unusable, RelayRefusal.NO_SERVER);
+          } else if (allReserved) {
             callback.onAllocated(
                 server,
                 toHelpers(helpers, Optional.of(newReservations.reservationName())),
@@ -148,6 +156,21 @@
         });
   }
 
+  /** Returns whether a server still accepts requests, and has not started again. */
+  private boolean isStillReady(BackendServer server) {
+    return node.view().readyServers(server.service()).stream()
+        .anyMatch(
+            ready ->
+                ready.id().equals(server.id()) && ready.startedMillis() == server.startedMillis());
+  }
+
+  private static Optional<ReplicaId> firstUnusableHelper(
+      Placement.Granted granted, ImmutableList<BackendServer> usable) {
+    return granted.helpers().stream()
+        .filter(helper -> usable.stream().noneMatch(server -> server.id().equals(helper)))
+        .findFirst();
+  }
+
   private static ImmutableList<BackendClient.Helper> toHelpers(
       ImmutableList<BackendServer> helpers, Optional<String> reservation) {
     return helpers.stream()
--- a/node/src/main/java/dev/apricotmill/node/relay/PlacementEndpoint.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/PlacementEndpoint.java
@@ -15,6 +15,7 @@
   private final Timing timing;
   private final LocalPlacer localPlacer;
   private final BlockedParts blockedParts;
+  private final LeavingServers leavingServers;
   private final CrashWatch crashWatch;
   private final BooleanSupplier leaving;
 
@@ -27,11 +28,13 @@
       Timing timing,
       LocalPlacer localPlacer,
       BlockedParts blockedParts,
+      LeavingServers leavingServers,
       CrashWatch crashWatch,
       BooleanSupplier leaving) {
     this.timing = timing;
     this.localPlacer = localPlacer;
     this.blockedParts = blockedParts;
+    this.leavingServers = leavingServers;
     this.crashWatch = crashWatch;
     this.leaving = leaving;
   }
@@ -67,6 +70,8 @@
       crashWatch.onEvidence(report.service());
     } else if (report instanceof WorkReport.PartBlocked blocked) {
       blockedParts.block(blocked.part(), BlockedParts.Source.PEER);
+    } else if (report instanceof WorkReport.Leaving leavingReport) {
+      leavingServers.mark(LeavingServers.Instance.of(leavingReport), LeavingServers.Source.PEER);
     }
   }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
@@ -13,6 +13,7 @@
 
   private static final String REFUSALS_COUNTER = "apricotmill.relay.refused";
   private static final String PASSED_ON_COUNTER = "apricotmill.relay.passed_on";
+  private static final String LEAVING_COUNTER = "apricotmill.relay.servers_leaving";
 
   private final MeterRegistry registry;
   private final Timer firstEventTimer;
@@ -60,6 +61,11 @@
     registry.counter(PASSED_ON_COUNTER, "status", Integer.toString(status)).increment();
   }
 
+  /** Counts a server that was marked as leaving. */
+  void recordLeavingServer(LeavingServers.Source source) {
+    registry.counter(LEAVING_COUNTER, "source", source.name()).increment();
+  }
+
   void recordRetry() {
     retries.increment();
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/ServingState.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServingState.java
@@ -21,6 +21,7 @@
 public final class ServingState {
 
   private final RelayNode relay;
+  private final LeavingServers leavingServers;
   private final EventLog log;
   private final Consumer<ServingView> onChange;
   private final Set<String> unavailableSources = new HashSet<>();
@@ -29,12 +30,19 @@
   /**
    * Creates the state of a node.
    *
+   * @param leavingServers the servers that are leaving whatever the list says
    * @param onChange called after each change of the configuration or the servers
    */
-  public ServingState(RelayNode relay, EventLog log, Consumer<ServingView> onChange) {
+  public ServingState(
+      RelayNode relay,
+      LeavingServers leavingServers,
+      EventLog log,
+      Consumer<ServingView> onChange) {
     this.relay = relay;
+    this.leavingServers = leavingServers;
     this.log = log;
     this.onChange = onChange;
+    leavingServers.addListener(this::onLeaving);
   }
 
   /** Applies a configuration if it is newer than the current one. */
@@ -79,9 +87,20 @@
   /** Applies the list of backend servers. */
   public void serversRead(ImmutableMap<ReplicaId, BackendServer> servers) {
     markAvailable("servers");
-    long ready = servers.values().stream().filter(BackendServer::ready).count();
+    ImmutableMap<ReplicaId, BackendServer> usable = leavingServers.update(servers);
+    long ready = usable.values().stream().filter(BackendServer::ready).count();
     log.write("servers.taken", ImmutableMap.of("servers", servers.size(), "ready", ready));
-    onChange.accept(relay.update(view -> view.withServers(servers)));
+    onChange.accept(relay.update(view -> view.withServers(usable)));
+  }
+
+  private void onLeaving(LeavingServers.Instance instance, LeavingServers.Source source) {
+    relay.metrics().recordLeavingServer(source);
+    Optional<ServerTable> table = relay.view().servers();
+    if (table.isPresent()) {
+      ImmutableMap<ReplicaId, BackendServer> usable =
+          leavingServers.apply(table.get().serversById());
+      onChange.accept(relay.update(view -> view.withServers(usable)));
+    }
   }
 
   /** Records that the store gave no usable response; logs the start of an outage only. */
--- a/node/src/test/java/dev/apricotmill/node/relay/DispatcherPlacerTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/DispatcherPlacerTest.java
@@ -30,6 +30,7 @@
   private final RelayFixture relay = new RelayFixture(1);
   private final LocalPlacer localPlacer = new LocalPlacer(relay.timing());
   private final BlockedParts blockedParts = new BlockedParts(relay.timing(), (event, fields) -> {});
+  private final LeavingServers leavingServers = new LeavingServers(relay.timing(), EventLog.NONE);
   private final ScriptedDispatchers dispatchers = new ScriptedDispatchers();
   private final List<String> events = new ArrayList<>();
   private final ImmutableList<Member> ranked = rankedMembers();
@@ -40,6 +41,7 @@
           dispatchers,
           ranked.get(2),
           blockedParts,
+          leavingServers,
           new CrashWatch(relay.timing(), localPlacer, blockedParts),
           (event, fields) -> events.add(event));
   private final List<Placement> decisions = new ArrayList<>();
@@ -185,6 +187,57 @@
         .inOrder();
   }
 
+  @Test
+  void theDispatcherHearsAtOnceOfAServerThatIsLeaving() {
+    dispatchers.reported.clear();
+
+    leavingServers.mark(leaving("pool1"), LeavingServers.Source.RESPONSE);
+
+    assertThat(dispatchers.reported).containsExactly(ranked.get(0).address());
+    assertThat(dispatchers.reports).containsExactly(leaving("pool1").toReport());
+  }
+
+  @Test
+  void whatAPeerReportedAsLeavingIsNotReportedBack() {
+    leavingServers.mark(leaving("pool1"), LeavingServers.Source.PEER);
+    leavingServers.mark(leaving("pool1"), LeavingServers.Source.RESPONSE);
+    relay.time().advance(Duration.ofSeconds(1));
+
+    assertThat(dispatchers.reports).isEmpty();
+  }
+
+  @Test
+  void aNewDispatcherReceivesTheServersThatAreLeaving() {
+    leavingServers.mark(leaving("pool1"), LeavingServers.Source.RESPONSE);
+    dispatchers.reports.clear();
+    dispatchers.reported.clear();
+
+    placer.place(placementRequest("r1"), decisions::add);
+    dispatchers.answer(Optional.empty());
+
+    assertThat(dispatchers.reported).containsExactly(ranked.get(1).address());
+    assertThat(dispatchers.reports).contains(leaving("pool1").toReport());
+  }
+
+  @Test
+  void aDispatcherThatPlacesOnALeavingServerIsToldAgain() {
+    leavingServers.update(relay.node().view().servers().orElseThrow().serversById());
+    leavingServers.mark(leaving("pool1"), LeavingServers.Source.RESPONSE);
+    dispatchers.reports.clear();
+
+    placer.place(placementRequest("r1"), decisions::add);
+    dispatchers.answer(Optional.of(granted("pool2")));
+    assertThat(dispatchers.reports).isEmpty();
+
+    placer.place(placementRequest("r2"), decisions::add);
+    dispatchers.answer(Optional.of(granted("pool1")));
+    assertThat(dispatchers.reports).containsExactly(leaving("pool1").toReport());
+  }
+
+  private static LeavingServers.Instance leaving(String server) {
+    return new LeavingServers.Instance(RelayFixture.POOL, new ReplicaId(server), 1);
+  }
+
   private static Placement.Granted granted(String server) {
     return new Placement.Granted(
         new ReplicaId(server), ImmutableList.of(), Duration.ofMillis(50), 0);
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
@@ -143,13 +143,7 @@
 
   private void applyServers() {
     nodes.forEach(
-        node ->
-            node.timing
-                .scheduler()
-                .execute(
-                    () ->
-                        node.localPlacer.update(
-                            node.relay.update(view -> view.withServers(engines.entries())))));
+        node -> node.timing.scheduler().execute(() -> node.state.serversRead(engines.entries())));
   }
 
   /** One node and what other nodes reach of it. */
@@ -164,6 +158,7 @@
     private final EngineFleet.Connections connections = engines.new Connections();
     private final PlacementEndpoint endpoint;
     private final RelayNode relay;
+    private final ServingState state;
 
     Node() {
       int number = started++;
@@ -175,10 +170,14 @@
               new PeerAddress("10.0.1.1", 1000 + number),
               MemberState.ALIVE);
       blockedParts = new BlockedParts(timing, log);
+      LeavingServers leavingServers = new LeavingServers(timing, log);
       CrashWatch crashWatch = new CrashWatch(timing, localPlacer, blockedParts);
       placer =
-          new DispatcherPlacer(timing, localPlacer, this, member, blockedParts, crashWatch, log);
-      endpoint = new PlacementEndpoint(timing, localPlacer, blockedParts, crashWatch, () -> false);
+          new DispatcherPlacer(
+              timing, localPlacer, this, member, blockedParts, leavingServers, crashWatch, log);
+      endpoint =
+          new PlacementEndpoint(
+              timing, localPlacer, blockedParts, leavingServers, crashWatch, () -> false);
       Platform storeClient = store.clientFor("n" + number, new Zone("a"), scheduler);
       SharedFollower follower =
           new SharedFollower(
@@ -211,7 +210,8 @@
               view.withConfiguration(
                   RelayFixture.configuration(1),
                   Optional.of(new ReadTimestamp(timing.nanoTime(), timing.clock().millis()))));
-      localPlacer.update(relay.update(view -> view.withServers(engines.entries())));
+      state = new ServingState(relay, leavingServers, log, localPlacer::update);
+      state.serversRead(engines.entries());
     }
 
     void kill() {
--- a/node/src/test/java/dev/apricotmill/node/relay/RequestAuthorizerTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RequestAuthorizerTest.java
@@ -115,7 +115,12 @@
 
   @Test
   void anOlderConfigurationIsNeverApplied() {
-    ServingState state = new ServingState(relay.node(), EventLog.NONE, view -> {});
+    ServingState state =
+        new ServingState(
+            relay.node(),
+            new LeavingServers(relay.timing(), EventLog.NONE),
+            EventLog.NONE,
+            view -> {});
     state.configurationRead(RelayFixture.configuration(7));
 
     state.configurationRead(withoutKeys(6));
@@ -126,7 +131,12 @@
 
   @Test
   void anUnreadableObjectChangesNothing() {
-    ServingState state = new ServingState(relay.node(), EventLog.NONE, view -> {});
+    ServingState state =
+        new ServingState(
+            relay.node(),
+            new LeavingServers(relay.timing(), EventLog.NONE),
+            EventLog.NONE,
+            view -> {});
 
     state.objectUnreadable(new ObjectKey("config/main"), "test");
     state.configurationValidated(new ReadTimestamp(0, 0));
--- a/node/src/test/java/dev/apricotmill/node/relay/ServingStateTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServingStateTest.java
@@ -19,7 +19,11 @@
   private final List<String> log = new ArrayList<>();
   private final List<ServingView> changes = new ArrayList<>();
   private final ServingState state =
-      new ServingState(relay.node(), (event, fields) -> log.add(event), changes::add);
+      new ServingState(
+          relay.node(),
+          new LeavingServers(relay.timing(), EventLog.NONE),
+          (event, fields) -> log.add(event),
+          changes::add);
 
   @Test
   void anOlderConfigurationIsNeverApplied() {
