--- a/core/src/main/java/dev/apricotmill/core/relay/BackendServer.java
+++ b/core/src/main/java/dev/apricotmill/core/relay/BackendServer.java
@@ -29,4 +29,9 @@
   public boolean isNamed(String idOrAddress) {
     return id.value().equals(idOrAddress) || address.toString().equals(idOrAddress);
   }
+
+  /** Returns the server as one that takes no new requests. */
+  public BackendServer asLeaving() {
+    return new BackendServer(id, service, address, zone, slots, false, startedMillis);
+  }
 }
