Send nothing to a server for the time for which it asked in a 503

A server that turned a request away with 503 and Retry-After got further requests of the same node within that time: the notice was read, but nothing acted on it. Paused servers are no candidates of services without engines, and are excluded from placements.

If all servers of a service are paused, requests are refused at once as SERVERS_PAUSED with the shortest remaining time, and a retry takes nothing from the retry budget; a request that may have run is still told 502. FailedServers becomes CandidateServers, since it now tells where a request may go.

--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementRequest.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementRequest.java
@@ -18,7 +18,8 @@
  * @param firstEventTarget the time left until the first event would miss its latency target
  * @param eventGapTarget the longest gap between events of the response that is on time
  * @param remainingTime the time left until the request's deadline
- * @param excludedServers servers that have already failed this request
+ * @param excludedServers servers that have already failed this request, or want no requests from
+ *     the node that relays it
  */
 public record PlacementRequest(
     RequestId requestId,
--- a/core/src/main/java/dev/apricotmill/core/relay/RelayRefusal.java
+++ b/core/src/main/java/dev/apricotmill/core/relay/RelayRefusal.java
@@ -12,6 +12,8 @@
   NO_SERVER(503, Guarantee.NOT_RUN),
   /** Every backend server of the service is full. */
   OVERLOADED(503, Guarantee.NOT_RUN),
+  /** The backend servers that could run the request want none from this node for a while. */
+  SERVERS_PAUSED(503, Guarantee.NOT_RUN),
   /** The request's deadline passed before it was sent to a backend server. */
   EXPIRED_UNSENT(503, Guarantee.NOT_RUN),
   /** The backend server refused the request, and it may not be retried at another one. */
--- a/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
@@ -108,11 +108,16 @@
       callback.onUnusable(Optional.of(granted.server()), RelayRefusal.NO_SERVER);
       return;
     }
+    if (!node.pauses().accepts(server)) {
+      callback.onUnusable(Optional.empty(), RelayRefusal.SERVERS_PAUSED);
+      return;
+    }
     ImmutableList<BackendServer> helpers =
         granted.helpers().stream()
             .map(servers::get)
             .filter(Objects::nonNull)
             .filter(BackendServer::ready)
+            .filter(node.pauses()::accepts)
             .collect(ImmutableList.toImmutableList());
     if (granted.reservedTokens() == 0) {
       callback.onAllocated(
@@ -137,13 +142,16 @@
           if (closed) {
             return;
           }
-          if (allReserved) {
+          if (!allReserved) {
+            callback.onUnusable(Optional.empty(), RelayRefusal.OVERLOADED);
+          } else if (!node.pauses().accepts(server)
+              || helpers.stream().anyMatch(node.pauses()::isPaused)) {
+            callback.onUnusable(Optional.empty(), RelayRefusal.SERVERS_PAUSED);
+          } else {
             callback.onAllocated(
                 server,
                 toHelpers(helpers, Optional.of(newReservations.reservationName())),
                 granted.expectedFirstEvent());
-          } else {
-            callback.onUnusable(Optional.empty(), RelayRefusal.OVERLOADED);
           }
         });
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/HelperReservations.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/HelperReservations.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -29,6 +30,7 @@
   private final Timing timing;
   private final BackendClient backends;
   private final EventLog log;
+  private final Predicate<BackendServer> paused;
   private final RequestId request;
   private final ImmutableList<BackendServer> servers;
   private final long tokens;
@@ -42,12 +44,14 @@
       Timing timing,
       BackendClient backends,
       EventLog log,
+      Predicate<BackendServer> paused,
       RequestId request,
       ImmutableList<BackendServer> servers,
       long tokens) {
     this.timing = timing;
     this.backends = backends;
     this.log = log;
+    this.paused = paused;
     this.request = request;
     this.servers = servers;
     this.tokens = tokens;
@@ -90,8 +94,15 @@
     }
   }
 
+  /**
+   * Renews the reservations, except on paused servers: a renewal is a request, too. A reservation
+   * that lapses during a pause breaks its request off, which is then handled as at a lost server.
+   */
   private void renew() {
     for (BackendServer server : servers) {
+      if (paused.test(server)) {
+        continue;
+      }
       backends.reserve(
           server,
           reservationName(),
@@ -104,7 +115,10 @@
     }
   }
 
-  /** Releases the memory, repeatedly while a late reservation may still take effect. */
+  /**
+   * Releases the memory, repeatedly while a late reservation may still take effect; also on paused
+   * servers, which would keep it for nothing.
+   */
   void release() {
     if (released) {
       return;
--- a/node/src/main/java/dev/apricotmill/node/relay/LeastRequestBalancer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/LeastRequestBalancer.java
@@ -31,7 +31,7 @@
         .filter(server -> !excluded.contains(server.id()))
         .min(
             Comparator.comparing((BackendServer server) -> isCoolingDown(server.id(), nowNanos))
-                .thenComparingInt(server -> openRequests.getOrDefault(server.id(), 0))
+                .thenComparingInt(server -> openRequests(server.id()))
                 .thenComparingLong(
                     server -> (server.id().hashCode() * 31L + rotation) % ready.size()));
   }
@@ -44,6 +44,11 @@
     openRequests.computeIfPresent(server, (id, count) -> count == 1 ? null : count - 1);
   }
 
+  /** Returns the requests of this node that a server has not completed. */
+  int openRequests(ReplicaId server) {
+    return openRequests.getOrDefault(server, 0);
+  }
+
   void requestFailed(ReplicaId server, long nowNanos) {
     coolDownUntilNanos.values().removeIf(until -> until - nowNanos < 0);
     coolDownUntilNanos.put(server, nowNanos + COOL_DOWN.toNanos());
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.node.relay;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.pool.PoolScheduler;
@@ -33,7 +34,7 @@
   private final RequestAuthorizer.Decision.Allowed decision;
   private final long arrivedNanos;
   private final long deadlineNanos;
-  private final FailedServers failedServers;
+  private final CandidateServers candidates;
   private final RelayResponse response;
   private final CallLog log;
   private final EngineAllocation allocation;
@@ -57,15 +58,11 @@
     this.decision = decision;
     this.arrivedNanos = arrivedNanos;
     Duration callerTimeout = request.callerTimeout().orElse(node.settings().defaultTimeout());
-    Duration timeout =
-        callerTimeout.compareTo(decision.route().timeout()) < 0
-            ? callerTimeout
-            : decision.route().timeout();
-    deadlineNanos = arrivedNanos + timeout.toNanos();
+    deadlineNanos = arrivedNanos + Comparators.min(callerTimeout, route().timeout()).toNanos();
     response = new RelayResponse(decision.route(), request.resumeAfterEvent(), caller, window);
     allocation = new EngineAllocation(node, this);
     log = new CallLog(node, request);
-    failedServers = new FailedServers(node, service());
+    candidates = new CandidateServers(node, service());
     limits = new AttemptLimits(node, route(), service(), this::remaining);
     deadlineTimer = new ResettableTimer(node.timing(), this::onDeadline);
     silenceTimer = new ResettableTimer(node.timing(), this::onSilenceTimeout);
@@ -95,16 +92,14 @@
       onBlocked(blockedPart.get());
       return;
     }
+    if (endIfServersPaused()) {
+      return;
+    }
     if (request.size().isPresent() && decision.service().engine().isPresent()) {
       allocation.allocate(placementRequest(request.size().get()));
       return;
     }
-    Optional<BackendServer> server =
-        node.balancer()
-            .choose(
-                node.view().readyServers(service()),
-                failedServers.excluded(),
-                node.timing().nanoTime());
+    Optional<BackendServer> server = candidates.choose();
     if (server.isPresent()) {
       send(server.get(), ImmutableList.of(), route().timeout());
     } else {
@@ -112,6 +107,13 @@
     }
   }
 
+  /** Refuses the request at once if all servers of the service are paused. */
+  private boolean endIfServersPaused() {
+    Optional<Duration> pause = candidates.shortestPause();
+    pause.ifPresent(duration -> endWithFailure(RelayRefusal.SERVERS_PAUSED, duration));
+    return pause.isPresent();
+  }
+
   private PlacementRequest placementRequest(GenerationSize size) {
     long waitedNanos = node.timing().nanoTime() - arrivedNanos;
     return new PlacementRequest(
@@ -122,7 +124,7 @@
         route().latencyTarget().minusNanos(waitedNanos),
         route().eventGapTarget().orElse(route().latencyTarget()),
         remaining(),
-        failedServers.excluded());
+        candidates.excluded());
   }
 
   @Override
@@ -133,7 +135,7 @@
 
   @Override
   public void onUnusable(Optional<ReplicaId> server, RelayRefusal reason) {
-    server.ifPresent(failedServers::exclude);
+    server.ifPresent(candidates::exclude);
     tryNextServer(reason);
   }
 
@@ -201,7 +203,11 @@
 
   private void retryOrRefuse(RelayRefusal refusal) {
     allocation.release();
-    if (route().retryPolicy().allowsRetry(mayHaveRun) && limits.tryTakeRetry()) {
+    boolean retryAllowed = route().retryPolicy().allowsRetry(mayHaveRun);
+    if (retryAllowed && endIfServersPaused()) {
+      return;
+    }
+    if (retryAllowed && limits.tryTakeRetry()) {
       if (response.isStreamBegun()) {
         node.metrics().recordResume();
       }
@@ -290,11 +296,12 @@
       log.attemptFailed(attempt, "not_run " + head.status(), remaining());
       // A refusal is short: reading it to the end lets the connection be reused.
       close(attempt);
-      failedServers.onRefusal(attempt.server().id(), head.faultyServer());
+      candidates.onRefusal(attempt.server().id(), head.faultyServer());
       retryOrRefuse(RelayRefusal.REFUSED_BY_SERVER);
       return;
     }
     mayHaveRun = true;
+    node.pauses().onResponse(attempt.server());
     response.onHead(head);
     if (response.isFailedResume()) {
       failAttempt(attempt, true, BackendFailure.NOT_A_STREAM, false);
@@ -340,7 +347,7 @@
         && limits.tryTakeRetry()) {
       log.attemptFailed(attempt, "server error", remaining());
       response.keepAsFallback();
-      failedServers.exclude(attempt.server().id());
+      candidates.exclude(attempt.server().id());
       allocation.release();
       startAttempt();
       return;
@@ -363,7 +370,7 @@
     }
     silenceTimer.cancel();
     ReplicaId server = attempt.server().id();
-    failedServers.onFailure(server, unreachable);
+    candidates.onFailure(server, unreachable);
     if (!maybeSent) {
       limits.onNotSent();
       tryNextServer(RelayRefusal.NO_SERVER);
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
@@ -20,6 +20,8 @@
   private final Counter retries;
   private final Counter resumes;
   private final Counter callersGone;
+  private final Counter pauses;
+  private final Counter cappedPauses;
 
   RelayMetrics(MeterRegistry registry, AtomicInteger openRequestCount) {
     this.registry = registry;
@@ -28,6 +30,8 @@
     retries = registry.counter("apricotmill.relay.retries");
     resumes = registry.counter("apricotmill.relay.resumed");
     callersGone = registry.counter("apricotmill.relay.callers_gone");
+    pauses = registry.counter("apricotmill.relay.server_pauses");
+    cappedPauses = registry.counter("apricotmill.relay.server_pauses_capped");
     Gauge.builder("apricotmill.relay.open", openRequestCount, AtomicInteger::get)
         .register(registry);
   }
@@ -71,4 +75,14 @@
   void recordCallerGone() {
     callersGone.increment();
   }
+
+  /** Counts a pause that a server asked for. */
+  void recordPause() {
+    pauses.increment();
+  }
+
+  /** Counts a response that asked for a longer pause than is kept. */
+  void recordCappedPause() {
+    cappedPauses.increment();
+  }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -6,6 +6,7 @@
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.RelayRefusal;
+import dev.apricotmill.core.relay.ServerNotice;
 import dev.apricotmill.core.request.RequestId;
 import dev.apricotmill.core.request.ServiceName;
 import io.micrometer.core.instrument.MeterRegistry;
@@ -26,7 +27,7 @@
  * <p>All state of requests is changed on the scheduler of {@link Timing}, which must have one
  * thread.
  */
-public final class RelayNode {
+public final class RelayNode implements ServerNoticeListener {
 
   /** When a refused caller may retry if no better estimate is known. */
   private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
@@ -40,6 +41,7 @@
   private final RelayMetrics metrics;
   private final RequestAuthorizer authorizer;
   private final LeastRequestBalancer balancer = new LeastRequestBalancer();
+  private final ServerPauses pauses;
   private final AtomicReference<ServingView> view = new AtomicReference<>(ServingView.EMPTY);
   private final Set<RelayCall> openCalls = new LinkedHashSet<>();
   private final AtomicInteger openRequestCount = new AtomicInteger();
@@ -64,6 +66,7 @@
     blockedParts.addListener(new BlockedCallsEnder());
     this.log = log;
     metrics = new RelayMetrics(registry, openRequestCount);
+    pauses = new ServerPauses(timing, log, metrics, balancer);
     authorizer =
         new RequestAuthorizer(settings.maxConfigurationStaleness(), settings.configurationBound());
   }
@@ -104,6 +107,13 @@
     stopped = true;
   }
 
+  @Override
+  public void onNotice(BackendServer server, ServerNotice notice) {
+    notice
+        .pause()
+        .ifPresent(pause -> timing.scheduler().execute(() -> pauses.pause(server, pause)));
+  }
+
   /** Accepts a request; its response goes to {@code caller}. */
   public void accept(RelayRequest request, CallerConnection caller) {
     long arrivedNanos = timing.nanoTime();
@@ -202,7 +212,8 @@
 
   HelperReservations newHelperReservations(
       RequestId request, ImmutableList<BackendServer> servers, long tokens) {
-    return new HelperReservations(timing, backends, log, request, servers, tokens);
+    return new HelperReservations(
+        timing, backends, log, pauses::isPaused, request, servers, tokens);
   }
 
   Timing timing() {
@@ -229,6 +240,10 @@
     return balancer;
   }
 
+  ServerPauses pauses() {
+    return pauses;
+  }
+
   RelayMetrics metrics() {
     return metrics;
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -1,10 +1,7 @@
 package dev.apricotmill.node.relay;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.coordination.follow.ReadTimestamp;
-import dev.apricotmill.coordination.identity.Zone;
-import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.coordination.testing.VirtualTime;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.prompt.PromptParts;
@@ -13,12 +10,9 @@
 import dev.apricotmill.core.relay.EngineCostModel;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.relay.RelayRefusal;
-import dev.apricotmill.core.relay.RetryPolicy;
-import dev.apricotmill.core.relay.Route;
-import dev.apricotmill.core.relay.RouteTable;
+import dev.apricotmill.core.relay.ServerNotice;
 import dev.apricotmill.core.relay.ServiceProfile;
 import dev.apricotmill.core.relay.ServingConfiguration;
-import dev.apricotmill.core.relay.WeightedService;
 import dev.apricotmill.core.request.CustomerId;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.RequestId;
@@ -66,7 +60,7 @@
             (event, fields) -> log.add(event + " " + fields),
             new SimpleMeterRegistry());
     node.update(view -> view.withConfiguration(configuration(1), Optional.of(validatedNow())));
-    placer.update(node.update(view -> view.withServers(servers())));
+    setServers(ScriptedServers.ofServices(3, POOL, DESK));
   }
 
   /** Records the requests; reservations get the scripted result. */
@@ -113,6 +107,11 @@
     return sent;
   }
 
+  /** Returns the lines that were logged so far about servers. */
+  List<String> logOfServers() {
+    return log.stream().filter(line -> line.startsWith("server.")).toList();
+  }
+
   /** Returns the calls so far that reserved, renewed or released memory. */
   List<String> reservationCalls() {
     return reservationCalls;
@@ -122,6 +121,11 @@
     reserveResult = result;
   }
 
+  /** Replaces the list of servers. */
+  void setServers(ImmutableMap<ReplicaId, BackendServer> servers) {
+    placer.update(node.update(view -> view.withServers(servers)));
+  }
+
   void setPromptTokens(long tokens) {
     promptTokens = tokens;
   }
@@ -170,29 +174,10 @@
     return sent.get(sent.size() - 1);
   }
 
-  private static ImmutableMap<ReplicaId, BackendServer> servers() {
-    ImmutableMap.Builder<ReplicaId, BackendServer> servers = ImmutableMap.builder();
-    for (ServiceName service : List.of(POOL, DESK)) {
-      for (int i = 0; i < 3; i++) {
-        ReplicaId id = new ReplicaId(service.value() + i);
-        servers.put(
-            id,
-            new BackendServer(
-                id, service, new PeerAddress("10.0.0.1", 80), new Zone("a"), 4, true, 1));
-      }
-    }
-    return servers.buildOrThrow();
-  }
-
   static ServingConfiguration configuration(long version) {
     return new ServingConfiguration(
         version,
-        new RouteTable(
-            List.of(
-                route("order", Route.ResponseKind.WHOLE, RetryPolicy.AT_MOST_ONCE, 1, DESK),
-                route("read", Route.ResponseKind.WHOLE, RetryPolicy.REPEATABLE, 2, DESK),
-                route("stream", Route.ResponseKind.STREAM, RetryPolicy.REPEATABLE, 2, POOL),
-                route("once", Route.ResponseKind.STREAM, RetryPolicy.AT_MOST_ONCE, 2, POOL))),
+        ScriptedRoutes.table(),
         ImmutableMap.of(
             POOL,
             new ServiceProfile(
@@ -207,27 +192,6 @@
         new CallerLimits(16 << 10, 4 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
   }
 
-  private static Route route(
-      String name,
-      Route.ResponseKind kind,
-      RetryPolicy repeats,
-      int maximumAttempts,
-      ServiceName service) {
-    return new Route(
-        name,
-        "host",
-        "/" + name + "/",
-        kind,
-        repeats,
-        Duration.ofSeconds(3),
-        Duration.ofMillis(300),
-        Optional.of(Duration.ofMillis(200)),
-        1,
-        maximumAttempts,
-        false,
-        ImmutableList.of(new WeightedService(service, 1)));
-  }
-
   /** An attempt whose response the test controls. */
   final class SentExchange implements BackendClient.Exchange {
 
@@ -283,6 +247,12 @@
       time.runDue();
     }
 
+    /** Refuses the request as not run, and asks for a pause. */
+    void refuse(Duration pause) {
+      node.onNotice(request.server(), new ServerNotice(false, Optional.of(pause)));
+      head(503, true);
+    }
+
     void body(String text) {
       listener.onBody(text.getBytes(StandardCharsets.UTF_8));
       time.runDue();
@@ -304,6 +274,7 @@
 
     private final StringBuilder body = new StringBuilder();
     private @Nullable RelayRefusal refusal;
+    private @Nullable Duration retryAfter;
     private int status;
     private ImmutableMap<String, String> headers = ImmutableMap.of();
     private boolean ended;
@@ -320,6 +291,10 @@
       return refusal;
     }
 
+    @Nullable Duration retryAfter() {
+      return retryAfter;
+    }
+
     int status() {
       return status;
     }
@@ -356,8 +331,9 @@
     }
 
     @Override
-    public void refuse(RelayRefusal reason, Duration retryAfter) {
+    public void refuse(RelayRefusal reason, Duration newRetryAfter) {
       refusal = reason;
+      retryAfter = newRetryAfter;
       finalResponses++;
     }
 
--- /dev/null
+++ b/node/src/test/java/dev/apricotmill/node/relay/ScriptedRoutes.java
@@ -0,0 +1,54 @@
+package dev.apricotmill.node.relay;
+
+import com.google.common.collect.ImmutableList;
+import dev.apricotmill.core.relay.RetryPolicy;
+import dev.apricotmill.core.relay.Route;
+import dev.apricotmill.core.relay.RouteTable;
+import dev.apricotmill.core.relay.WeightedService;
+import dev.apricotmill.core.request.ServiceName;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** The routes of {@link RelayFixture}, named after the first part of their paths. */
+final class ScriptedRoutes {
+
+  private ScriptedRoutes() {}
+
+  static RouteTable table() {
+    return new RouteTable(
+        List.of(
+            route(
+                "order", Route.ResponseKind.WHOLE, RetryPolicy.AT_MOST_ONCE, 1, RelayFixture.DESK),
+            route("read", Route.ResponseKind.WHOLE, RetryPolicy.REPEATABLE, 2, RelayFixture.DESK),
+            route(
+                "stream", Route.ResponseKind.STREAM, RetryPolicy.REPEATABLE, 2, RelayFixture.POOL),
+            route(
+                "once",
+                Route.ResponseKind.STREAM,
+                RetryPolicy.AT_MOST_ONCE,
+                2,
+                RelayFixture.POOL)));
+  }
+
+  private static Route route(
+      String name,
+      Route.ResponseKind kind,
+      RetryPolicy repeats,
+      int maximumAttempts,
+      ServiceName service) {
+    return new Route(
+        name,
+        "host",
+        "/" + name + "/",
+        kind,
+        repeats,
+        Duration.ofSeconds(3),
+        Duration.ofMillis(300),
+        Optional.of(Duration.ofMillis(200)),
+        1,
+        maximumAttempts,
+        false,
+        ImmutableList.of(new WeightedService(service, 1)));
+  }
+}
