--- a/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
@@ -109,11 +109,16 @@
       callback.onUnusable(Optional.of(granted.server()), RelayRefusal.NO_SERVER);
       return;
     }
+    if (!node.pauses().accepts(server)) {
+      callback.onUnusable(Optional.empty(), RelayRefusal.SERVERS_PAUSED);
+      return;
+    }
     ImmutableList<BackendServer> helpers =
         granted.helpers().stream()
             .map(servers::get)
             .filter(Objects::nonNull)
             .filter(BackendServer::ready)
+            .filter(node.pauses()::accepts)
             .collect(ImmutableList.toImmutableList());
     if (granted.reservedTokens() == 0) {
       callback.onAllocated(
@@ -145,6 +150,9 @@
                   .findFirst();
           if (unusable.isPresent()) {
             callback.onUnusable(unusable, RelayRefusal.NO_SERVER);
+          } else if (!node.pauses().accepts(server)
+              || helpers.stream().anyMatch(node.pauses()::isPaused)) {
+            callback.onUnusable(Optional.empty(), RelayRefusal.SERVERS_PAUSED);
           } else if (allReserved) {
             callback.onAllocated(
                 server,
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -1,10 +1,8 @@
 package dev.apricotmill.node.relay;
 
 import com.google.common.collect.ImmutableList;
-import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.pool.PoolScheduler;
 import dev.apricotmill.core.relay.BackendServer;
-import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.relay.NotRunStatuses;
 import dev.apricotmill.core.relay.RelayRefusal;
 import dev.apricotmill.core.relay.Route;
@@ -33,7 +31,7 @@
   private final RequestAuthorizer.Decision.Allowed decision;
   private final long arrivedNanos;
   private final long deadlineNanos;
-  private final FailedServers failedServers;
+  private final CandidateServers candidates;
   private final RelayResponse response;
   private final CallLog log;
   private final EngineAllocation allocation;
@@ -61,7 +59,7 @@
     response = new RelayResponse(decision.route(), request.resumeAfterEvent(), caller, window);
     allocation = new EngineAllocation(node, this);
     log = new CallLog(node, request);
-    failedServers = new FailedServers(node, service());
+    candidates = new CandidateServers(node, service());
     limits = new AttemptLimits(node, route(), service(), this::remaining);
     deadlineTimer = new ResettableTimer(node.timing(), this::onDeadline);
     silenceTimer = new ResettableTimer(node.timing(), this::onSilenceTimeout);
@@ -91,16 +89,17 @@
       onBlocked(blockedPart.get());
       return;
     }
+    if (endIfServersPaused()) {
+      return;
+    }
     if (request.size().isPresent() && decision.service().engine().isPresent()) {
-      allocation.allocate(placementRequest(request.size().get()));
+      Duration waited = Duration.ofNanos(node.timing().nanoTime() - arrivedNanos);
+      allocation.allocate(
+          request.toPlacementRequest(
+              route(), service(), waited, remaining(), candidates.excluded()));
       return;
     }
-    Optional<BackendServer> server =
-        node.balancer()
-            .choose(
-                node.view().readyServers(service()),
-                failedServers.excluded(),
-                node.timing().nanoTime());
+    Optional<BackendServer> server = candidates.choose();
     if (server.isPresent()) {
       send(server.get(), ImmutableList.of(), route().timeout());
     } else {
@@ -108,17 +107,11 @@
     }
   }
 
-  private PlacementRequest placementRequest(GenerationSize size) {
-    long waitedNanos = node.timing().nanoTime() - arrivedNanos;
-    return new PlacementRequest(
-        request.id(),
-        service(),
-        size,
-        request.promptParts(),
-        route().latencyTarget().minusNanos(waitedNanos),
-        route().eventGapTarget().orElse(route().latencyTarget()),
-        remaining(),
-        failedServers.excluded());
+  /** Refuses the request at once if all servers of the service are paused. */
+  private boolean endIfServersPaused() {
+    Optional<Duration> pause = candidates.shortestPause();
+    pause.ifPresent(duration -> endWithFailure(RelayRefusal.SERVERS_PAUSED, duration));
+    return pause.isPresent();
   }
 
   @Override
@@ -129,7 +122,7 @@
 
   @Override
   public void onUnusable(Optional<ReplicaId> server, RelayRefusal reason) {
-    server.ifPresent(failedServers::exclude);
+    server.ifPresent(candidates::exclude);
     tryNextServer(reason);
   }
 
@@ -203,7 +196,11 @@
 
   private void retryOrRefuse(RelayRefusal refusal) {
     allocation.release();
-    if (route().retryPolicy().allowsRetry(mayHaveRun) && limits.tryTakeRetry()) {
+    boolean retryAllowed = route().retryPolicy().allowsRetry(mayHaveRun);
+    if (retryAllowed && endIfServersPaused()) {
+      return;
+    }
+    if (retryAllowed && limits.tryTakeRetry()) {
       if (response.isStreamBegun()) {
         node.metrics().recordResume();
       }
@@ -294,10 +291,11 @@
     }
     mayHaveRun = true;
     if (NotRunStatuses.contains(head.status())) {
-      failedServers.exclude(attempt.server().id());
+      candidates.exclude(attempt.server().id());
       onRefused(attempt, head, "not stated as not run " + head.status(), RelayRefusal.BROKEN);
       return;
     }
+    node.pauses().onResponse(attempt.server());
     response.onHead(head);
     if (response.isFailedResume()) {
       failAttempt(attempt, true, BackendFailure.NOT_A_STREAM, false);
@@ -310,7 +308,7 @@
     close(attempt);
     attempt.discardRest(node.timing());
     response.discardPartial();
-    failedServers.onRefusal(attempt.server(), head.faultyServer());
+    candidates.onRefusal(attempt.server(), head.faultyServer());
     retryOrRefuse(refusal);
   }
 
@@ -349,7 +347,7 @@
         && limits.tryTakeRetry()) {
       log.attemptFailed(attempt, "server error", remaining());
       response.keepAsFallback();
-      failedServers.exclude(attempt.server().id());
+      candidates.exclude(attempt.server().id());
       allocation.release();
       startAttempt();
       return;
@@ -370,7 +368,7 @@
     cancel(attempt);
     silenceTimer.cancel();
     ReplicaId server = attempt.server().id();
-    failedServers.onFailure(server, unreachable);
+    candidates.onFailure(server, unreachable);
     if (!maybeSent) {
       limits.onNotSent();
       tryNextServer(RelayRefusal.NO_SERVER);
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayRequest.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayRequest.java
@@ -2,10 +2,14 @@
 
 import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.relay.Route;
+import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.RequestId;
+import dev.apricotmill.core.request.ServiceName;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -43,4 +47,28 @@
   Duration timeLimit(Route route, Duration defaultCallerTimeout) {
     return Comparators.min(callerTimeout.orElse(defaultCallerTimeout), route.timeout());
   }
+
+  /**
+   * Returns the request for engines of a pool; the request must ask for generated text.
+   *
+   * @param waited the time since it arrived
+   * @param remaining the time until its deadline
+   * @param excluded the servers to which it must not go
+   */
+  PlacementRequest toPlacementRequest(
+      Route route,
+      ServiceName service,
+      Duration waited,
+      Duration remaining,
+      ImmutableSet<ReplicaId> excluded) {
+    return new PlacementRequest(
+        id,
+        service,
+        size.orElseThrow(),
+        promptParts,
+        route.latencyTarget().minus(waited),
+        route.eventGapTarget().orElse(route.latencyTarget()),
+        remaining,
+        excluded);
+  }
 }
