Tests of idle connections wait until their connection is accepted

aConnectionWhoseHeaderNeverEndsIsClosed and closeIdleClosesConnectionsWithoutARequest failed once each beside other builds: the listener has two I/O threads, and the one that accepts the silent connection can be later than the other is with a whole request on the next. The virtual time then advanced before the connection was known, and nothing closed it. By reading: the failures were not reproduced one by one. The bounds and checks are as before.

--- a/daemon/src/test/java/dev/apricotmill/daemon/http/HttpListenerTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/http/HttpListenerTest.java
@@ -127,6 +127,7 @@
   void aConnectionWhoseHeaderNeverEndsIsClosed() throws Exception {
     try (RawConnection connection = callers.connect()) {
       connection.send("POST /v1/completions HTTP/1.1\r\nhost: a\r\n");
+      awaitAccepted(1);
       assertServes();
       time.advance(PublicApiFixture.LIMITS.readTimeout().multipliedBy(2).plusSeconds(1));
       assertThat(connection.isClosedByPeer()).isTrue();
@@ -165,8 +166,7 @@
   @Test
   void closeIdleClosesConnectionsWithoutARequest() throws Exception {
     try (RawConnection idle = callers.connect()) {
-      // Another I/O thread may accept it after the next connection has been served.
-      Eventually.holds(() -> callers.listener().connectionCount() == 1);
+      awaitAccepted(1);
       assertServes();
       time.advance(Duration.ofMillis(400));
 
@@ -217,6 +217,14 @@
     }
   }
 
+  /**
+   * Waits until the listener has accepted so many connections: the I/O thread of one may be later
+   * than the other is with a whole request on the next.
+   */
+  private void awaitAccepted(int count) throws InterruptedException {
+    Eventually.holds(() -> callers.listener().connectionCount() == count);
+  }
+
   private void assertServes() throws Exception {
     try (RawConnection connection = callers.connect()) {
       connection.send(VALID_REQUEST);
