Give each attempt's reservations a name of their own

Found by review, by reading. Each allocation has its own name now (the id and a number).

HelperReservationsTest.noTwoAttemptsOfARequestShareAReservation failed before (the names were the same); the test of a prompt larger than an engine names the new form, as strictly as before.

--- a/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
@@ -39,6 +39,7 @@
   private final Callback callback;
   private @Nullable PlacementRequest activeRequest;
   private @Nullable HelperReservations reservations;
+  private int reservationAttempts;
   private boolean closed;
 
   EngineAllocation(RelayNode node, Callback callback) {
@@ -136,7 +137,11 @@
       ImmutableList<BackendServer> helpers,
       Placement.Granted granted) {
     HelperReservations newReservations =
-        node.newHelperReservations(placementRequest.requestId(), helpers, granted.reservedTokens());
+        node.newHelperReservations(
+            placementRequest.requestId(),
+            placementRequest.requestId().value() + "." + ++reservationAttempts,
+            helpers,
+            granted.reservedTokens());
     reservations = newReservations;
     newReservations.reserve(
         allReserved -> {
--- a/node/src/main/java/dev/apricotmill/node/relay/HelperReservations.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/HelperReservations.java
@@ -32,6 +32,7 @@
   private final EventLog log;
   private final Predicate<BackendServer> paused;
   private final RequestId request;
+  private final String name;
   private final ImmutableList<BackendServer> servers;
   private final long tokens;
   private int reservedCount;
@@ -40,12 +41,19 @@
   private boolean outcomeUnknown;
   private @Nullable Future<?> renewalTask;
 
+  /**
+   * Creates reservations that are not made yet.
+   *
+   * @param name names them at the servers; no other attempt may have it, since a reservation of an
+   *     attempt that has ended may still be released
+   */
   HelperReservations(
       Timing timing,
       BackendClient backends,
       EventLog log,
       Predicate<BackendServer> paused,
       RequestId request,
+      String name,
       ImmutableList<BackendServer> servers,
       long tokens) {
     this.timing = timing;
@@ -53,6 +61,7 @@
     this.log = log;
     this.paused = paused;
     this.request = request;
+    this.name = name;
     this.servers = servers;
     this.tokens = tokens;
   }
@@ -71,7 +80,7 @@
 
   /** Returns the name of the reservation, which is the same on each server. */
   String reservationName() {
-    return request.value();
+    return name;
   }
 
   private void onReserved(
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -242,9 +242,9 @@
   }
 
   HelperReservations newHelperReservations(
-      RequestId request, ImmutableList<BackendServer> servers, long tokens) {
+      RequestId request, String name, ImmutableList<BackendServer> servers, long tokens) {
     return new HelperReservations(
-        timing, backends, log, pauses::isPaused, request, servers, tokens);
+        timing, backends, log, pauses::isPaused, request, name, servers, tokens);
   }
 
   Timing timing() {
--- a/node/src/test/java/dev/apricotmill/node/relay/HelperReservationsTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/HelperReservationsTest.java
@@ -5,6 +5,7 @@
 import dev.apricotmill.core.relay.RelayRefusal;
 import dev.apricotmill.node.relay.RelayFixture.RecordedCaller;
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 final class HelperReservationsTest {
@@ -22,7 +23,7 @@
 
     assertThat(relay.sent()).hasSize(1);
     assertThat(relay.last().request().helpers()).isNotEmpty();
-    assertThat(relay.last().request().helpers().get(0).reservation()).hasValue("r1");
+    assertThat(relay.last().request().helpers().get(0).reservation()).hasValue("r1.1");
     relay.last().head(200, false);
     relay.last().body("id: 1\n\n");
     relay.last().end();
@@ -67,6 +68,17 @@
     assertThat(relay.reservationCalls()).hasSize(after);
   }
 
+  /** Releases of one attempt are repeated; they would free the memory of the next. */
+  @Test
+  void noTwoAttemptsOfARequestShareAReservation() {
+    relay.setReserveResult(BackendClient.ReserveResult.UNKNOWN);
+    relay.accept("/stream/1");
+
+    List<String> attempts = relay.releasedReservations().stream().distinct().toList();
+
+    assertThat(attempts).containsExactly("r1.1", "r1.2", "r1.3").inOrder();
+  }
+
   @Test
   void aDisconnectingCallerReleasesTheMemory() {
     RecordedCaller caller = relay.accept("/stream/1");
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -43,6 +43,7 @@
   private final List<SentExchange> sent = new ArrayList<>();
   private final List<String> log = new ArrayList<>();
   private final List<String> reservationCalls = new ArrayList<>();
+  private final List<String> releasedReservations = new ArrayList<>();
   private BackendClient.ReserveResult reserveResult = BackendClient.ReserveResult.RESERVED;
   private long promptTokens = 5_000;
   private final LocalPlacer placer = new LocalPlacer(timing);
@@ -87,6 +88,7 @@
     @Override
     public void release(BackendServer server, String reservation) {
       reservationCalls.add("release " + server.id().value());
+      releasedReservations.add(reservation);
     }
   }
 
@@ -117,6 +119,11 @@
     return reservationCalls;
   }
 
+  /** Returns the names of the reservations that were released so far. */
+  List<String> releasedReservations() {
+    return releasedReservations;
+  }
+
   void setReserveResult(BackendClient.ReserveResult result) {
     reserveResult = result;
   }
