--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -147,9 +147,8 @@
     }
   }
 
-  /** Ends the request before the process ends; a server may have run an open attempt. */
+  /** Ends the request before the process ends. */
   void endForStop() {
-    mayHaveRun |= currentAttempt != null;
     endWithFailure(RelayRefusal.STOPPING, Duration.ZERO);
   }
 
@@ -214,6 +213,7 @@
     if (ended) {
       return;
     }
+    // A server may run the request of an open attempt.
     mayHaveRun |= currentAttempt != null;
     RelayRefusal reportedRefusal =
         mayHaveRun && refusal.guaranteesNotRun() ? RelayRefusal.BROKEN : refusal;
