Play fleets whose servers leave and pause while nodes are disturbed

ServerNoticeSeries plays fleets of 1 to 95 nodes in virtual time: servers leave (the list says so late, lacks them late, or never changes; some successors keep the identifier), pause for some or all nodes, and fail runs with errors, also with statuses that mean "not run"; nodes restart, freeze, and are cut off from the list and from each other. Load and disruptions depend on the seed alone, so the same series is played without notices, too. Checked: no request that a node accepted later than the drain time after a server's notice reaches that server, nor any that it sent after the notice, renewals of reserved memory aside; at most two requests of a node within a pause; no caller is told "not run" of a request that ran; servers without engines that stay are used again; the served share is not under that without notices less the share of the servers' time in which they were leaving.

EngineFleet is split: FleetServer, EngineRun and EngineConnections; FleetNode is moved out of RelayFleet.

--- a/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
@@ -7,8 +7,10 @@
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.BackendServer;
+import dev.apricotmill.core.relay.ServerNotice;
 import dev.apricotmill.core.request.ReplicaId;
-import java.nio.charset.StandardCharsets;
+import dev.apricotmill.core.request.RequestId;
+import dev.apricotmill.core.request.ServiceName;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -17,14 +19,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
 
 /**
- * The engines of one pool, in virtual time. An engine that begins to write a response to a prompt
- * with a crashing part ends, with all that it runs, and is back under a new identifier later.
+ * The engines of one pool, in virtual time, and servers of services without engines. An engine that
+ * begins to write a response to a prompt with a crashing part ends, with all that it runs, and is
+ * back under a new identifier later.
  */
 final class EngineFleet {
 
@@ -40,6 +42,10 @@
   static final int MAX_ARRIVALS_AFTER_LEARNING = 3;
 
   private static final Duration NETWORK_DELAY = Duration.ofMillis(1);
+
+  /** The time to a server and back. */
+  static final Duration ROUND_TRIP = NETWORK_DELAY.multipliedBy(2);
+
   private static final Duration MIN_FIRST_TOKEN_DELAY = Duration.ofMillis(50);
   private static final int FIRST_TOKEN_SPREAD_MILLIS = 100;
   private static final Duration CRASH_DELAY = Duration.ofMillis(40);
@@ -48,25 +54,30 @@
   private static final int EVENTS_SPREAD = 15;
   private static final Duration ENTRY_EXPIRY = Duration.ofSeconds(2);
   private static final Duration RESTART_DELAY = Duration.ofSeconds(3);
+  private static final Duration WHOLE_RESPONSE_TIME = Duration.ofMillis(60);
+  private static final int UNAVAILABLE = 503;
+  private static final ImmutableList<Integer> ERRORS = ImmutableList.of(408, 429, 500, UNAVAILABLE);
   private static final int SLOTS = 8;
+  private static final int FIRST_PORT = 8000;
 
   private final Timing timing;
   private final Random random;
   private final Runnable onEntriesChanged;
-  private final Map<ReplicaId, Engine> engines = new LinkedHashMap<>();
+  private final Map<ReplicaId, FleetServer> servers = new LinkedHashMap<>();
   private final Set<String> crashingParts = new HashSet<>();
   private final List<Arrival> arrivals = new ArrayList<>();
   private final Map<String, Integer> attempts = new HashMap<>();
   private final List<Duration> crashes = new ArrayList<>();
+  private final ServerNoticeRecord record = new ServerNoticeRecord();
+  private boolean noticesSent = true;
+  private double errorShare;
   private int started;
 
   EngineFleet(Timing timing, Random random, int count, Runnable onEntriesChanged) {
     this.timing = timing;
     this.random = random;
     this.onEntriesChanged = onEntriesChanged;
-    for (int i = 0; i < count; i++) {
-      startEngine();
-    }
+    addServers(RelayFixture.POOL, count);
   }
 
   /**
@@ -104,203 +115,281 @@
 
   ImmutableMap<ReplicaId, BackendServer> entries() {
     ImmutableMap.Builder<ReplicaId, BackendServer> entries = ImmutableMap.builder();
-    engines.values().forEach(engine -> entries.put(engine.server.id(), engine.server));
+    servers
+        .values()
+        .forEach(server -> server.entry().ifPresent(entry -> entries.put(entry.id(), entry)));
     return entries.buildOrThrow();
   }
 
+  /** Returns what servers received and said of themselves. */
+  ServerNoticeRecord record() {
+    return record;
+  }
+
+  void addServers(ServiceName service, int count) {
+    for (int i = 0; i < count; i++) {
+      start(service);
+    }
+  }
+
+  /** From now on servers leave and pause without a word. */
+  void suppressNotices() {
+    noticesSent = false;
+  }
+
+  /** From now on this share of the runs ends with an error, also one that means "not run". */
+  void setErrorShare(double share) {
+    errorShare = share;
+  }
+
+  /** Returns the servers of a service that have not ended. */
+  ImmutableList<FleetServer> serversOf(ServiceName service) {
+    return servers.values().stream()
+        .filter(server -> server.isAlive() && server.server().service().equals(service))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns the time since a server started. */
+  Duration age(FleetServer server) {
+    return Duration.ofMillis(timing.clock().millis() - server.server().startedMillis());
+  }
+
+  /** Lets a server say that it leaves, and end later; its successor starts at its end. */
+  void leave(FleetServer server, FleetServer.Departure departure) {
+    server.beginToLeave();
+    timing.schedule(
+        departure.entryDelay(),
+        () -> {
+          server.setEntry(departure.entry());
+          onEntriesChanged.run();
+        });
+    timing.schedule(
+        departure.lifetime(),
+        () -> {
+          server.end();
+          servers.remove(server.server().id());
+          if (departure.keepsId()) {
+            start(server.server().id(), server.server().service());
+          } else {
+            start(server.server().service());
+          }
+          onEntriesChanged.run();
+        });
+  }
+
   /** Ends engines that run requests, for a reason that lies in no prompt. */
   void killBusyEngines(int count) {
-    engines.values().stream()
-        .filter(engine -> engine.alive && !engine.runs.isEmpty())
+    servers.values().stream()
+        .filter(server -> server.isAlive() && !server.runs().isEmpty())
         .limit(count)
         .toList()
         .forEach(this::end);
   }
 
-  /** The connections of one node to the engines. */
-  final class Connections implements BackendClient {
+  /** Counts an attempt to send a request and returns its number. */
+  int countAttempt(RelayRequest request) {
+    return attempts.merge(request.id().value(), 1, Integer::sum);
+  }
 
-    private final List<Run> runs = new ArrayList<>();
+  void send(EngineRun run) {
+    arrivals.add(new Arrival(now(), run.request().request().promptParts()));
+    timing.schedule(NETWORK_DELAY, () -> arrive(run));
+  }
 
-    @Override
-    public Exchange send(BackendRequest request, ResponseListener listener) {
-      int attempt = attempts.merge(request.request().id().value(), 1, Integer::sum);
-      Run run = new Run(request, attempt, listener);
-      runs.removeIf(open -> open.ended);
-      runs.add(run);
-      arrivals.add(new Arrival(now(), request.request().promptParts()));
-      timing.schedule(NETWORK_DELAY, () -> arrive(run));
-      return run;
-    }
+  /** Handles an order to reserve memory, or to renew a reservation. */
+  void reserve(
+      EngineConnections connections,
+      BackendServer known,
+      String reservation,
+      Consumer<BackendClient.ReserveResult> callback) {
+    timing.schedule(NETWORK_DELAY, () -> arrive(connections, known, reservation, callback));
+  }
 
-    @Override
-    public void reserve(
-        BackendServer server,
-        String reservation,
-        long tokens,
-        Duration duration,
-        Consumer<ReserveResult> callback) {
-      callback.accept(ReserveResult.REFUSED);
+  private void arrive(
+      EngineConnections connections,
+      BackendServer known,
+      String reservation,
+      Consumer<BackendClient.ReserveResult> callback) {
+    FleetServer server = servers.get(known.id());
+    if (server == null || !server.isAlive()) {
+      connections.deliver(() -> callback.accept(BackendClient.ReserveResult.REFUSED));
+      return;
+    }
+    boolean renewed = server.holds(reservation);
+    RequestId request = new RequestId(reservation);
+    record.arrived(request, link(connections, server), now(), renewed);
+    boolean refused = !renewed && server.isPausedFor(connections.node(), now());
+    ServerNotice notice = refused ? refusalNotice(server, connections.node()) : runNotice(server);
+    if (!refused) {
+      server.reserve(reservation);
     }
+    connections.deliver(
+        () -> {
+          connections.notice(server, known, notice);
+          callback.accept(
+              refused ? BackendClient.ReserveResult.REFUSED : BackendClient.ReserveResult.RESERVED);
+        });
+  }
+
+  /** Records that a node received a notice. */
+  void recordNotice(EngineConnections connections, FleetServer server, ServerNotice notice) {
+    record.received(link(connections, server), notice, now());
+  }
+
+  private static ServerNoticeRecord.Link link(EngineConnections connections, FleetServer server) {
+    return new ServerNoticeRecord.Link(connections.node(), server.instance());
+  }
+
+  private ServerNotice refusalNotice(FleetServer server, int node) {
+    return noticesSent ? server.refusalNotice(node, now()) : ServerNotice.NONE;
+  }
 
-    @Override
-    public void release(BackendServer server, String reservation) {}
+  private ServerNotice runNotice(FleetServer server) {
+    return noticesSent ? server.runNotice() : ServerNotice.NONE;
+  }
 
-    /** Closes all connections, as the end of the node's process does. */
-    void close() {
-      runs.forEach(Run::cancel);
+  private void arrive(EngineRun run) {
+    FleetServer server = servers.get(run.request().server().id());
+    if (server == null || !server.isAlive()) {
+      run.fail(false);
+      return;
+    }
+    EngineConnections connections = run.connections();
+    RequestId request = run.request().request().id();
+    record.arrived(request, link(connections, server), now(), false);
+    if (server.isPausedFor(connections.node(), now())) {
+      run.refuse(server, refusalNotice(server, connections.node()), Optional.empty());
+      return;
+    }
+    Optional<String> missingHelper = missingHelper(run);
+    if (missingHelper.isPresent()) {
+      run.refuse(server, runNotice(server), missingHelper);
+      return;
     }
+    record.run(request);
+    server.runs().add(run);
+    Duration wait = MIN_FIRST_TOKEN_DELAY.plusMillis(random.nextInt(FIRST_TOKEN_SPREAD_MILLIS));
+    timing.schedule(wait, () -> begin(server, run));
+  }
+
+  /** Returns the address of a helper that is leaving or does not hold the reserved memory. */
+  private Optional<String> missingHelper(EngineRun run) {
+    return run.request().helpers().stream()
+        .filter(
+            helper ->
+                serverAt(helper.address())
+                    .filter(server -> !server.isLeaving())
+                    .filter(server -> server.holds(helper.reservation().orElse("")))
+                    .isEmpty())
+        .findFirst()
+        .map(helper -> helper.address().toString());
   }
 
   private Duration now() {
     return Duration.ofNanos(timing.nanoTime());
   }
 
-  private void startEngine() {
-    ReplicaId id = new ReplicaId("e" + started++);
-    engines.put(
+  private Optional<FleetServer> serverAt(PeerAddress address) {
+    return servers.values().stream()
+        .filter(server -> server.isAlive() && server.server().address().equals(address))
+        .findFirst();
+  }
+
+  private void start(ServiceName service) {
+    start(new ReplicaId((service.equals(RelayFixture.POOL) ? "e" : "d") + started), service);
+  }
+
+  private void start(ReplicaId id, ServiceName service) {
+    servers.put(
         id,
-        new Engine(
+        new FleetServer(
             new BackendServer(
                 id,
-                RelayFixture.POOL,
-                new PeerAddress("10.0.0.1", 80),
+                service,
+                new PeerAddress("10.0.0.1", FIRST_PORT + started++),
                 new Zone("a"),
                 SLOTS,
                 true,
                 timing.clock().millis())));
   }
 
-  private void arrive(Run run) {
-    Engine engine = engines.get(run.request.server().id());
-    if (engine == null || !engine.alive) {
-      run.fail(false);
+  private void begin(FleetServer server, EngineRun run) {
+    if (run.hasEnded()) {
       return;
     }
-    engine.runs.add(run);
-    Duration wait = MIN_FIRST_TOKEN_DELAY.plusMillis(random.nextInt(FIRST_TOKEN_SPREAD_MILLIS));
-    timing.schedule(wait, () -> begin(engine, run));
-  }
-
-  private void begin(Engine engine, Run run) {
-    if (run.ended) {
+    if (errorShare > 0 && random.nextDouble() < errorShare) {
+      server.runs().remove(run);
+      int status = ERRORS.get(random.nextInt(ERRORS.size()));
+      run.failWithError(
+          server,
+          status,
+          status == UNAVAILABLE
+              ? refusalNotice(server, run.connections().node())
+              : runNotice(server));
+      return;
+    }
+    run.head(server, runNotice(server));
+    if (!run.isStream()) {
+      timing.schedule(WHOLE_RESPONSE_TIME, () -> complete(server, run, "a whole response"));
       return;
     }
-    run.head();
     run.event();
-    if (run.request.request().promptParts().shared().stream().anyMatch(crashingParts::contains)) {
+    if (run.request().request().promptParts().shared().stream().anyMatch(crashingParts::contains)) {
       timing.schedule(
           CRASH_DELAY,
           () -> {
-            if (engine.alive && !run.ended) {
+            if (server.isAlive() && !run.hasEnded()) {
               crashes.add(now());
-              end(engine);
+              end(server);
             }
           });
       return;
     }
-    scheduleEvents(engine, run, MIN_EVENTS + random.nextInt(EVENTS_SPREAD));
+    scheduleEvents(server, run, MIN_EVENTS + random.nextInt(EVENTS_SPREAD));
   }
 
-  private void scheduleEvents(Engine engine, Run run, int remaining) {
+  private void scheduleEvents(FleetServer server, EngineRun run, int remaining) {
     timing.schedule(
         EVENT_PERIOD,
         () -> {
-          if (run.ended) {
+          if (run.hasEnded()) {
             return;
           }
           if (remaining > 0) {
             run.event();
-            scheduleEvents(engine, run, remaining - 1);
+            scheduleEvents(server, run, remaining - 1);
           } else {
-            engine.runs.remove(run);
-            run.complete();
+            complete(server, run, "");
           }
         });
   }
 
-  private void end(Engine engine) {
-    engine.alive = false;
-    engine.runs.forEach(run -> run.fail(true));
-    engine.runs.clear();
+  private static void complete(FleetServer server, EngineRun run, String lastChunk) {
+    if (!run.hasEnded()) {
+      server.runs().remove(run);
+      if (!lastChunk.isEmpty()) {
+        run.body(lastChunk);
+      }
+      run.complete();
+    }
+  }
+
+  private void end(FleetServer server) {
+    server.end();
     timing.schedule(
         ENTRY_EXPIRY,
         () -> {
-          engines.remove(engine.server.id());
+          servers.remove(server.server().id());
           onEntriesChanged.run();
         });
     timing.schedule(
         RESTART_DELAY,
         () -> {
-          startEngine();
+          start(server.server().service());
           onEntriesChanged.run();
         });
   }
 
-  private static final class Engine {
-    private final BackendServer server;
-    private final List<Run> runs = new ArrayList<>();
-    private boolean alive = true;
-
-    Engine(BackendServer server) {
-      this.server = server;
-    }
-  }
-
-  /** One request at one engine. */
-  private static final class Run implements BackendClient.Exchange {
-    private final BackendClient.BackendRequest request;
-    private final int attempt;
-    private final BackendClient.ResponseListener listener;
-    private long lastEvent;
-    private boolean ended;
-
-    Run(
-        BackendClient.BackendRequest request,
-        int attempt,
-        BackendClient.ResponseListener listener) {
-      this.request = request;
-      this.attempt = attempt;
-      this.listener = listener;
-      OptionalLong resumeAfter = request.resumeAfterEvent();
-      lastEvent = resumeAfter.orElse(0);
-    }
-
-    private void head() {
-      listener.onHead(
-          new BackendClient.Head(
-              200, ImmutableMap.of(ATTEMPT, Integer.toString(attempt)), false, Optional.empty()));
-    }
-
-    private void event() {
-      String event = "id: " + ++lastEvent + "\ndata: word\n\n";
-      listener.onBody(event.getBytes(StandardCharsets.UTF_8));
-    }
-
-    private void complete() {
-      ended = true;
-      listener.onEnd();
-    }
-
-    private void fail(boolean maybeSent) {
-      if (!ended) {
-        ended = true;
-        listener.onFailure(maybeSent, BackendFailure.CONNECTION_LOST);
-      }
-    }
-
-    @Override
-    public void cancel() {
-      ended = true;
-    }
-
-    @Override
-    public void pauseReading() {}
-
-    @Override
-    public void resumeReading() {}
-  }
-
   /** Returns the parts of a prompt: two that others share, and one of its own. */
   static PromptParts prompt(String first, String second, String own) {
     return new PromptParts(ImmutableList.of(first, second, own));
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
@@ -3,49 +3,31 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import dev.apricotmill.coordination.follow.FollowObserver;
-import dev.apricotmill.coordination.follow.ReadTimestamp;
-import dev.apricotmill.coordination.follow.SharedFollower;
-import dev.apricotmill.coordination.identity.DaemonId;
-import dev.apricotmill.coordination.identity.Incarnation;
-import dev.apricotmill.coordination.identity.Zone;
 import dev.apricotmill.coordination.membership.Member;
-import dev.apricotmill.coordination.membership.MemberState;
 import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.coordination.membership.RendezvousHash;
-import dev.apricotmill.coordination.platform.Platform;
 import dev.apricotmill.coordination.testing.FakePlatform;
-import dev.apricotmill.coordination.testing.VirtualScheduler;
 import dev.apricotmill.coordination.testing.VirtualTime;
 import dev.apricotmill.coordination.time.Timing;
-import dev.apricotmill.core.pool.Placement;
-import dev.apricotmill.core.pool.PlacementRequest;
-import dev.apricotmill.core.pool.WorkReport;
 import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.request.RequestId;
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
-import java.util.function.Consumer;
 
 /** Nodes that relay to one pool of engines and place requests through its dispatcher. */
 final class RelayFleet {
 
-  private static final Duration NETWORK_DELAY = Duration.ofMillis(1);
-  private static final int RETRIES_PER_THOUSAND_REQUESTS = 200;
-  private static final int RETRY_RESERVE = 100;
-
   private final VirtualTime time = new VirtualTime();
   private final Timing network = time.newTiming();
   private final FakePlatform store = new FakePlatform(time);
   private final Random random;
   private final EngineFleet engines;
-  private final List<Node> nodes = new ArrayList<>();
+  private final List<FleetNode> nodes = new ArrayList<>();
   private int started;
   private int requests;
 
@@ -53,7 +35,7 @@
     random = new Random(seed);
     engines = new EngineFleet(network, random, engineCount, this::applyServers);
     for (int i = 0; i < nodeCount; i++) {
-      nodes.add(new Node());
+      nodes.add(newNode());
     }
     applyMembers();
     advance(Duration.ofSeconds(1));
@@ -73,35 +55,50 @@
 
   /** Sends a prompt to a random node. */
   RelayFixture.RecordedCaller send(PromptParts prompt) {
+    FleetNode node = nodes.get(random.nextInt(nodes.size()));
+    return send(node, newRequest("/stream/", Optional.of(new GenerationSize(1_000, 100)), prompt));
+  }
+
+  /** Sends a request to a node. */
+  RelayFixture.RecordedCaller send(int node, RelayRequest request) {
+    return send(nodes.get(node), request);
+  }
+
+  private RelayFixture.RecordedCaller send(FleetNode node, RelayRequest request) {
     RelayFixture.RecordedCaller caller = new RelayFixture.RecordedCaller();
-    nodes
-        .get(random.nextInt(nodes.size()))
-        .relay
-        .accept(
-            new RelayRequest(
-                new RequestId("r" + requests++),
-                "host",
-                "POST",
-                "/stream/",
-                ImmutableMap.of(),
-                new byte[0],
-                Optional.of("key"),
-                Optional.of(Duration.ofSeconds(5)),
-                Optional.of(new GenerationSize(1_000, 100)),
-                prompt,
-                OptionalLong.empty()),
-            caller);
+    engines.record().accepted(request.id(), now());
+    node.accept(request, caller);
     return caller;
   }
 
+  /** Returns a request with a new identifier. */
+  RelayRequest newRequest(String path, Optional<GenerationSize> size, PromptParts prompt) {
+    return new RelayRequest(
+        new RequestId("r" + requests++),
+        "host",
+        "POST",
+        path,
+        ImmutableMap.of(),
+        new byte[0],
+        Optional.of("key"),
+        Optional.of(Duration.ofSeconds(5)),
+        size,
+        prompt,
+        OptionalLong.empty());
+  }
+
   int nodeCount() {
     return nodes.size();
   }
 
+  String name(int node) {
+    return nodes.get(node).member().incarnation().toString();
+  }
+
   /** Returns the parts that any node blocks. */
   ImmutableSet<String> blockedParts() {
     return nodes.stream()
-        .flatMap(node -> node.blockedParts.parts().stream())
+        .flatMap(node -> node.blockedParts().parts().stream())
         .collect(ImmutableSet.toImmutableSet());
   }
 
@@ -109,151 +106,62 @@
   void killDispatcher() {
     Member dispatcher =
         RendezvousHash.ranked(members(), RelayFixture.POOL.value()).findFirst().orElseThrow();
-    nodes.stream().filter(node -> node.member.equals(dispatcher)).forEach(Node::kill);
-    nodes.removeIf(node -> node.member.equals(dispatcher));
+    nodes.stream().filter(node -> node.member().equals(dispatcher)).forEach(FleetNode::kill);
+    nodes.removeIf(node -> node.member().equals(dispatcher));
     applyMembers();
   }
 
+  /** Replaces a node by a new one. */
+  void restart(int node) {
+    nodes.get(node).kill();
+    nodes.set(node, newNode());
+    applyMembers();
+  }
+
+  /** Lets the process of a node stand still for a while. */
+  void freeze(int node, Duration duration) {
+    nodes.get(node).disturb(FleetNode.Disturbance.FROZEN, duration);
+  }
+
+  /** Keeps the platform's list from a node for a while. */
+  void cutFromList(int node, Duration duration) {
+    nodes.get(node).disturb(FleetNode.Disturbance.WITHOUT_LIST, duration);
+  }
+
+  /** Cuts a node off from all others for a while. */
+  void cutFromPeers(int node, Duration duration) {
+    nodes.get(node).disturb(FleetNode.Disturbance.WITHOUT_PEERS, duration);
+  }
+
   /** Replaces all nodes by new ones, which know nothing but what the store holds. */
   void restartAllNodes() {
     int count = nodes.size();
-    nodes.forEach(Node::kill);
+    nodes.forEach(FleetNode::kill);
     nodes.clear();
     for (int i = 0; i < count; i++) {
-      nodes.add(new Node());
+      nodes.add(newNode());
     }
     applyMembers();
   }
 
   private ImmutableList<Member> members() {
-    return nodes.stream().map(node -> node.member).collect(ImmutableList.toImmutableList());
+    return nodes.stream().map(FleetNode::member).collect(ImmutableList.toImmutableList());
   }
 
   private void applyMembers() {
-    nodes.forEach(
-        node ->
-            node.timing
-                .scheduler()
-                .execute(
-                    () -> {
-                      node.placer.updateMembers(members());
-                      node.relay.update(view -> view.withNodeCount(members().size()));
-                    }));
+    ImmutableList<Member> members = members();
+    nodes.forEach(node -> node.applyMembers(members));
   }
 
-  private void applyServers() {
-    nodes.forEach(
-        node -> node.timing.scheduler().execute(() -> node.state.serversRead(engines.entries())));
+  private FleetNode newNode() {
+    return new FleetNode(started++, time, store, engines, this::find);
   }
 
-  /** One node and what other nodes reach of it. */
-  private final class Node implements DispatcherClient {
-
-    private final VirtualScheduler scheduler = time.newScheduler();
-    private final Timing timing = time.timingOf(scheduler);
-    private final Member member;
-    private final LocalPlacer localPlacer = new LocalPlacer(timing);
-    private final BlockedParts blockedParts;
-    private final DispatcherPlacer placer;
-    private final EngineFleet.Connections connections = engines.new Connections();
-    private final PlacementEndpoint endpoint;
-    private final RelayNode relay;
-    private final ServingState state;
-
-    Node() {
-      int number = started++;
-      EventLog log = (event, fields) -> {};
-      member =
-          new Member(
-              new Incarnation(new DaemonId("n" + number), 1),
-              new Zone("a"),
-              new PeerAddress("10.0.1.1", 1000 + number),
-              MemberState.ALIVE);
-      blockedParts = new BlockedParts(timing, log);
-      LeavingServers leavingServers = new LeavingServers(timing, log);
-      CrashWatch crashWatch = new CrashWatch(timing, localPlacer, blockedParts);
-      placer =
-          new DispatcherPlacer(
-              timing, localPlacer, this, member, blockedParts, leavingServers, crashWatch, log);
-      endpoint =
-          new PlacementEndpoint(
-              timing, localPlacer, blockedParts, leavingServers, crashWatch, () -> false);
-      Platform storeClient = store.clientFor("n" + number, new Zone("a"), scheduler);
-      SharedFollower follower =
-          new SharedFollower(
-              storeClient,
-              timing,
-              member,
-              (peer, request, limits, callback) -> {},
-              FollowObserver.NONE);
-      follower.follow(
-          BlockedPartDirectory.KIND,
-          BlockedPartDirectory.FOLLOW_SETTINGS,
-          new BlockedPartDirectory(storeClient, timing, blockedParts));
-      follower.start();
-      relay =
-          new RelayNode(
-              timing,
-              new RelaySettings(
-                  Duration.ofHours(1),
-                  RelayFixture.CONFIGURATION_BOUND,
-                  Duration.ofSeconds(10),
-                  RETRIES_PER_THOUSAND_REQUESTS,
-                  RETRY_RESERVE),
-              connections,
-              placer,
-              blockedParts,
-              log,
-              new SimpleMeterRegistry());
-      relay.update(
-          view ->
-              view.withConfiguration(
-                  RelayFixture.configuration(1),
-                  Optional.of(new ReadTimestamp(timing.nanoTime(), timing.clock().millis()))));
-      state = new ServingState(relay, leavingServers, log, localPlacer::update);
-      state.serversRead(engines.entries());
-    }
-
-    void kill() {
-      scheduler.pause();
-      connections.close();
-    }
-
-    @Override
-    public void requestPlacement(
-        PeerAddress peer,
-        PlacementRequest placementRequest,
-        Duration timeout,
-        Consumer<Optional<Placement>> callback) {
-      Optional<Node> target = find(peer);
-      if (target.isEmpty()) {
-        network.schedule(timeout, () -> callback.accept(Optional.empty()));
-        return;
-      }
-      network.schedule(
-          NETWORK_DELAY,
-          () ->
-              target
-                  .get()
-                  .endpoint
-                  .place(
-                      placementRequest,
-                      reply -> network.schedule(NETWORK_DELAY, () -> callback.accept(reply))));
-    }
-
-    @Override
-    public void probe(PeerAddress peer, Duration timeout, Consumer<Boolean> callback) {
-      callback.accept(find(peer).isPresent());
-    }
-
-    @Override
-    public void report(PeerAddress peer, ImmutableList<WorkReport> reports) {
-      network.schedule(
-          NETWORK_DELAY, () -> find(peer).ifPresent(target -> target.endpoint.report(reports)));
-    }
+  private Optional<FleetNode> find(PeerAddress address) {
+    return nodes.stream().filter(node -> node.member().address().equals(address)).findFirst();
+  }
 
-    private Optional<Node> find(PeerAddress address) {
-      return nodes.stream().filter(node -> node.member.address().equals(address)).findFirst();
-    }
+  private void applyServers() {
+    nodes.forEach(FleetNode::applyServers);
   }
 }
