Take a server that had started when it said that it is leaving for the one that leaves

A node that is behind the list marks the instance that its list names, although the one that answered is the next under the same identifier.

An instance that had started before the response came counts as leaving too, for a minute at most: by then a server that leaves has ended, and one that was taken for it by mistake, since the node's clock or process was behind, is used again. Only own responses do this, not reports of peers, which may be old.

The test of a server that starts again gives it a start after the notice, as such a server has; it had one of 1970. The series reads the request from the new names of reservations.

--- a/node/src/main/java/dev/apricotmill/node/relay/LeavingServers.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/LeavingServers.java
@@ -11,6 +11,8 @@
 import dev.apricotmill.core.request.ServiceName;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -35,11 +37,20 @@
 
   private static final Duration ABSENCE_CHECK_PERIOD = Duration.ofMinutes(1);
 
+  /** A server that says that it is leaving has ended by then. */
+  static final Duration MAX_DEPARTURE = Duration.ofMinutes(1);
+
   private final Timing timing;
   private final EventLog log;
   private final Set<Instance> marked = new LinkedHashSet<>();
   private final List<LeavingListener> listeners = new ArrayList<>();
 
+  /** The marks that responses have set, by the identifier of the server. */
+  private final Map<ReplicaId, ResponseMark> responseMarks = new HashMap<>();
+
+  /** Those marks that keep requests from a later instance for some time. */
+  private final Set<ResponseMark> suspectedSuccessors = new HashSet<>();
+
   /** When the list first lacked a marked instance; the longest absence first. */
   private final Map<Instance, Long> absentSinceNanos = new LinkedHashMap<>();
 
@@ -82,11 +93,35 @@
     }
   }
 
-  /** Learns of instances that are marked. */
+  /**
+   * A mark that a response has set.
+   *
+   * @param instance the instance that the list named when the request was sent
+   * @param atMillis when the response arrived, in milliseconds of Unix time
+   * @param atNanos the same on the monotonic clock
+   */
+  private record ResponseMark(Instance instance, long atMillis, long atNanos) {
+
+    /** A list that is behind may name the instance before the one that has responded. */
+    boolean mayMean(BackendServer server) {
+      return instance.service().equals(server.service())
+          && instance.startedMillis() < server.startedMillis()
+          && server.startedMillis() <= atMillis;
+    }
+
+    long endNanos() {
+      return atNanos + MAX_DEPARTURE.toNanos();
+    }
+  }
+
+  /** Learns of changes of the marks. */
   @FunctionalInterface
   public interface LeavingListener {
-    /** Called once for each instance. */
+    /** Called once for each instance that is marked. */
     void onLeaving(Instance instance, Source source);
+
+    /** Called when servers of the list may accept requests again. */
+    default void onAcceptingAgain() {}
   }
 
   /** Adds a listener. */
@@ -106,6 +141,11 @@
     if (!marked.add(instance)) {
       return;
     }
+    if (source == Source.RESPONSE) {
+      responseMarks.put(
+          instance.server(),
+          new ResponseMark(instance, timing.clock().millis(), timing.nanoTime()));
+    }
     log.write(
         "server.leaving",
         ImmutableMap.of(
@@ -131,8 +171,34 @@
       return servers;
     }
     return ImmutableMap.copyOf(
-        Maps.transformValues(
-            servers, server -> marked.contains(Instance.of(server)) ? server.asLeaving() : server));
+        Maps.transformValues(servers, server -> isLeaving(server) ? server.asLeaving() : server));
+  }
+
+  /** Returns the servers of the list with the marked instances as leaving. */
+  ImmutableMap<ReplicaId, BackendServer> servers() {
+    return apply(listed);
+  }
+
+  private boolean isLeaving(BackendServer server) {
+    return marked.contains(Instance.of(server)) || maySucceedMarked(server);
+  }
+
+  /** Returns whether the response that marked an earlier instance may have been of this one. */
+  private boolean maySucceedMarked(BackendServer server) {
+    ResponseMark mark = responseMarks.get(server.id());
+    if (mark == null || !mark.mayMean(server)) {
+      return false;
+    }
+    long remainingNanos = mark.endNanos() - timing.nanoTime();
+    if (remainingNanos > 0 && suspectedSuccessors.add(mark)) {
+      timing.schedule(Duration.ofNanos(remainingNanos), () -> acceptAgain(mark));
+    }
+    return remainingNanos > 0;
+  }
+
+  private void acceptAgain(ResponseMark mark) {
+    suspectedSuccessors.remove(mark);
+    listeners.forEach(LeavingListener::onAcceptingAgain);
   }
 
   boolean isEmpty() {
@@ -191,6 +257,7 @@
   private void forget(Instance instance) {
     absentSinceNanos.remove(instance);
     marked.remove(instance);
+    responseMarks.values().removeIf(mark -> mark.instance().equals(instance));
     log.write(
         "server.leaving_ended",
         ImmutableMap.of(
--- a/node/src/main/java/dev/apricotmill/node/relay/ServingState.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServingState.java
@@ -42,7 +42,7 @@
     this.leavingServers = leavingServers;
     this.log = log;
     this.onChange = onChange;
-    leavingServers.addListener(this::onLeaving);
+    leavingServers.addListener(new LeavingServersObserver());
   }
 
   /** Applies a configuration if it is newer than the current one. */
@@ -93,12 +93,22 @@
     onChange.accept(relay.update(view -> view.withServers(usable)));
   }
 
-  private void onLeaving(LeavingServers.Instance instance, LeavingServers.Source source) {
-    relay.metrics().recordLeavingServer(source);
-    Optional<ServerTable> table = relay.view().servers();
-    if (table.isPresent()) {
-      ImmutableMap<ReplicaId, BackendServer> usable =
-          leavingServers.apply(table.get().serversById());
+  /** Applies changes of the marks to the servers of the view. */
+  private final class LeavingServersObserver implements LeavingServers.LeavingListener {
+
+    @Override
+    public void onLeaving(LeavingServers.Instance instance, LeavingServers.Source source) {
+      relay.metrics().recordLeavingServer(source);
+      relay.view().servers().ifPresent(table -> apply(table.serversById()));
+    }
+
+    @Override
+    public void onAcceptingAgain() {
+      onChange.accept(relay.update(view -> view.withServers(leavingServers.servers())));
+    }
+
+    private void apply(ImmutableMap<ReplicaId, BackendServer> servers) {
+      ImmutableMap<ReplicaId, BackendServer> usable = leavingServers.apply(servers);
       onChange.accept(relay.update(view -> view.withServers(usable)));
     }
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
@@ -216,7 +216,8 @@
       return;
     }
     boolean renewed = server.holds(reservation);
-    RequestId request = new RequestId(reservation);
+    // The name of a reservation is the request's identifier and the number of the attempt.
+    RequestId request = new RequestId(reservation.substring(0, reservation.indexOf('.')));
     record.arrived(request, link(connections, server), now(), renewed);
     boolean refused = !renewed && server.isPausedFor(connections.node(), now());
     ServerNotice notice = refused ? refusalNotice(server, connections.node()) : runNotice(server);
--- a/node/src/test/java/dev/apricotmill/node/relay/LeavingServerRelayTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/LeavingServerRelayTest.java
@@ -76,7 +76,8 @@
     serving.accept("/order/1", SHORT);
     assertThat(serving.servers()).isEmpty();
 
-    serving.list(ServingFixture.server(RelayFixture.DESK, 0, 2));
+    long laterMillis = serving.time().clock().millis() + 1;
+    serving.list(ServingFixture.server(RelayFixture.DESK, 0, laterMillis));
     serving.accept("/order/1", SHORT);
 
     assertThat(serving.servers()).containsExactly(desk0.id());
--- a/node/src/test/java/dev/apricotmill/node/relay/LeavingServersTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/LeavingServersTest.java
@@ -55,6 +55,34 @@
     assertThat(readyIds(leavingServers.update(list(server("a", 1))))).isEmpty();
   }
 
+  /** A list that is behind names the instance before the one that says that it is leaving. */
+  @Test
+  void aSuccessorThatHadStartedBeforeTheResponseIsLeavingForAsLongAsThatTakes() {
+    List<String> changes = new ArrayList<>();
+    leavingServers.addListener(
+        new LeavingServers.LeavingListener() {
+          @Override
+          public void onLeaving(LeavingServers.Instance instance, LeavingServers.Source source) {}
+
+          @Override
+          public void onAcceptingAgain() {
+            changes.addAll(readyIds(leavingServers.servers()));
+          }
+        });
+    long respondedMillis = time.clock().millis();
+    leavingServers.update(list(server("a", respondedMillis - 9_000)));
+    leavingServers.mark(instance("a", respondedMillis - 9_000), LeavingServers.Source.RESPONSE);
+
+    assertThat(readyIds(leavingServers.update(list(server("a", respondedMillis - 4_000)))))
+        .isEmpty();
+    assertThat(readyIds(leavingServers.update(list(server("a", respondedMillis + 1)))))
+        .containsExactly("a");
+
+    leavingServers.update(list(server("a", respondedMillis - 4_000)));
+    time.advance(LeavingServers.MAX_DEPARTURE);
+    assertThat(changes).contains("a");
+  }
+
   @Test
   void aServerThatTheListDidNotNameForAWhileIsStillLeaving() {
     leavingServers.update(list(server("a", 1)));
