--- a/node/src/main/java/dev/apricotmill/node/call/AtMostOnceCall.java
+++ b/node/src/main/java/dev/apricotmill/node/call/AtMostOnceCall.java
@@ -75,10 +75,12 @@
    * is the repeat of one that runs.
    */
   private CompletedCall notDispatched(RefusalReason reason) {
-    return firstIsRunning
-        ? CompletedCall.repeatWithoutResponse(
-            new Outcome.Unknown(UnknownReason.FIRST_STILL_RUNNING))
-        : refused(reason);
+    return firstIsRunning ? firstStillRunning() : refused(reason);
+  }
+
+  private static CompletedCall firstStillRunning() {
+    return CompletedCall.repeatWithoutResponse(
+        new Outcome.Unknown(UnknownReason.FIRST_STILL_RUNNING));
   }
 
   private void onClaim(ClaimResult result) {
@@ -117,7 +119,7 @@
       claimRetries++;
       context.timing().schedule(CLAIM_RETRY_DELAY, this::claim);
     } else {
-      completeClaiming(notDispatched(RefusalReason.REQUEST_IN_PROGRESS));
+      completeClaiming(firstStillRunning());
     }
   }
 
--- a/node/src/main/java/dev/apricotmill/node/relay/LeavingServers.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/LeavingServers.java
@@ -180,11 +180,11 @@
   }
 
   private boolean isLeaving(BackendServer server) {
-    return marked.contains(Instance.of(server)) || maySucceedMarked(server);
+    return marked.contains(Instance.of(server)) || mayHaveSetMark(server);
   }
 
   /** Returns whether the response that marked an earlier instance may have been of this one. */
-  private boolean maySucceedMarked(BackendServer server) {
+  private boolean mayHaveSetMark(BackendServer server) {
     ResponseMark mark = responseMarks.get(server.id());
     if (mark == null || !mark.mayMean(server)) {
       return false;
