Log and count the limits that servers name

A limit is now read from any response of the server that was meant; its beginning, change and end are logged as server.limit_named and server.limit_ended, and counted. Nothing acts on it yet.

--- a/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
@@ -33,6 +33,7 @@
   private final BackendServer server;
   private final Executor executor;
   private final AttemptListener listener;
+  private final long sentNanos;
   private BackendClient.@Nullable Exchange exchange;
   private boolean closed;
   private boolean responseBegun;
@@ -40,9 +41,10 @@
   private long discardedBytes;
   private OptionalLong firstEventNanos = OptionalLong.empty();
 
-  BackendAttempt(BackendServer server, Executor executor, AttemptListener listener) {
+  BackendAttempt(BackendServer server, Timing timing, AttemptListener listener) {
     this.server = server;
-    this.executor = executor;
+    executor = timing.scheduler();
+    sentNanos = timing.nanoTime();
     this.listener = listener;
   }
 
@@ -54,6 +56,11 @@
     return server;
   }
 
+  /** Returns when the request was sent. */
+  long sentNanos() {
+    return sentNanos;
+  }
+
   boolean isClosed() {
     return closed;
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -163,7 +163,7 @@
       return;
     }
     limits.onSend();
-    BackendAttempt attempt = new BackendAttempt(server, node.timing().scheduler(), this);
+    BackendAttempt attempt = new BackendAttempt(server, node.timing(), this);
     currentAttempt = attempt;
     node.balancer().requestStarted(server.id());
     log.sent(server, service(), helpers, limits.attempts(), remaining(), expected);
@@ -290,6 +290,7 @@
       return;
     }
     mayHaveRun = true;
+    node.backendLimits().onResponse(attempt.server(), attempt.sentNanos());
     if (NotRunStatuses.contains(head.status())) {
       candidates.exclude(attempt.server().id());
       onRefused(attempt, head, "not stated as not run " + head.status(), RelayRefusal.BROKEN);
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
@@ -23,6 +23,7 @@
   private final Counter callersGone;
   private final Counter pauses;
   private final Counter cappedPauses;
+  private final Counter namedLimits;
 
   RelayMetrics(MeterRegistry registry, AtomicInteger openRequestCount) {
     this.registry = registry;
@@ -33,6 +34,7 @@
     callersGone = registry.counter("apricotmill.relay.callers_gone");
     pauses = registry.counter("apricotmill.relay.server_pauses");
     cappedPauses = registry.counter("apricotmill.relay.server_pauses_capped");
+    namedLimits = registry.counter("apricotmill.relay.limits_named");
     Gauge.builder("apricotmill.relay.open", openRequestCount, AtomicInteger::get)
         .register(registry);
   }
@@ -91,4 +93,9 @@
   void recordCappedPause() {
     cappedPauses.increment();
   }
+
+  /** Counts a response that named a limit of requests a second. */
+  void recordNamedLimit() {
+    namedLimits.increment();
+  }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -38,6 +38,7 @@
   private final BackendClient backends;
   private final RequestPlacer placer;
   private final BlockedParts blockedParts;
+  private final BackendLimits backendLimits;
   private final EventLog log;
   private final RelayMetrics metrics;
   private final RequestAuthorizer authorizer;
@@ -57,6 +58,7 @@
       BackendClient backends,
       RequestPlacer placer,
       BlockedParts blockedParts,
+      BackendLimits backendLimits,
       EventLog log,
       MeterRegistry registry) {
     this.timing = timing;
@@ -64,6 +66,7 @@
     this.backends = backends;
     this.placer = placer;
     this.blockedParts = blockedParts;
+    this.backendLimits = backendLimits;
     blockedParts.addListener(new BlockedCallsEnder());
     this.log = log;
     metrics = new RelayMetrics(registry, openRequestCount);
@@ -135,6 +138,10 @@
     notice
         .pause()
         .ifPresent(pause -> timing.scheduler().execute(() -> pauses.pause(server, pause)));
+    backendLimits.onNotice(server, notice);
+    if (notice.requestsPerSecond().isPresent()) {
+      metrics.recordNamedLimit();
+    }
   }
 
   /** Accepts a request; its response goes to {@code caller}. */
@@ -263,6 +270,10 @@
     return blockedParts;
   }
 
+  BackendLimits backendLimits() {
+    return backendLimits;
+  }
+
   RequestPlacer placer() {
     return placer;
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
@@ -48,6 +48,7 @@
   private final EngineConnections connections;
   private final PlacementEndpoint endpoint;
   private final LeavingServers leavingServers;
+  private final BackendLimits backendLimits;
   private final RelayNode relay;
   private final ServingState state;
   private boolean killed;
@@ -114,6 +115,7 @@
             MemberState.ALIVE);
     blockedParts = new BlockedParts(timing, log);
     leavingServers = new LeavingServers(timing, log);
+    backendLimits = new BackendLimits(timing, log);
     CrashWatch crashWatch = new CrashWatch(timing, localPlacer, blockedParts);
     placer =
         new DispatcherPlacer(
@@ -146,6 +148,7 @@
             connections,
             placer,
             blockedParts,
+            backendLimits,
             log,
             new SimpleMeterRegistry());
     relay.update(
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -47,6 +47,8 @@
   private BackendClient.ReserveResult reserveResult = BackendClient.ReserveResult.RESERVED;
   private long promptTokens = 5_000;
   private final LocalPlacer placer = new LocalPlacer(timing);
+  private final BackendLimits backendLimits =
+      new BackendLimits(timing, (event, fields) -> log.add(event + " " + fields));
   private final RelayNode node;
 
   RelayFixture(int retryReserve) {
@@ -58,6 +60,7 @@
             new ScriptedBackends(),
             placer,
             new BlockedParts(timing, (event, fields) -> log.add(event + " " + fields)),
+            backendLimits,
             (event, fields) -> log.add(event + " " + fields),
             new SimpleMeterRegistry());
     node.update(view -> view.withConfiguration(configuration(1), Optional.of(validatedNow())));
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayStopTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayStopTest.java
@@ -156,6 +156,7 @@
             relay.node().backends(),
             placer,
             new BlockedParts(relay.timing(), EventLog.NONE),
+            new BackendLimits(relay.timing(), EventLog.NONE),
             EventLog.NONE,
             new SimpleMeterRegistry());
     node.update(view -> relay.node().view());
--- a/node/src/test/java/dev/apricotmill/node/relay/ServerPausePlacementTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServerPausePlacementTest.java
@@ -50,6 +50,7 @@
           backends,
           placer,
           new BlockedParts(timing, EventLog.NONE),
+          new BackendLimits(timing, EventLog.NONE),
           EventLog.NONE,
           new SimpleMeterRegistry());
 
--- a/node/src/test/java/dev/apricotmill/node/relay/ServingFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServingFixture.java
@@ -40,6 +40,7 @@
   private final LocalPlacer localPlacer = new LocalPlacer(timing);
   private final BlockedParts blockedParts = new BlockedParts(timing, EventLog.NONE);
   private final LeavingServers leavingServers = new LeavingServers(timing, EventLog.NONE);
+  private final BackendLimits backendLimits = new BackendLimits(timing, EventLog.NONE);
   private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
   private final List<PlacementRequest> placementRequests = new ArrayList<>();
   private final List<Sent> sent = new ArrayList<>();
@@ -66,6 +67,7 @@
             new HeldBackends(),
             new HeldPlacer(),
             blockedParts,
+            backendLimits,
             EventLog.NONE,
             meters);
     state = new ServingState(node, leavingServers, EventLog.NONE, localPlacer::update);
