--- a/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
@@ -166,6 +166,11 @@
     killed = true;
   }
 
+  /** Returns the number that its connections have. */
+  int number() {
+    return connections.node();
+  }
+
   Member member() {
     return member;
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/FleetServer.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/FleetServer.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.IntPredicate;
 
@@ -22,6 +23,7 @@
   private boolean leaving;
   private Duration pausedUntil = Duration.ZERO;
   private IntPredicate pausedNodes = node -> false;
+  private OptionalDouble requestsPerSecond = OptionalDouble.empty();
 
   FleetServer(BackendServer server) {
     this.server = server;
@@ -124,6 +126,11 @@
     return isPaused(now) && pausedNodes.test(node);
   }
 
+  /** Names this limit in each response from now on. */
+  void setRequestsPerSecond(OptionalDouble newRequestsPerSecond) {
+    requestsPerSecond = newRequestsPerSecond;
+  }
+
   boolean holds(String reservation) {
     return reservations.contains(reservation);
   }
@@ -135,12 +142,14 @@
   /** Returns what a refusal, or an error with its status, says of this server. */
   ServerNotice refusalNotice(int node, Duration now) {
     return new ServerNotice(
-        leaving, isPausedFor(node, now) ? Optional.of(pausedUntil.minus(now)) : Optional.empty());
+        leaving,
+        isPausedFor(node, now) ? Optional.of(pausedUntil.minus(now)) : Optional.empty(),
+        requestsPerSecond);
   }
 
   /** Returns what any other response says of this server. */
   ServerNotice runNotice() {
-    return new ServerNotice(leaving, Optional.empty());
+    return new ServerNotice(leaving, Optional.empty(), requestsPerSecond);
   }
 
   /** Ends this instance with all that it runs. */
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
@@ -12,6 +12,7 @@
 import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.request.RequestId;
+import dev.apricotmill.core.request.ServiceName;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -104,8 +105,12 @@
 
   /** Ends the node that dispatches the pool; all nodes learn of it at once. */
   void killDispatcher() {
-    Member dispatcher =
-        RendezvousHash.ranked(members(), RelayFixture.POOL.value()).findFirst().orElseThrow();
+    killDispatcher(RelayFixture.POOL);
+  }
+
+  /** Ends the node that dispatches a service; all nodes learn of it at once. */
+  void killDispatcher(ServiceName service) {
+    Member dispatcher = RendezvousHash.ranked(members(), service.value()).findFirst().orElseThrow();
     nodes.stream().filter(node -> node.member().equals(dispatcher)).forEach(FleetNode::kill);
     nodes.removeIf(node -> node.member().equals(dispatcher));
     applyMembers();
@@ -115,11 +120,18 @@
   void restart(int node) {
     nodes.get(node).kill();
     nodes.set(node, newNode());
+    excuse(node, Duration.ZERO);
     applyMembers();
   }
 
+  /** Excuses a disturbed node from the limits of servers. */
+  private void excuse(int node, Duration duration) {
+    engines.limitRecord().excuse(nodes.get(node).number(), now(), now().plus(duration));
+  }
+
   /** Lets the process of a node stand still for a while. */
   void freeze(int node, Duration duration) {
+    excuse(node, duration);
     nodes.get(node).disturb(FleetNode.Disturbance.FROZEN, duration);
   }
 
@@ -130,6 +142,7 @@
 
   /** Cuts a node off from all others for a while. */
   void cutFromPeers(int node, Duration duration) {
+    excuse(node, duration);
     nodes.get(node).disturb(FleetNode.Disturbance.WITHOUT_PEERS, duration);
   }
 
