Keep the limit that a server names, over all nodes together

Callers saw nothing; servers in need got several times the requests a second that they had named, and would have answered late or not at all.

The dispatcher of a service now grants each request to a server with a limit, engines or not, by LimitedServers: a limit begins with nothing saved and lets single requests through at its rate. Responses that name a limit are reported to the dispatcher; a grant says whether its server has a limit, so that any node's response without one ends it.

--- a/core/src/main/java/dev/apricotmill/core/pool/LimitedServers.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/LimitedServers.java
@@ -7,9 +7,12 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * The limits that servers have named of the requests a second that they take from all nodes
@@ -31,11 +34,20 @@
    */
   static final Duration SETTLING_TIME = Duration.ofSeconds(1);
 
+  /** The entry of a live server may be absent for as long as the store is down. */
+  static final Duration MAX_ABSENCE = Duration.ofMinutes(10);
+
   /** The time whose requests may be granted at once. */
   private static final Duration BURST = Duration.ofMillis(250);
 
   private final Map<ReplicaId, NamedLimit> limits = new HashMap<>();
 
+  /**
+   * When the requests were sent whose responses showed the end of a limit; the earliest first.
+   * Nodes that have not seen it may still report the limit.
+   */
+  private final Map<Instance, Long> endedLimits = new LinkedHashMap<>();
+
   /**
    * One run of a server.
    *
@@ -59,10 +71,10 @@
     private long namedNanos;
 
     /** A server in need begins with nothing to spare. */
-    NamedLimit(Instance instance, double requestsPerSecond, long nowNanos) {
+    NamedLimit(Instance instance, double requestsPerSecond, long namedNanos, long nowNanos) {
       this.instance = instance;
       this.requestsPerSecond = requestsPerSecond;
-      namedNanos = nowNanos;
+      this.namedNanos = namedNanos;
       limiter = new GcraLimiter(BURST, nowNanos);
       limiter.take(GcraLimiter.cost(1, requestsPerSecond), nowNanos);
     }
@@ -85,24 +97,34 @@
   /**
    * Records that an instance has named a limit.
    *
+   * @param namedNanos when the response arrived that named it
    * @return whether the limit is new or another one than before
    */
-  public boolean name(Instance instance, double requestsPerSecond, long nowNanos) {
+  public boolean name(Instance instance, double requestsPerSecond, long namedNanos, long nowNanos) {
     double accepted = Math.max(requestsPerSecond, MIN_REQUESTS_PER_SECOND);
     NamedLimit limit = limits.get(instance.server());
-    if (limit != null && limit.instance.startedMillis() > instance.startedMillis()) {
+    if ((limit != null && limit.instance.startedMillis() > instance.startedMillis())
+        || isOutdated(instance, namedNanos)) {
       return false;
     }
     if (limit == null || limit.instance.startedMillis() < instance.startedMillis()) {
-      add(new NamedLimit(instance, accepted, nowNanos));
+      add(new NamedLimit(instance, accepted, namedNanos, nowNanos));
       return true;
     }
     boolean changed = limit.requestsPerSecond != accepted;
     limit.requestsPerSecond = accepted;
-    limit.namedNanos = nowNanos;
+    if (namedNanos - limit.namedNanos > 0) {
+      limit.namedNanos = namedNanos;
+    }
     return changed;
   }
 
+  /** Returns whether a response to a later request has named no limit. */
+  private boolean isOutdated(Instance instance, long namedNanos) {
+    Long endedNanos = endedLimits.get(instance);
+    return endedNanos != null && endedNanos - namedNanos >= 0;
+  }
+
   private void add(NamedLimit limit) {
     if (limits.size() >= MAX_SERVERS) {
       limits.values().stream()
@@ -121,13 +143,40 @@
   public boolean respondWithout(Instance instance, long sentNanos) {
     return find(instance)
         .filter(limit -> sentNanos - limit.namedNanos >= SETTLING_TIME.toNanos())
-        .map(limit -> end(instance))
+        .map(limit -> end(instance, sentNanos))
         .orElse(false);
   }
 
-  /** Ends the limit of an instance and returns whether it had one. */
-  public boolean end(Instance instance) {
-    return find(instance).map(limit -> limits.remove(instance.server())).isPresent();
+  private boolean end(Instance instance, long sentNanos) {
+    limits.remove(instance.server());
+    endedLimits.remove(instance);
+    endedLimits.put(instance, sentNanos);
+    if (endedLimits.size() > MAX_SERVERS) {
+      endedLimits.remove(endedLimits.keySet().iterator().next());
+    }
+    return true;
+  }
+
+  /** Forgets the limit of an instance. */
+  public void forget(Instance instance) {
+    find(instance).ifPresent(limit -> limits.remove(instance.server()));
+  }
+
+  /** Forgets the limits of instances that no list names and that have long been silent. */
+  public void forgetAbsent(Set<Instance> listed, long nowNanos) {
+    limits
+        .values()
+        .removeIf(
+            limit ->
+                !listed.contains(limit.instance)
+                    && nowNanos - limit.namedNanos >= MAX_ABSENCE.toNanos());
+  }
+
+  /** Returns when the last response arrived that named the limit of an instance. */
+  public OptionalLong namedNanos(Instance instance) {
+    return find(instance)
+        .map(limit -> OptionalLong.of(limit.namedNanos))
+        .orElse(OptionalLong.empty());
   }
 
   /** Returns the limit of an instance in requests a second; empty if it has none. */
--- a/core/src/main/java/dev/apricotmill/core/pool/Placement.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/Placement.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.core.request.ReplicaId;
 import java.time.Duration;
+import java.util.OptionalDouble;
 
 /** The result of a placement request: the engines that serve it, or a refusal. */
 public sealed interface Placement {
@@ -16,13 +17,31 @@
    * @param expectedFirstEvent the predicted time to the first event of the response
    * @param reservedTokens KV memory in tokens that must be reserved at each helper because the
    *     server cannot hold the whole prompt; 0 if it can
+   * @param requestsPerSecond the limit that the server has named of requests from all nodes
+   *     together, within which this one is; empty if it has named none
    */
   record Granted(
       ReplicaId server,
       ImmutableList<ReplicaId> helpers,
       Duration expectedFirstEvent,
-      long reservedTokens)
-      implements Placement {}
+      long reservedTokens,
+      OptionalDouble requestsPerSecond)
+      implements Placement {
+
+    /** Creates a grant of a server that has named no limit. */
+    public Granted(
+        ReplicaId server,
+        ImmutableList<ReplicaId> helpers,
+        Duration expectedFirstEvent,
+        long reservedTokens) {
+      this(server, helpers, expectedFirstEvent, reservedTokens, OptionalDouble.empty());
+    }
+
+    /** Returns the grant with the limit of its server. */
+    public Granted withRequestsPerSecond(OptionalDouble newRequestsPerSecond) {
+      return new Granted(server, helpers, expectedFirstEvent, reservedTokens, newRequestsPerSecond);
+    }
+  }
 
   /**
    * No server has capacity for the request now.
--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementRequest.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementRequest.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.core.pool;
 
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.request.ReplicaId;
@@ -29,4 +30,20 @@
     Duration firstEventTarget,
     Duration eventGapTarget,
     Duration remainingTime,
-    ImmutableSet<ReplicaId> excludedServers) {}
+    ImmutableSet<ReplicaId> excludedServers) {
+
+  /** Returns the request with more servers excluded. */
+  public PlacementRequest excluding(ImmutableSet<ReplicaId> servers) {
+    return servers.isEmpty()
+        ? this
+        : new PlacementRequest(
+            requestId,
+            service,
+            size,
+            promptParts,
+            firstEventTarget,
+            eventGapTarget,
+            remainingTime,
+            Sets.union(excludedServers, servers).immutableCopy());
+  }
+}
--- a/core/src/main/java/dev/apricotmill/core/pool/WorkReport.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/WorkReport.java
@@ -5,6 +5,7 @@
 import dev.apricotmill.core.request.RequestId;
 import dev.apricotmill.core.request.ServiceName;
 import java.time.Duration;
+import java.util.OptionalDouble;
 
 /** A change in the state of placed work. */
 public sealed interface WorkReport {
@@ -101,6 +102,26 @@
     public void applyTo(PoolScheduler scheduler, long nowNanos) {}
   }
 
+  /**
+   * What a server has said of the requests that it takes from all nodes together. It changes no
+   * pool.
+   *
+   * @param service the server's service
+   * @param instance the server
+   * @param requestsPerSecond its limit; empty if a response named none
+   * @param age how long ago the response arrived that named the limit, or the request was sent
+   *     whose response named none
+   */
+  record Limited(
+      ServiceName service,
+      LimitedServers.Instance instance,
+      OptionalDouble requestsPerSecond,
+      Duration age)
+      implements WorkReport {
+    @Override
+    public void applyTo(PoolScheduler scheduler, long nowNanos) {}
+  }
+
   /**
    * A server failed a request.
    *
--- a/core/src/main/java/dev/apricotmill/core/relay/RelayRefusal.java
+++ b/core/src/main/java/dev/apricotmill/core/relay/RelayRefusal.java
@@ -10,7 +10,7 @@
   CONFIGURATION_UNKNOWN(503, Guarantee.NOT_RUN),
   /** No backend server of the service accepts requests. */
   NO_SERVER(503, Guarantee.NOT_RUN),
-  /** Every backend server of the service is full. */
+  /** Every backend server of the service is full, or has got what its limit allows. */
   OVERLOADED(503, Guarantee.NOT_RUN),
   /** The backend servers that could run the request want none from this node for a while. */
   SERVERS_PAUSED(503, Guarantee.NOT_RUN),
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/PlacementMessages.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/PlacementMessages.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.core.pool.LimitedServers;
 import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.pool.WorkReport;
@@ -13,6 +14,7 @@
 import dev.apricotmill.protocol.generated.BrokenOffWork;
 import dev.apricotmill.protocol.generated.GrantedWork;
 import dev.apricotmill.protocol.generated.LeavingServer;
+import dev.apricotmill.protocol.generated.LimitedServer;
 import dev.apricotmill.protocol.generated.PlaceWork;
 import dev.apricotmill.protocol.generated.RunningWork;
 import dev.apricotmill.protocol.generated.WorkEvent;
@@ -20,6 +22,7 @@
 import dev.apricotmill.protocol.generated.WrittenPart;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /** Maps placement requests, decisions and reports to messages and back. */
 final class PlacementMessages {
@@ -110,6 +113,8 @@
           LeavingServer.newBuilder()
               .setServer(leaving.server().value())
               .setStartedMillis(leaving.startedMillis()));
+    } else if (report instanceof WorkReport.Limited limited) {
+      message.setLimitedServer(toMessage(limited));
     }
     return message.build();
   }
@@ -130,10 +135,31 @@
       case BLOCKED_PART ->
           Optional.of(new WorkReport.PartBlocked(service, message.getBlockedPart()));
       case LEAVING_SERVER -> Optional.of(fromMessage(service, message.getLeavingServer()));
+      case LIMITED_SERVER -> Optional.of(fromMessage(service, message.getLimitedServer()));
       case EVENT_NOT_SET -> Optional.empty();
     };
   }
 
+  private static LimitedServer toMessage(WorkReport.Limited limited) {
+    LimitedServer.Builder message =
+        LimitedServer.newBuilder()
+            .setServer(limited.instance().server().value())
+            .setStartedMillis(limited.instance().startedMillis())
+            .setAgeMillis(limited.age().toMillis());
+    limited.requestsPerSecond().ifPresent(message::setRequestsPerSecond);
+    return message.build();
+  }
+
+  private static WorkReport fromMessage(ServiceName service, LimitedServer message) {
+    return new WorkReport.Limited(
+        service,
+        new LimitedServers.Instance(new ReplicaId(message.getServer()), message.getStartedMillis()),
+        message.hasRequestsPerSecond()
+            ? OptionalDouble.of(message.getRequestsPerSecond())
+            : OptionalDouble.empty(),
+        Duration.ofMillis(message.getAgeMillis()));
+  }
+
   private static WorkReport fromMessage(ServiceName service, BrokenOffWork message) {
     return new WorkReport.BrokenOff(
         service,
@@ -164,6 +190,7 @@
             .setExpectedMillis(granted.expectedFirstEvent().toMillis())
             .setReservedTokens(granted.reservedTokens());
     granted.helpers().forEach(helper -> message.addHelpers(helper.value()));
+    granted.requestsPerSecond().ifPresent(message::setRequestsPerSecond);
     return message.build();
   }
 
@@ -174,6 +201,9 @@
             .map(ReplicaId::new)
             .collect(ImmutableList.toImmutableList()),
         Duration.ofMillis(message.getExpectedMillis()),
-        message.getReservedTokens());
+        message.getReservedTokens(),
+        message.hasRequestsPerSecond()
+            ? OptionalDouble.of(message.getRequestsPerSecond())
+            : OptionalDouble.empty());
   }
 }
--- a/daemon/src/test/java/dev/apricotmill/daemon/inner/PlacementMessagesTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/inner/PlacementMessagesTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.core.pool.LimitedServers;
 import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.pool.WorkReport;
@@ -15,6 +16,7 @@
 import dev.apricotmill.protocol.generated.WorkEvent;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 
 final class PlacementMessagesTest {
@@ -36,6 +38,9 @@
       new Placement.Granted(
           new ReplicaId("b"), ImmutableList.of(new ReplicaId("c")), Duration.ofMillis(300), 480);
 
+  private static final LimitedServers.Instance INSTANCE =
+      new LimitedServers.Instance(new ReplicaId("a"), 1_784_505_600_000L);
+
   @Test
   void aRequestRoundTrips() {
     assertThat(PlacementMessages.fromMessage(PlacementMessages.toMessage(PLACEMENT_REQUEST)))
@@ -47,6 +52,7 @@
     for (Optional<Placement> decision :
         ImmutableList.of(
             Optional.<Placement>of(GRANTED),
+            Optional.<Placement>of(GRANTED.withRequestsPerSecond(OptionalDouble.of(0.5))),
             Optional.<Placement>of(new Placement.Full(Duration.ofMillis(500))),
             Optional.<Placement>of(new Placement.Blocked("5c1e")),
             Optional.<Placement>empty())) {
@@ -66,6 +72,8 @@
             new WorkReport.PartWritten(POOL, "5c1e", 2.5, Duration.ofMillis(30)),
             new WorkReport.PartBlocked(POOL, "5c1e"),
             new WorkReport.Leaving(POOL, new ReplicaId("a"), 1_784_505_600_000L),
+            new WorkReport.Limited(POOL, INSTANCE, OptionalDouble.of(0.5), Duration.ofMillis(30)),
+            new WorkReport.Limited(POOL, INSTANCE, OptionalDouble.empty(), Duration.ZERO),
             new WorkReport.Failed(POOL, new ReplicaId("a"), true),
             new WorkReport.Running(PLACEMENT_REQUEST, GRANTED, true))) {
       assertThat(PlacementMessages.fromMessage(PlacementMessages.toMessage(report)))
--- a/node/src/main/java/dev/apricotmill/node/relay/BackendLimits.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendLimits.java
@@ -1,15 +1,29 @@
 package dev.apricotmill.node.relay;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.pool.LimitedServers;
+import dev.apricotmill.core.pool.WorkReport;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.ServerNotice;
+import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.core.request.ServiceName;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /**
  * Keeps the limits that servers name of the requests that they take from all nodes together, and
- * logs when they begin and end. Runs on the relay's executor.
+ * the requests that this node has granted within them as the dispatcher of a service.
+ *
+ * <p>Runs on the relay's executor.
  */
 public final class BackendLimits implements ServerNoticeListener {
 
@@ -17,50 +31,185 @@
   private final EventLog log;
   private final LimitedServers servers = new LimitedServers();
 
+  /** The servers whose limits this node knows from a dispatcher alone. */
+  private final Set<LimitedServers.Instance> heard = new HashSet<>();
+
+  private Consumer<WorkReport.Limited> listener = report -> {};
+
   /** Creates limits of which none is named. */
   public BackendLimits(Timing timing, EventLog log) {
     this.timing = timing;
     this.log = log;
   }
 
+  /** Sets who learns of each response that names a limit, and of each limit's end. */
+  void setListener(Consumer<WorkReport.Limited> newListener) {
+    listener = newListener;
+  }
+
   @Override
   public void onNotice(BackendServer server, ServerNotice notice) {
-    notice
-        .requestsPerSecond()
-        .ifPresent(limit -> timing.scheduler().execute(() -> onNamed(server, limit)));
+    if (notice.requestsPerSecond().isPresent()) {
+      timing.scheduler().execute(() -> onNamed(server, notice.requestsPerSecond()));
+    }
+  }
+
+  private void onNamed(BackendServer server, OptionalDouble requestsPerSecond) {
+    heard.remove(LimitedServers.Instance.of(server));
+    WorkReport.Limited report = newReport(server, requestsPerSecond, timing.nanoTime());
+    apply(report);
+    listener.accept(report);
   }
 
-  private void onNamed(BackendServer server, double requestsPerSecond) {
+  /**
+   * Records the head of a response, after the notice in it.
+   *
+   * @param sentNanos when the request was sent
+   */
+  void onResponse(BackendServer server, long sentNanos) {
     LimitedServers.Instance instance = LimitedServers.Instance.of(server);
-    if (servers.name(instance, requestsPerSecond, timing.nanoTime())) {
+    OptionalLong named = servers.namedNanos(instance);
+    if (named.isEmpty() || named.getAsLong() - sentNanos > 0) {
+      return;
+    }
+    if (heard.contains(instance)) {
+      forget(server);
+    }
+    WorkReport.Limited report = newReport(server, OptionalDouble.empty(), sentNanos);
+    apply(report);
+    listener.accept(report);
+  }
+
+  /** Applies what a server has said to this node or to another one. */
+  void apply(WorkReport.Limited report) {
+    long now = timing.nanoTime();
+    long atNanos = now - report.age().toNanos();
+    if (report.requestsPerSecond().isEmpty()) {
+      if (servers.respondWithout(report.instance(), atNanos)) {
+        logEnd(report.service(), report.instance());
+      }
+      return;
+    }
+    double requestsPerSecond = report.requestsPerSecond().getAsDouble();
+    if (servers.name(report.instance(), requestsPerSecond, atNanos, now)) {
       log.write(
           "server.limit_named",
           ImmutableMap.of(
               "server",
-              server.id().value(),
+              report.instance().server().value(),
               "service",
-              server.service().value(),
+              report.service().value(),
               "requests_per_second",
               requestsPerSecond));
     }
   }
 
-  /**
-   * Records the head of a response, after the notice in it.
-   *
-   * @param sentNanos when the request was sent
-   */
-  void onResponse(BackendServer server, long sentNanos) {
-    if (!servers.isEmpty()
-        && servers.respondWithout(LimitedServers.Instance.of(server), sentNanos)) {
-      log.write(
-          "server.limit_ended",
-          ImmutableMap.of("server", server.id().value(), "service", server.service().value()));
+  /** Compares what the dispatcher knows of a server that it has granted. */
+  Optional<WorkReport> onGranted(BackendServer server, OptionalDouble requestsPerSecond) {
+    LimitedServers.Instance instance = LimitedServers.Instance.of(server);
+    if (requestsPerSecond.isPresent()) {
+      if (!isLimited(server)) {
+        heard.removeIf(other -> servers.namedNanos(other).isEmpty());
+        heard.add(instance);
+        apply(newReport(server, requestsPerSecond, timing.nanoTime()));
+      }
+      return Optional.empty();
     }
+    if (heard.contains(instance)) {
+      forget(server);
+    }
+    return report(server);
   }
 
-  /** Returns the limit that a server has named; empty if it has none. */
+  private void forget(BackendServer server) {
+    LimitedServers.Instance instance = LimitedServers.Instance.of(server);
+    heard.remove(instance);
+    servers.forget(instance);
+    logEnd(server.service(), instance);
+  }
+
+  private WorkReport.Limited newReport(
+      BackendServer server, OptionalDouble requestsPerSecond, long atNanos) {
+    return new WorkReport.Limited(
+        server.service(),
+        LimitedServers.Instance.of(server),
+        requestsPerSecond,
+        Duration.ofNanos(timing.nanoTime() - atNanos));
+  }
+
+  private void logEnd(ServiceName service, LimitedServers.Instance instance) {
+    log.write(
+        "server.limit_ended",
+        ImmutableMap.of("server", instance.server().value(), "service", service.value()));
+  }
+
+  /** Forgets the limits of servers that have long been gone from the list. */
+  void update(Collection<BackendServer> listed) {
+    if (!servers.isEmpty()) {
+      servers.forgetAbsent(
+          listed.stream().map(LimitedServers.Instance::of).collect(Collectors.toSet()),
+          timing.nanoTime());
+    }
+  }
+
+  /** Returns whether no server has a limit. */
+  boolean isEmpty() {
+    return servers.isEmpty();
+  }
+
+  /** Returns whether a server has a limit. */
+  boolean isLimited(BackendServer server) {
+    return !servers.isEmpty() && requestsPerSecond(server).isPresent();
+  }
+
+  /** Returns the limit of a server; empty if it has none. */
   OptionalDouble requestsPerSecond(BackendServer server) {
     return servers.requestsPerSecond(LimitedServers.Instance.of(server));
   }
+
+  /**
+   * Returns what another dispatcher must know of a server; empty if no response to this node has
+   * named a limit.
+   */
+  Optional<WorkReport> report(BackendServer server) {
+    LimitedServers.Instance instance = LimitedServers.Instance.of(server);
+    return servers.namedNanos(instance).isEmpty() || heard.contains(instance)
+        ? Optional.empty()
+        : Optional.of(
+            newReport(
+                server,
+                servers.requestsPerSecond(instance),
+                servers.namedNanos(instance).getAsLong()));
+  }
+
+  /** Returns those of some servers that have a limit. */
+  ImmutableSet<ReplicaId> limited(Collection<BackendServer> candidates) {
+    return candidates.stream()
+        .filter(this::isLimited)
+        .map(BackendServer::id)
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
+  /** Returns those of some servers that may get no request now. */
+  ImmutableSet<ReplicaId> notFree(Collection<BackendServer> candidates) {
+    long now = timing.nanoTime();
+    return candidates.stream()
+        .filter(server -> servers.timeUntilFree(server, now).compareTo(Duration.ZERO) > 0)
+        .map(BackendServer::id)
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
+  /** Returns the shortest time until one of some servers may get a request. */
+  Optional<Duration> timeUntilAnyIsFree(Collection<BackendServer> candidates) {
+    return servers.timeUntilAnyIsFree(candidates, timing.nanoTime());
+  }
+
+  /**
+   * Takes a request from what a server's limit allows.
+   *
+   * @param share the share of the limit that this node grants from
+   */
+  void take(BackendServer server, double share) {
+    servers.take(server, share, timing.nanoTime());
+  }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/CandidateServers.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CandidateServers.java
@@ -38,6 +38,23 @@
     return node.balancer().choose(ready(), excluded(), node.timing().nanoTime());
   }
 
+  /** Returns the servers to which a request must not go that may go to one with a limit only. */
+  ImmutableSet<ReplicaId> excludedForLimit() {
+    return ImmutableSet.<ReplicaId>builder()
+        .addAll(excluded())
+        .addAll(
+            ready().stream()
+                .filter(server -> !node.backendLimits().isLimited(server))
+                .map(BackendServer::id)
+                .iterator())
+        .build();
+  }
+
+  /** Excludes the servers with limits, which allow no request now. */
+  void excludeLimited() {
+    failed.addAll(node.backendLimits().limited(ready()));
+  }
+
   /** Returns the shortest pause if all servers are paused. */
   Optional<Duration> shortestPause() {
     return node.pauses().isEmpty() ? Optional.empty() : node.pauses().timeUntilAnyAccepts(ready());
--- a/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
@@ -62,18 +62,23 @@
 
   private static final Duration MAX_SUSPICION = Duration.ofSeconds(8);
 
+  /** All nodes have the same list of nodes within this time after a change. */
+  private static final Duration HANDOVER_TIME = Duration.ofSeconds(4);
+
   private final Timing timing;
   private final LocalPlacer localPlacer;
   private final DispatcherClient client;
   private final Member self;
   private final BlockedParts blockedParts;
   private final LeavingServers leavingServers;
+  private final BackendLimits limits;
   private final CrashWatch crashWatch;
   private final EventLog log;
   private final CrashEvidence evidence = new CrashEvidence();
   private final Map<RequestId, WorkReport.Running> running = new LinkedHashMap<>();
   private final Map<Member, Suspicion> suspicions = new HashMap<>();
   private final Map<ServiceName, Member> dispatchers = new HashMap<>();
+  private final Map<ServiceName, Long> dispatchesSinceNanos = new HashMap<>();
   private final Map<ServiceName, List<WorkReport>> pendingReports = new HashMap<>();
   private final Map<ServiceName, ImmutableList<Member>> rankings = new HashMap<>();
   private ImmutableList<Member> members = ImmutableList.of();
@@ -88,6 +93,7 @@
       Member self,
       BlockedParts blockedParts,
       LeavingServers leavingServers,
+      BackendLimits limits,
       CrashWatch crashWatch,
       EventLog log) {
     this.timing = timing;
@@ -99,6 +105,9 @@
     this.crashWatch = crashWatch;
     this.log = log;
     leavingServers.addListener(this::onLeaving);
+    this.limits = limits;
+    limits.setListener(this::report);
+    localPlacer.setGrantShare(this::grantShare);
   }
 
   /**
@@ -168,6 +177,7 @@
       if (reply.get() instanceof Placement.Granted granted) {
         localPlacer.recordReport(new WorkReport.Running(placementRequest, granted, true));
         reportLeavingServers(dispatcher, granted);
+        compareLimits(dispatcher, granted);
       } else if (reply.get() instanceof Placement.Blocked blocked) {
         blockedParts.block(blocked.part(), BlockedParts.Source.DISPATCHER);
       }
@@ -175,7 +185,7 @@
       return;
     }
     suspect(dispatcher);
-    localPlacer.place(
+    localPlacer.placeWithoutDispatcher(
         placementRequest,
         placement -> {
           if (placement instanceof Placement.Granted granted) {
@@ -248,6 +258,32 @@
     }
   }
 
+  /** Tells a dispatcher of a limit that it has not heard of, or learns of one from it. */
+  private void compareLimits(Member dispatcher, Placement.Granted granted) {
+    localPlacer
+        .server(granted.server())
+        .flatMap(server -> limits.onGranted(server, granted.requestsPerSecond()))
+        .ifPresent(report -> client.report(dispatcher.address(), ImmutableList.of(report)));
+  }
+
+  /**
+   * Returns the share of servers' limits that this node may grant from. A new dispatcher begins
+   * with a part, since nodes that do not know of it yet still ask the one before it; and a node
+   * that does not reach all others leaves them their part.
+   */
+  private double grantShare(ServiceName service) {
+    long now = timing.nanoTime();
+    if (members.isEmpty() || !dispatcher(service).equals(self)) {
+      return GrantShare.BESIDE_ANOTHER;
+    }
+    long reached = members.stream().filter(member -> !isSuspected(member, now)).count();
+    double share = GrantShare.WHOLE * Math.max(1, reached) / members.size();
+    boolean isNew =
+        members.size() > 1
+            && now - dispatchesSinceNanos.getOrDefault(service, now) < HANDOVER_TIME.toNanos();
+    return isNew ? share * GrantShare.BESIDE_ANOTHER : share;
+  }
+
   private void recordAndReport(WorkReport report) {
     localPlacer.recordReport(report);
     report(report);
@@ -288,6 +324,9 @@
             .findFirst()
             .orElse(self);
     @Nullable Member previous = dispatchers.put(service, dispatcher);
+    if (dispatcher.equals(self) && !dispatcher.equals(previous)) {
+      dispatchesSinceNanos.put(service, now);
+    }
     if (previous != null && !previous.equals(dispatcher)) {
       onDispatcherChanged(service, previous, dispatcher);
     }
@@ -331,6 +370,10 @@
                 leavingServers.instancesOf(service).stream()
                     .map(LeavingServers.Instance::toReport)
                     .iterator())
+            .addAll(
+                localPlacer.serversOf(service).stream()
+                    .flatMap(server -> limits.report(server).stream())
+                    .iterator())
             .build();
     if (!reports.isEmpty()) {
       client.report(dispatcher.address(), reports);
--- a/node/src/main/java/dev/apricotmill/node/relay/HelperReservations.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/HelperReservations.java
@@ -8,7 +8,7 @@
 import java.time.Duration;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,15 +27,43 @@
   /** A reservation without a response may still take effect within this time. */
   private static final Duration LATE_RESERVATION_BOUND = Duration.ofSeconds(14);
 
+  /** How often a reservation is renewed at a server. */
+  enum Renewal {
+    /** Each second, so that a renewal may be lost. */
+    FREQUENT {
+      @Override
+      boolean isDue(int period) {
+        return true;
+      }
+    },
+    /** Just often enough, at a server that has named a limit of requests. */
+    SPARSE {
+      @Override
+      boolean isDue(int period) {
+        return period % 2 == 0;
+      }
+    },
+    /** Not at all, at a server that has asked for a pause. */
+    NEVER {
+      @Override
+      boolean isDue(int period) {
+        return false;
+      }
+    };
+
+    abstract boolean isDue(int period);
+  }
+
   private final Timing timing;
   private final BackendClient backends;
   private final EventLog log;
-  private final Predicate<BackendServer> paused;
+  private final Function<BackendServer, Renewal> renewalAt;
   private final RequestId request;
   private final String name;
   private final ImmutableList<BackendServer> servers;
   private final long tokens;
   private int reservedCount;
+  private int renewals;
   private boolean completed;
   private boolean released;
   private boolean outcomeUnknown;
@@ -51,7 +79,7 @@
       Timing timing,
       BackendClient backends,
       EventLog log,
-      Predicate<BackendServer> paused,
+      Function<BackendServer, Renewal> renewalAt,
       RequestId request,
       String name,
       ImmutableList<BackendServer> servers,
@@ -59,7 +87,7 @@
     this.timing = timing;
     this.backends = backends;
     this.log = log;
-    this.paused = paused;
+    this.renewalAt = renewalAt;
     this.request = request;
     this.name = name;
     this.servers = servers;
@@ -104,12 +132,13 @@
   }
 
   /**
-   * Renews the reservations, except on paused servers: a renewal is a request, too. A reservation
+   * Renews the reservations where the server wants it: a renewal is a request, too. A reservation
    * that lapses during a pause breaks its request off, which is then handled as at a lost server.
    */
   private void renew() {
+    renewals++;
     for (BackendServer server : servers) {
-      if (paused.test(server)) {
+      if (!renewalAt.apply(server).isDue(renewals)) {
         continue;
       }
       backends.reserve(
--- a/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
@@ -8,6 +8,7 @@
 import dev.apricotmill.core.pool.PoolScheduler;
 import dev.apricotmill.core.pool.WorkReport;
 import dev.apricotmill.core.prompt.PromptParts;
+import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.EngineCostModel;
 import dev.apricotmill.core.relay.ServiceProfile;
 import dev.apricotmill.core.request.ReplicaId;
@@ -26,22 +27,32 @@
   private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
 
   private final Timing timing;
+  private final BackendLimits limits;
   private final Map<ServiceName, PoolScheduler> poolSchedulers = new HashMap<>();
+  private ServingView view = ServingView.EMPTY;
+  private GrantShare grantShare = service -> GrantShare.WHOLE;
+  private int rotation;
 
   /** Creates a placer without pools. */
-  public LocalPlacer(Timing timing) {
+  public LocalPlacer(Timing timing, BackendLimits limits) {
     this.timing = timing;
+    this.limits = limits;
+  }
+
+  /** Sets the share of servers' limits that this node grants from. */
+  void setGrantShare(GrantShare newGrantShare) {
+    grantShare = newGrantShare;
   }
 
   /** Updates the pools and their servers. */
-  public void update(ServingView view) {
+  public void update(ServingView newView) {
+    view = newView;
+    view.servers().ifPresent(table -> limits.update(table.serversById().values()));
     view.configuration()
-        .ifPresent(
-            configuration ->
-                configuration.services().values().forEach(profile -> update(profile, view)));
+        .ifPresent(configuration -> configuration.services().values().forEach(this::update));
   }
 
-  private void update(ServiceProfile profile, ServingView view) {
+  private void update(ServiceProfile profile) {
     Optional<EngineCostModel> costModel = profile.engine();
     if (costModel.isPresent() && view.servers().isPresent()) {
       poolSchedulers
@@ -76,12 +87,103 @@
         .collect(ImmutableList.toImmutableList());
   }
 
+  /** Returns whether this node knows the servers of a service. */
+  boolean canPlace(ServiceName service) {
+    return poolSchedulers.containsKey(service)
+        || (view.servers().isPresent()
+            && view.configuration()
+                .map(configuration -> configuration.services().get(service))
+                .filter(profile -> profile.engine().isEmpty())
+                .isPresent());
+  }
+
+  /** Returns the servers of a service that this node knows. */
+  ImmutableList<BackendServer> serversOf(ServiceName service) {
+    return view.serversOf(service);
+  }
+
+  /** Returns a server that this node knows. */
+  Optional<BackendServer> server(ReplicaId id) {
+    return view.servers().map(table -> table.serversById().get(id));
+  }
+
   @Override
   public void place(PlacementRequest placementRequest, Consumer<Placement> callback) {
-    callback.accept(
-        poolScheduler(placementRequest.service())
-            .map(pool -> pool.place(placementRequest, timing.nanoTime()))
-            .orElseGet(() -> new Placement.Full(DEFAULT_RETRY_AFTER)));
+    callback.accept(place(placementRequest, grantShare.of(placementRequest.service())));
+  }
+
+  /** Places a request for which no dispatcher has responded, on no server with a limit. */
+  void placeWithoutDispatcher(PlacementRequest placementRequest, Consumer<Placement> callback) {
+    callback.accept(place(placementRequest, GrantShare.NONE));
+  }
+
+  private Placement place(PlacementRequest request, double share) {
+    if (limits.isEmpty()) {
+      return placeOnFree(request);
+    }
+    ImmutableList<BackendServer> candidates = candidates(request);
+    ImmutableSet<ReplicaId> unavailable =
+        share > GrantShare.NONE ? limits.notFree(candidates) : limits.limited(candidates);
+    Placement placement = placeOnFree(request.excluding(unavailable));
+    if (placement instanceof Placement.Granted granted) {
+      return takeFromLimit(granted, share);
+    }
+    boolean isLimitTheCause = unavailable.size() == candidates.size() && !candidates.isEmpty();
+    return isLimitTheCause && share > GrantShare.NONE
+        ? new Placement.Full(limits.timeUntilAnyIsFree(candidates).orElse(DEFAULT_RETRY_AFTER))
+        : placement;
+  }
+
+  private ImmutableList<BackendServer> candidates(PlacementRequest request) {
+    return view.readyServers(request.service()).stream()
+        .filter(server -> !request.excludedServers().contains(server.id()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Places a request on any servers that it does not exclude. */
+  private Placement placeOnFree(PlacementRequest request) {
+    return poolScheduler(request.service())
+        .map(pool -> placeOnEngines(pool, request))
+        .orElseGet(() -> placeOnServer(request));
+  }
+
+  /** Places a request on engines; reservations are requests, and none go to limited servers. */
+  private Placement placeOnEngines(PoolScheduler pool, PlacementRequest request) {
+    long now = timing.nanoTime();
+    Placement placement = pool.place(request, now);
+    if (limits.isEmpty()
+        || !(placement instanceof Placement.Granted granted)
+        || granted.reservedTokens() == 0) {
+      return placement;
+    }
+    ImmutableSet<ReplicaId> limited = limits.limited(candidates(request));
+    if (granted.helpers().stream().noneMatch(limited::contains)) {
+      return placement;
+    }
+    pool.onEnd(request.requestId(), now);
+    return pool.place(request.excluding(limited), now);
+  }
+
+  /** Places a request on a server of a service without engines, on each in turn. */
+  private Placement placeOnServer(PlacementRequest request) {
+    ImmutableList<BackendServer> candidates = candidates(request);
+    if (candidates.isEmpty()) {
+      return new Placement.Full(DEFAULT_RETRY_AFTER);
+    }
+    BackendServer chosen = candidates.get(Math.floorMod(rotation++, candidates.size()));
+    return new Placement.Granted(
+        chosen.id(), ImmutableList.of(), request.firstEventTarget(), /* reservedTokens= */ 0);
+  }
+
+  private Placement takeFromLimit(Placement.Granted granted, double share) {
+    return server(granted.server())
+        .filter(limits::isLimited)
+        .map(
+            server -> {
+              limits.take(server, share);
+              return granted.withRequestsPerSecond(limits.requestsPerSecond(server));
+            })
+        .orElse(granted);
   }
 
   /** Records a report on a request that this or another node has placed. */
--- a/node/src/main/java/dev/apricotmill/node/relay/PlacementEndpoint.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/PlacementEndpoint.java
@@ -16,6 +16,7 @@
   private final LocalPlacer localPlacer;
   private final BlockedParts blockedParts;
   private final LeavingServers leavingServers;
+  private final BackendLimits limits;
   private final CrashWatch crashWatch;
   private final BooleanSupplier leaving;
 
@@ -29,12 +30,14 @@
       LocalPlacer localPlacer,
       BlockedParts blockedParts,
       LeavingServers leavingServers,
+      BackendLimits limits,
       CrashWatch crashWatch,
       BooleanSupplier leaving) {
     this.timing = timing;
     this.localPlacer = localPlacer;
     this.blockedParts = blockedParts;
     this.leavingServers = leavingServers;
+    this.limits = limits;
     this.crashWatch = crashWatch;
     this.leaving = leaving;
   }
@@ -50,7 +53,7 @@
               if (blockedPart.isPresent()) {
                 callback.accept(blockedPart.map(Placement.Blocked::new));
               } else if (leaving.getAsBoolean()
-                  || localPlacer.poolScheduler(placementRequest.service()).isEmpty()) {
+                  || !localPlacer.canPlace(placementRequest.service())) {
                 callback.accept(Optional.empty());
               } else {
                 localPlacer.place(
@@ -72,6 +75,8 @@
       blockedParts.block(blocked.part(), BlockedParts.Source.PEER);
     } else if (report instanceof WorkReport.Leaving leavingReport) {
       leavingServers.mark(LeavingServers.Instance.of(leavingReport), LeavingServers.Source.PEER);
+    } else if (report instanceof WorkReport.Limited limited) {
+      limits.apply(limited);
     }
   }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -40,6 +40,7 @@
   private final ResettableTimer deadlineTimer;
   private final ResettableTimer silenceTimer;
   private @Nullable BackendAttempt currentAttempt;
+  private Optional<Duration> limitWait = Optional.empty();
   private boolean mayHaveRun;
   private boolean ended;
 
@@ -92,7 +93,7 @@
     if (endIfServersPaused()) {
       return;
     }
-    if (request.size().isPresent() && decision.service().engine().isPresent()) {
+    if (isGeneration()) {
       Duration waited = Duration.ofNanos(node.timing().nanoTime() - arrivedNanos);
       allocation.allocate(
           request.toPlacementRequest(
@@ -100,13 +101,22 @@
       return;
     }
     Optional<BackendServer> server = candidates.choose();
-    if (server.isPresent()) {
-      send(server.get(), ImmutableList.of(), route().timeout());
+    if (server.isEmpty()) {
+      endWithFailure(
+          limitWait.isPresent() ? RelayRefusal.OVERLOADED : RelayRefusal.NO_SERVER,
+          limitWait.orElse(DEFAULT_RETRY_AFTER));
+    } else if (node.backendLimits().isLimited(server.get())) {
+      allocation.allocate(
+          request.toLimitRequest(route(), service(), remaining(), candidates.excludedForLimit()));
     } else {
-      endWithFailure(RelayRefusal.NO_SERVER, DEFAULT_RETRY_AFTER);
+      send(server.get(), ImmutableList.of(), route().timeout());
     }
   }
 
+  private boolean isGeneration() {
+    return request.size().isPresent() && decision.service().engine().isPresent();
+  }
+
   /** Refuses the request at once if all servers of the service are paused. */
   private boolean endIfServersPaused() {
     Optional<Duration> pause = candidates.shortestPause();
@@ -128,7 +138,13 @@
 
   @Override
   public void onFull(Duration retryAfter) {
-    endWithFailure(RelayRefusal.OVERLOADED, retryAfter);
+    if (isGeneration()) {
+      endWithFailure(RelayRefusal.OVERLOADED, retryAfter);
+      return;
+    }
+    limitWait = Optional.of(retryAfter);
+    candidates.excludeLimited();
+    startAttempt();
   }
 
   @Override
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -251,7 +251,16 @@
   HelperReservations newHelperReservations(
       RequestId request, String name, ImmutableList<BackendServer> servers, long tokens) {
     return new HelperReservations(
-        timing, backends, log, pauses::isPaused, request, name, servers, tokens);
+        timing, backends, log, this::renewalAt, request, name, servers, tokens);
+  }
+
+  private HelperReservations.Renewal renewalAt(BackendServer server) {
+    if (pauses.isPaused(server)) {
+      return HelperReservations.Renewal.NEVER;
+    }
+    return backendLimits.isLimited(server)
+        ? HelperReservations.Renewal.SPARSE
+        : HelperReservations.Renewal.FREQUENT;
   }
 
   Timing timing() {
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayRequest.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayRequest.java
@@ -43,6 +43,8 @@
     PromptParts promptParts,
     OptionalLong resumeAfterEvent) {
 
+  private static final GenerationSize NO_GENERATION = new GenerationSize(0, 0);
+
   /** Returns how long the request may take on {@code route}, counted from its arrival. */
   Duration timeLimit(Route route, Duration defaultCallerTimeout) {
     return Comparators.min(callerTimeout.orElse(defaultCallerTimeout), route.timeout());
@@ -71,4 +73,23 @@
         remaining,
         excluded);
   }
+
+  /**
+   * Returns the request for one of the servers that have limits, of a service without engines.
+   *
+   * @param remaining the time until its deadline
+   * @param excluded the servers to which it must not go
+   */
+  PlacementRequest toLimitRequest(
+      Route route, ServiceName service, Duration remaining, ImmutableSet<ReplicaId> excluded) {
+    return new PlacementRequest(
+        id,
+        service,
+        size.orElse(NO_GENERATION),
+        promptParts,
+        route.timeout(),
+        route.timeout(),
+        remaining,
+        excluded);
+  }
 }
--- a/node/src/test/java/dev/apricotmill/node/relay/HelperReservationsTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/HelperReservationsTest.java
@@ -3,9 +3,12 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import dev.apricotmill.core.relay.RelayRefusal;
+import dev.apricotmill.core.relay.ServerNotice;
 import dev.apricotmill.node.relay.RelayFixture.RecordedCaller;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 
 final class HelperReservationsTest {
@@ -41,6 +44,43 @@
     assertThat(relay.reservationCalls().size()).isEqualTo(2 * first);
   }
 
+  @Test
+  void aReservationIsRenewedLessOftenOnServersThatHaveNamedLimits() {
+    relay.accept("/stream/1");
+    limitAllServers();
+    int first = relay.reservationCalls().size();
+
+    relay.time().advance(Duration.ofMillis(1_100));
+    assertThat(relay.reservationCalls()).hasSize(first);
+    relay.time().advance(Duration.ofSeconds(1));
+    assertThat(relay.reservationCalls().size()).isEqualTo(2 * first);
+  }
+
+  @Test
+  void noMemoryIsReservedOnServersThatHaveNamedLimits() {
+    limitAllServers();
+    relay.time().advance(Duration.ofSeconds(2));
+
+    RecordedCaller caller = relay.accept("/stream/1");
+
+    assertThat(relay.reservationCalls()).isEmpty();
+    assertThat(caller.refusal()).isEqualTo(RelayRefusal.OVERLOADED);
+  }
+
+  private void limitAllServers() {
+    relay
+        .node()
+        .view()
+        .serversOf(RelayFixture.POOL)
+        .forEach(
+            server ->
+                relay
+                    .node()
+                    .onNotice(
+                        server, new ServerNotice(false, Optional.empty(), OptionalDouble.of(10))));
+    relay.time().runDue();
+  }
+
   @Test
   void aRefusedReservationReleasesAllHelpersAndNothingIsSent() {
     relay.setReserveResult(BackendClient.ReserveResult.REFUSED);
