--- a/node/src/main/java/dev/apricotmill/node/relay/AttemptLimits.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/AttemptLimits.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.node.relay;
 
+import dev.apricotmill.core.relay.RelayRefusal;
 import dev.apricotmill.core.relay.Route;
 import dev.apricotmill.core.request.ServiceName;
 import java.time.Duration;
@@ -46,6 +47,11 @@
     attempts--;
   }
 
+  /** Returns what a passed deadline means for the caller. */
+  RelayRefusal expiryReason() {
+    return attempts > 0 ? RelayRefusal.EXPIRED : RelayRefusal.EXPIRED_UNSENT;
+  }
+
   boolean canRetry() {
     return attempts < route.maximumAttempts() && hasTimeForRetry();
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/CandidateServers.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CandidateServers.java
@@ -2,7 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.relay.BackendServer;
+import dev.apricotmill.core.relay.RelayRefusal;
+import dev.apricotmill.core.relay.Route;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.ServiceName;
 import java.time.Duration;
@@ -16,6 +19,7 @@
   private final RelayNode node;
   private final ServiceName service;
   private final Set<ReplicaId> failed = new HashSet<>();
+  private Optional<Duration> limitWait = Optional.empty();
 
   CandidateServers(RelayNode node, ServiceName service) {
     this.node = node;
@@ -38,21 +42,43 @@
     return node.balancer().choose(ready(), excluded(), node.timing().nanoTime());
   }
 
-  /** Returns the servers to which a request must not go that may go to one with a limit only. */
-  ImmutableSet<ReplicaId> excludedForLimit() {
-    return ImmutableSet.<ReplicaId>builder()
-        .addAll(excluded())
-        .addAll(
-            ready().stream()
-                .filter(server -> !node.backendLimits().isLimited(server))
-                .map(BackendServer::id)
-                .iterator())
-        .build();
+  /** Returns the request for the engines of a pool. */
+  PlacementRequest toPlacementRequest(
+      RelayRequest request, Route route, Duration waited, Duration remaining) {
+    return request.toPlacementRequest(route, service, waited, remaining, excluded());
+  }
+
+  /** Returns the request for one of the servers that have limits; others are excluded. */
+  PlacementRequest toLimitRequest(RelayRequest request, Route route, Duration remaining) {
+    ImmutableSet<ReplicaId> limited = node.backendLimits().limited(ready());
+    return request.toLimitRequest(
+        route,
+        service,
+        remaining,
+        ImmutableSet.<ReplicaId>builder()
+            .addAll(excluded())
+            .addAll(
+                ready().stream()
+                    .map(BackendServer::id)
+                    .filter(server -> !limited.contains(server))
+                    .iterator())
+            .build());
   }
 
-  /** Excludes the servers with limits, which allow no request now. */
-  void excludeLimited() {
+  /** Excludes the servers with limits, of which the first allows a request after {@code wait}. */
+  void excludeLimited(Duration wait) {
     failed.addAll(node.backendLimits().limited(ready()));
+    limitWait = Optional.of(wait);
+  }
+
+  /** Returns why there is no server to choose. */
+  RelayRefusal absenceReason() {
+    return limitWait.isPresent() ? RelayRefusal.OVERLOADED : RelayRefusal.NO_SERVER;
+  }
+
+  /** Returns when a caller may come back for whom there is no server. */
+  Duration retryAfter() {
+    return limitWait.orElse(RelayNode.RETRY_AFTER);
   }
 
   /** Returns the shortest pause if all servers are paused. */
--- a/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import dev.apricotmill.coordination.identity.Zone;
 import dev.apricotmill.coordination.membership.Member;
 import dev.apricotmill.coordination.membership.RendezvousHash;
 import dev.apricotmill.coordination.time.Timing;
@@ -46,22 +45,9 @@
   /** The dispatcher of a pool, its successor, and the next one if both are lost. */
   private static final int PRECONNECTED_NODES_PER_POOL = 3;
 
-  /** A zone with at least this many suspected nodes counts as unreachable. */
-  private static final int SUSPECTED_NODES_OF_LOST_ZONE = 2;
-
   /** The parts of prompts that a new dispatcher must not blame for crashes by mistake. */
   private static final int MAX_REPORTED_PARTS = 64;
 
-  private static final Duration MIN_SUSPICION = Duration.ofMillis(500);
-
-  /** How often a silent node is probed; limits how late the end of a partition is detected. */
-  private static final Duration PROBE_PERIOD = Duration.ofMillis(500);
-
-  /** Covers a round trip between zones and the scheduling delay of a busy process. */
-  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(300);
-
-  private static final Duration MAX_SUSPICION = Duration.ofSeconds(8);
-
   /** All nodes have the same list of nodes within this time after a change. */
   private static final Duration HANDOVER_TIME = Duration.ofSeconds(4);
 
@@ -76,7 +62,7 @@
   private final EventLog log;
   private final CrashEvidence evidence = new CrashEvidence();
   private final Map<RequestId, WorkReport.Running> running = new LinkedHashMap<>();
-  private final Map<Member, Suspicion> suspicions = new HashMap<>();
+  private final SuspectedNodes suspects;
   private final Map<ServiceName, Member> dispatchers = new HashMap<>();
   private final Map<ServiceName, Long> dispatchesSinceNanos = new HashMap<>();
   private final Map<ServiceName, List<WorkReport>> pendingReports = new HashMap<>();
@@ -100,6 +86,7 @@
     this.localPlacer = localPlacer;
     this.client = client;
     this.self = self;
+    suspects = new SuspectedNodes(timing, client, self, log);
     this.blockedParts = blockedParts;
     this.leavingServers = leavingServers;
     this.crashWatch = crashWatch;
@@ -110,29 +97,11 @@
     localPlacer.setGrantShare(this::grantShare);
   }
 
-  /**
-   * A dispatcher that is not asked for a while because it declined a request or did not respond.
-   *
-   * @param untilNanos when it may be asked again
-   * @param duration how long the suspicion lasts; the next one lasts twice as long
-   * @param silent whether it has responded to no probe since
-   */
-  private record Suspicion(long untilNanos, Duration duration, boolean silent) {
-
-    boolean isActive(long nowNanos) {
-      return silent || untilNanos - nowNanos > 0;
-    }
-
-    Suspicion afterReply() {
-      return new Suspicion(untilNanos, duration, false);
-    }
-  }
-
   /** Updates the nodes that may dispatch. */
   public void updateMembers(ImmutableList<Member> newMembers) {
     members = newMembers;
     rankings.clear();
-    suspicions.keySet().retainAll(newMembers);
+    suspects.retainAll(newMembers);
     preconnected.retainAll(newMembers);
     preconnect();
   }
@@ -173,7 +142,7 @@
       Optional<Placement> reply,
       Consumer<Placement> callback) {
     if (reply.isPresent()) {
-      suspicions.remove(dispatcher);
+      suspects.remove(dispatcher);
       if (reply.get() instanceof Placement.Granted granted) {
         localPlacer.recordReport(new WorkReport.Running(placementRequest, granted, true));
         reportLeavingServers(dispatcher, granted);
@@ -184,7 +153,7 @@
       onPlaced(placementRequest, reply.get(), callback);
       return;
     }
-    suspect(dispatcher);
+    suspects.add(dispatcher);
     localPlacer.placeWithoutDispatcher(
         placementRequest,
         placement -> {
@@ -276,7 +245,7 @@
     if (members.isEmpty() || !dispatcher(service).equals(self)) {
       return GrantShare.BESIDE_ANOTHER;
     }
-    long reached = members.stream().filter(member -> !isSuspected(member, now)).count();
+    long reached = members.stream().filter(member -> !suspects.contains(member, now)).count();
     double share = GrantShare.WHOLE * Math.max(1, reached) / members.size();
     boolean isNew =
         members.size() > 1
@@ -320,7 +289,7 @@
     long now = timing.nanoTime();
     Member dispatcher =
         ranking(service).stream()
-            .filter(member -> !isSuspected(member, now))
+            .filter(member -> !suspects.contains(member, now))
             .findFirst()
             .orElse(self);
     @Nullable Member previous = dispatchers.put(service, dispatcher);
@@ -379,58 +348,4 @@
       client.report(dispatcher.address(), reports);
     }
   }
-
-  private boolean isSuspected(Member member, long nowNanos) {
-    Suspicion suspicion = suspicions.get(member);
-    return (suspicion != null && suspicion.isActive(nowNanos))
-        || isZoneUnreachable(member.zone(), nowNanos);
-  }
-
-  /** Several suspected nodes of another zone mean that the whole zone is unreachable. */
-  private boolean isZoneUnreachable(Zone zone, long nowNanos) {
-    return !zone.equals(self.zone())
-        && suspicions.entrySet().stream()
-                .filter(entry -> entry.getKey().zone().equals(zone))
-                .filter(entry -> entry.getValue().isActive(nowNanos))
-                .count()
-            >= SUSPECTED_NODES_OF_LOST_ZONE;
-  }
-
-  private void suspect(Member member) {
-    Suspicion previous = suspicions.get(member);
-    if (previous != null && previous.isActive(timing.nanoTime())) {
-      // Concurrent requests that time out count as one failure.
-      return;
-    }
-    Duration duration = previous == null ? MIN_SUSPICION : previous.duration().multipliedBy(2);
-    if (duration.compareTo(MAX_SUSPICION) > 0) {
-      duration = MAX_SUSPICION;
-    }
-    suspicions.put(member, new Suspicion(timing.nanoTime() + duration.toNanos(), duration, true));
-    timing.schedule(PROBE_PERIOD, () -> probe(member));
-    log.write(
-        "dispatcher.silent",
-        ImmutableMap.of(
-            "node", member.incarnation().toString(), "not_asked_for_ms", duration.toMillis()));
-  }
-
-  /** Detects by probes, never by a request, that a silent node responds again. */
-  private void probe(Member member) {
-    Suspicion suspicion = suspicions.get(member);
-    if (suspicion == null || !suspicion.silent()) {
-      return;
-    }
-    client.probe(
-        member.address(),
-        PROBE_TIMEOUT,
-        alive -> timing.scheduler().execute(() -> onProbeResult(member, alive)));
-    timing.schedule(PROBE_PERIOD, () -> probe(member));
-  }
-
-  private void onProbeResult(Member member, boolean alive) {
-    if (alive && suspicions.containsKey(member)) {
-      suspicions.computeIfPresent(member, (peer, suspicion) -> suspicion.afterReply());
-      log.write("dispatcher.answers", ImmutableMap.of("node", member.incarnation().toString()));
-    }
-  }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -23,8 +23,6 @@
         EngineAllocation.Callback,
         CallerConnection.ConnectionListener {
 
-  private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
-
   private final RelayNode node;
   private final RelayRequest request;
   private final CallerConnection caller;
@@ -40,7 +38,6 @@
   private final ResettableTimer deadlineTimer;
   private final ResettableTimer silenceTimer;
   private @Nullable BackendAttempt currentAttempt;
-  private Optional<Duration> limitWait = Optional.empty();
   private boolean mayHaveRun;
   private boolean ended;
 
@@ -93,30 +90,21 @@
     if (endIfServersPaused()) {
       return;
     }
-    if (isGeneration()) {
+    if (decision.isGeneration(request)) {
       Duration waited = Duration.ofNanos(node.timing().nanoTime() - arrivedNanos);
-      allocation.allocate(
-          request.toPlacementRequest(
-              route(), service(), waited, remaining(), candidates.excluded()));
+      allocation.allocate(candidates.toPlacementRequest(request, route(), waited, remaining()));
       return;
     }
     Optional<BackendServer> server = candidates.choose();
     if (server.isEmpty()) {
-      endWithFailure(
-          limitWait.isPresent() ? RelayRefusal.OVERLOADED : RelayRefusal.NO_SERVER,
-          limitWait.orElse(DEFAULT_RETRY_AFTER));
+      endWithFailure(candidates.absenceReason(), candidates.retryAfter());
     } else if (node.backendLimits().isLimited(server.get())) {
-      allocation.allocate(
-          request.toLimitRequest(route(), service(), remaining(), candidates.excludedForLimit()));
+      allocation.allocate(candidates.toLimitRequest(request, route(), remaining()));
     } else {
       send(server.get(), ImmutableList.of(), route().timeout());
     }
   }
 
-  private boolean isGeneration() {
-    return request.size().isPresent() && decision.service().engine().isPresent();
-  }
-
   /** Refuses the request at once if all servers of the service are paused. */
   private boolean endIfServersPaused() {
     Optional<Duration> pause = candidates.shortestPause();
@@ -138,12 +126,11 @@
 
   @Override
   public void onFull(Duration retryAfter) {
-    if (isGeneration()) {
+    if (decision.isGeneration(request)) {
       endWithFailure(RelayRefusal.OVERLOADED, retryAfter);
       return;
     }
-    limitWait = Optional.of(retryAfter);
-    candidates.excludeLimited();
+    candidates.excludeLimited(retryAfter);
     startAttempt();
   }
 
@@ -205,7 +192,7 @@
     if (limits.tryTakeReplacement()) {
       startAttempt();
     } else {
-      endWithFailure(refusal, DEFAULT_RETRY_AFTER);
+      endWithFailure(refusal, RelayNode.RETRY_AFTER);
     }
   }
 
@@ -221,7 +208,7 @@
       }
       startAttempt();
     } else {
-      endWithFailure(refusal, DEFAULT_RETRY_AFTER);
+      endWithFailure(refusal, RelayNode.RETRY_AFTER);
     }
   }
 
@@ -247,9 +234,7 @@
 
   private void onDeadline() {
     if (!ended) {
-      endWithFailure(
-          limits.attempts() > 0 ? RelayRefusal.EXPIRED : RelayRefusal.EXPIRED_UNSENT,
-          DEFAULT_RETRY_AFTER);
+      endWithFailure(limits.expiryReason(), RelayNode.RETRY_AFTER);
     }
   }
 
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -31,7 +31,7 @@
 public final class RelayNode implements ServerNoticeListener {
 
   /** When a refused caller may retry if no better estimate is known. */
-  private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
+  static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
   private final Timing timing;
   private final RelaySettings settings;
@@ -214,7 +214,7 @@
             "path",
             request.path()));
     // Another node can take the request at once.
-    caller.refuse(refusal, refusal == RelayRefusal.STOPPING ? Duration.ZERO : DEFAULT_RETRY_AFTER);
+    caller.refuse(refusal, refusal == RelayRefusal.STOPPING ? Duration.ZERO : RETRY_AFTER);
     metrics.recordRefusal(refusal);
     requestEnded();
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/RequestAuthorizer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RequestAuthorizer.java
@@ -22,7 +22,13 @@
      * @param customer the customer whose key it has
      */
     record Allowed(Route route, ServiceProfile service, Optional<CustomerId> customer)
-        implements Decision {}
+        implements Decision {
+
+      /** Returns whether engines are chosen by the size of the request. */
+      boolean isGeneration(RelayRequest request) {
+        return request.size().isPresent() && service.engine().isPresent();
+      }
+    }
 
     /**
      * The request is refused.
--- a/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
@@ -19,7 +19,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -70,7 +69,6 @@
   private final Map<String, Integer> attempts = new HashMap<>();
   private final List<Duration> crashes = new ArrayList<>();
   private final ServerNoticeRecord record = new ServerNoticeRecord();
-  private final LimitRecord limitRecord = new LimitRecord();
   private boolean noticesSent = true;
   private double errorShare;
   private int started;
@@ -128,23 +126,6 @@
     return record;
   }
 
-  /** Returns what limited servers received. */
-  LimitRecord limitRecord() {
-    return limitRecord;
-  }
-
-  /** Lets a server name a limit in each response from now on. */
-  void limit(FleetServer server, double requestsPerSecond) {
-    server.setRequestsPerSecond(OptionalDouble.of(requestsPerSecond));
-    limitRecord.limited(server.instance(), requestsPerSecond, now());
-  }
-
-  /** Lets a server name no limit any more. */
-  void endLimit(FleetServer server) {
-    server.setRequestsPerSecond(OptionalDouble.empty());
-    limitRecord.unlimited(server.instance(), now());
-  }
-
   void addServers(ServiceName service, int count) {
     for (int i = 0; i < count; i++) {
       start(service);
@@ -238,7 +219,6 @@
     // The name of a reservation is the request's identifier and the number of the attempt.
     RequestId request = new RequestId(reservation.substring(0, reservation.indexOf('.')));
     record.arrived(request, link(connections, server), now(), renewed);
-    limitRecord.arrived(link(connections, server), now());
     boolean refused = !renewed && server.isPausedFor(connections.node(), now());
     ServerNotice notice = refused ? refusalNotice(server, connections.node()) : runNotice(server);
     if (!refused) {
@@ -255,9 +235,6 @@
   /** Records that a node received a notice. */
   void recordNotice(EngineConnections connections, FleetServer server, ServerNotice notice) {
     record.received(link(connections, server), notice, now());
-    notice
-        .requestsPerSecond()
-        .ifPresent(limit -> limitRecord.told(link(connections, server), now()));
   }
 
   private static ServerNoticeRecord.Link link(EngineConnections connections, FleetServer server) {
@@ -281,7 +258,6 @@
     EngineConnections connections = run.connections();
     RequestId request = run.request().request().id();
     record.arrived(request, link(connections, server), now(), false);
-    limitRecord.arrived(link(connections, server), now());
     if (server.isPausedFor(connections.node(), now())) {
       run.refuse(server, refusalNotice(server, connections.node()), Optional.empty());
       return;
--- a/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
@@ -35,6 +35,13 @@
   private static final Duration NETWORK_DELAY = Duration.ofMillis(1);
   private static final int RETRIES_PER_THOUSAND_REQUESTS = 200;
   private static final int RETRY_RESERVE = 100;
+  private static final RelaySettings SETTINGS =
+      new RelaySettings(
+          Duration.ofHours(1),
+          RelayFixture.CONFIGURATION_BOUND,
+          Duration.ofSeconds(10),
+          RETRIES_PER_THOUSAND_REQUESTS,
+          RETRY_RESERVE);
 
   private final Timing network;
   private final EngineFleet engines;
@@ -137,28 +144,11 @@
             backendLimits,
             crashWatch,
             () -> false);
-    Platform storeClient = store.clientFor("n" + number, new Zone("a"), scheduler);
-    SharedFollower follower =
-        new SharedFollower(
-            storeClient,
-            timing,
-            member,
-            (peer, request, limits, callback) -> {},
-            FollowObserver.NONE);
-    follower.follow(
-        BlockedPartDirectory.KIND,
-        BlockedPartDirectory.FOLLOW_SETTINGS,
-        new BlockedPartDirectory(storeClient, timing, blockedParts));
-    follower.start();
+    followBlockedParts(store.clientFor("n" + number, new Zone("a"), scheduler));
     relay =
         new RelayNode(
             timing,
-            new RelaySettings(
-                Duration.ofHours(1),
-                RelayFixture.CONFIGURATION_BOUND,
-                Duration.ofSeconds(10),
-                RETRIES_PER_THOUSAND_REQUESTS,
-                RETRY_RESERVE),
+            SETTINGS,
             connections,
             placer,
             blockedParts,
@@ -174,6 +164,21 @@
     state.serversRead(engines.entries());
   }
 
+  private void followBlockedParts(Platform storeClient) {
+    SharedFollower follower =
+        new SharedFollower(
+            storeClient,
+            timing,
+            member,
+            (peer, request, limits, callback) -> {},
+            FollowObserver.NONE);
+    follower.follow(
+        BlockedPartDirectory.KIND,
+        BlockedPartDirectory.FOLLOW_SETTINGS,
+        new BlockedPartDirectory(storeClient, timing, blockedParts));
+    follower.start();
+  }
+
   void kill() {
     scheduler.pause();
     connections.close();
--- a/node/src/test/java/dev/apricotmill/node/relay/LimitRecord.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/LimitRecord.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /** What servers received that had named limits, and the rule that this breaks. */
 final class LimitRecord {
@@ -58,13 +59,17 @@
     arrivals.add(new Arrival(link, at));
   }
 
-  void limited(FleetServer.Instance server, double requestsPerSecond, Duration at) {
-    limits.put(server, new Limit(requestsPerSecond, at, Optional.empty()));
+  /** Lets a server name a limit in each response from now on. */
+  void limit(FleetServer server, double requestsPerSecond, Duration at) {
+    server.setRequestsPerSecond(OptionalDouble.of(requestsPerSecond));
+    limits.put(server.instance(), new Limit(requestsPerSecond, at, Optional.empty()));
   }
 
-  void unlimited(FleetServer.Instance server, Duration at) {
+  /** Lets a server name no limit any more. */
+  void endLimit(FleetServer server, Duration at) {
+    server.setRequestsPerSecond(OptionalDouble.empty());
     limits.computeIfPresent(
-        server,
+        server.instance(),
         (instance, limit) -> new Limit(limit.requestsPerSecond(), limit.from(), Optional.of(at)));
   }
 
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
@@ -126,7 +126,7 @@
 
   /** Excuses a disturbed node from the limits of servers. */
   private void excuse(int node, Duration duration) {
-    engines.limitRecord().excuse(nodes.get(node).number(), now(), now().plus(duration));
+    engines.record().limits().excuse(nodes.get(node).number(), now(), now().plus(duration));
   }
 
   /** Lets the process of a node stand still for a while. */
--- a/node/src/test/java/dev/apricotmill/node/relay/ServerLimitTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServerLimitTest.java
@@ -88,7 +88,8 @@
         fleet.engines().serversOf(load.service()).stream()
             .limit(count)
             .collect(ImmutableList.toImmutableList());
-    limited.forEach(server -> fleet.engines().limit(server, requestsPerSecond));
+    limited.forEach(
+        server -> fleet.engines().record().limits().limit(server, requestsPerSecond, fleet.now()));
     return limited;
   }
 
@@ -114,13 +115,13 @@
     Duration end = fleet.now();
     fleet.advance(END);
 
-    assertThat(fleet.engines().limitRecord().overruns()).isEmpty();
+    assertThat(fleet.engines().record().limits().overruns()).isEmpty();
     assertWithMessage("requests at limited servers")
         .that(
             limited.stream()
                 .mapToLong(
                     server ->
-                        fleet.engines().limitRecord().arrivalsAt(server.instance(), from, end))
+                        fleet.engines().record().limits().arrivalsAt(server.instance(), from, end))
                 .sum())
         .isAtLeast(limited.size());
     assertWithMessage("served share").that(servedShare()).isAtLeast(0.95);
@@ -140,7 +141,7 @@
     }
     fleet.advance(Duration.ofMillis(20));
 
-    assertThat(fleet.engines().limitRecord().overruns()).isEmpty();
+    assertThat(fleet.engines().record().limits().overruns()).isEmpty();
     List<RelayFixture.RecordedCaller> refused =
         last.stream().filter(caller -> caller.refusal() != null).toList();
     assertThat(refused.size()).isAtLeast(6);
@@ -171,7 +172,7 @@
     }
     fleet.advance(END);
 
-    assertThat(fleet.engines().limitRecord().overruns()).isEmpty();
+    assertThat(fleet.engines().record().limits().overruns()).isEmpty();
   }
 
   @ParameterizedTest
@@ -181,7 +182,7 @@
     play(fleet, load, WARM_UP, 20);
     ImmutableList<FleetServer> limited = limit(fleet, load, 1, 4);
     play(fleet, load, LIMITED, 20);
-    limited.forEach(fleet.engines()::endLimit);
+    limited.forEach(server -> fleet.engines().record().limits().endLimit(server, fleet.now()));
     play(fleet, load, Duration.ofSeconds(4), 20);
     Duration from = fleet.now();
     callers.clear();
--- a/node/src/test/java/dev/apricotmill/node/relay/ServerNoticeRecord.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServerNoticeRecord.java
@@ -25,6 +25,7 @@
   private final List<Arrival> arrivals = new ArrayList<>();
   private final Map<Link, Duration> leavingNotices = new HashMap<>();
   private final List<Pause> pauses = new ArrayList<>();
+  private final LimitRecord limits = new LimitRecord();
 
   /** A node and an instance of a server. */
   record Link(int node, FleetServer.Instance server) {}
@@ -51,12 +52,18 @@
     }
   }
 
+  /** Returns what servers received that had named limits. */
+  LimitRecord limits() {
+    return limits;
+  }
+
   void accepted(RequestId request, Duration at) {
     accepted.put(request, at);
   }
 
   void arrived(RequestId request, Link link, Duration at, boolean renewal) {
     arrivals.add(new Arrival(request, link, at, renewal));
+    limits.arrived(link, at);
   }
 
   /** Records that a server began to run a request. */
@@ -74,6 +81,7 @@
     if (notice.leaving()) {
       leavingNotices.putIfAbsent(link, at);
     }
+    notice.requestsPerSecond().ifPresent(limit -> limits.told(link, at));
     notice.pause().ifPresent(pause -> pauses.add(new Pause(link, at, at.plus(pause))));
   }
 
