--- a/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
@@ -77,9 +77,7 @@
       LocalPlacer localPlacer,
       DispatcherClient client,
       Member self,
-      BlockedParts blockedParts,
-      LeavingServers leavingServers,
-      BackendLimits limits,
+      SharedKnowledge knowledge,
       CrashWatch crashWatch,
       EventLog log) {
     this.timing = timing;
@@ -87,12 +85,12 @@
     this.client = client;
     this.self = self;
     suspects = new SuspectedNodes(timing, client, self, log);
-    this.blockedParts = blockedParts;
-    this.leavingServers = leavingServers;
+    blockedParts = knowledge.blockedParts();
+    leavingServers = knowledge.leavingServers();
     this.crashWatch = crashWatch;
     this.log = log;
     leavingServers.addListener(this::onLeaving);
-    this.limits = limits;
+    limits = knowledge.limits();
     limits.setListener(this::report);
     localPlacer.setGrantShare(this::grantShare);
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/PlacementEndpoint.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/PlacementEndpoint.java
@@ -28,16 +28,14 @@
   public PlacementEndpoint(
       Timing timing,
       LocalPlacer localPlacer,
-      BlockedParts blockedParts,
-      LeavingServers leavingServers,
-      BackendLimits limits,
+      SharedKnowledge knowledge,
       CrashWatch crashWatch,
       BooleanSupplier leaving) {
     this.timing = timing;
     this.localPlacer = localPlacer;
-    this.blockedParts = blockedParts;
-    this.leavingServers = leavingServers;
-    this.limits = limits;
+    blockedParts = knowledge.blockedParts();
+    leavingServers = knowledge.leavingServers();
+    limits = knowledge.limits();
     this.crashWatch = crashWatch;
     this.leaving = leaving;
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/DispatcherPlacerTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/DispatcherPlacerTest.java
@@ -41,9 +41,7 @@
           localPlacer,
           dispatchers,
           ranked.get(2),
-          blockedParts,
-          leavingServers,
-          limits,
+          new SharedKnowledge(blockedParts, leavingServers, limits),
           new CrashWatch(relay.timing(), localPlacer, blockedParts),
           (event, fields) -> events.add(event));
   private final List<Placement> decisions = new ArrayList<>();
--- a/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
@@ -130,18 +130,14 @@
             localPlacer,
             this,
             member,
-            blockedParts,
-            leavingServers,
-            backendLimits,
+            new SharedKnowledge(blockedParts, leavingServers, backendLimits),
             crashWatch,
             log);
     endpoint =
         new PlacementEndpoint(
             timing,
             localPlacer,
-            blockedParts,
-            leavingServers,
-            backendLimits,
+            new SharedKnowledge(blockedParts, leavingServers, backendLimits),
             crashWatch,
             () -> false);
     followBlockedParts(store.clientFor("n" + number, new Zone("a"), scheduler));
--- a/node/src/test/java/dev/apricotmill/node/relay/ServingFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServingFixture.java
@@ -75,9 +75,7 @@
         new PlacementEndpoint(
             timing,
             localPlacer,
-            blockedParts,
-            leavingServers,
-            backendLimits,
+            new SharedKnowledge(blockedParts, leavingServers, backendLimits),
             new CrashWatch(timing, localPlacer, blockedParts),
             () -> false);
     state.configurationRead(configuration());
