--- a/coordination/src/test/java/dev/apricotmill/coordination/testing/FakePlatform.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/testing/FakePlatform.java
@@ -120,6 +120,27 @@
     objects.compact();
   }
 
+  /** Returns a copy of all objects, to which the store can be {@link #restore restored}. */
+  public Copy copy() {
+    return new Copy(objects.copy());
+  }
+
+  /** Goes back to a copy: what was written since is lost, and revisions are given out again. */
+  public void restore(Copy copy) {
+    objects.restore(copy.objects);
+    copyOfWatches().forEach(PendingWatch::fail);
+  }
+
+  /** The objects of the store at one moment. */
+  public static final class Copy {
+
+    private final ObjectTable objects;
+
+    private Copy(ObjectTable objects) {
+      this.objects = objects;
+    }
+  }
+
   VirtualTime time() {
     return time;
   }
--- a/coordination/src/test/java/dev/apricotmill/coordination/testing/ObjectTable.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/testing/ObjectTable.java
@@ -61,7 +61,7 @@
   }
 
   WatchResult changesSince(String prefix, long sinceRevision) {
-    if (sinceRevision < compactedRevision) {
+    if (sinceRevision < compactedRevision || sinceRevision > revision) {
       return new WatchResult.Compacted();
     }
     ImmutableList<StoredObject> changed =
@@ -79,6 +79,27 @@
     return new WatchResult.Changes(changed, removed, revision);
   }
 
+  /** Returns the state that {@link #restore} brings back. */
+  ObjectTable copy() {
+    ObjectTable copy = new ObjectTable();
+    copy.set(this);
+    return copy;
+  }
+
+  /** Goes back to an earlier state; its revisions are given out again. */
+  void restore(ObjectTable copy) {
+    set(copy);
+  }
+
+  private void set(ObjectTable other) {
+    objects.clear();
+    objects.putAll(other.objects);
+    removals.clear();
+    removals.putAll(other.removals);
+    revision = other.revision;
+    compactedRevision = other.compactedRevision;
+  }
+
   void compact() {
     compactedRevision = revision;
   }
