Ask other zones before all peers of a large zone that the store turns away

With 30 nodes a zone, a zone that the store turned away learned of no change at all: its first node asked one peer of its own zone after the other, each of them behind, and the first was due again before another zone's turn came. Cause: the two peers to ask were taken from those that were not backed off, so that the next two took their place. They are the two highest-ranked peers now, whether backed off or not.

Found by RestoredStoreTest, and seen without a restoration on, at 30 nodes a zone for ten seconds and longer; the new case of SharedFollowerTest failed there and passes.

--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowRanking.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowRanking.java
@@ -107,8 +107,8 @@
     }
     ownZone.stream()
         .filter(member -> !member.equals(self))
-        .filter(reachable)
         .limit(TOP_RANKED_COUNT)
+        .filter(reachable)
         .forEach(candidates::add);
     if (lowerRanks.size() < TOP_RANKED_COUNT) {
       otherZones.stream().filter(reachable).forEach(candidates::add);
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/SharedFollowerTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/SharedFollowerTest.java
@@ -116,6 +116,20 @@
     return Integer.parseInt(value.substring(0, value.indexOf(':')));
   }
 
+  /** With many peers in its zone, a process must not ask all of these before another zone. */
+  @Test
+  void aLargeZoneThatTheStoreTurnsAwayLivesOnTheValidationsOfOthers() {
+    fleet.start(3, 30);
+    fleet.advance(SETTLE_TIME);
+    fleet.namesByRank("z0").forEach(name -> fleet.failStoreFor(name, PlatformFault.UNREACHABLE));
+    fleet.advance(SETTLE_TIME);
+
+    fleet.write("a", "1");
+    fleet.advance(FollowerFleet.MAX_STALENESS);
+
+    assertAllHave("a", "1");
+  }
+
   @Test
   void theLossOfAnyReaderDelaysNoChangeBeyondTheBound() {
     assertBoundHoldsAfter(reader -> fleet.kill(reader));
