Follow a store that was restored from an older copy

Callers got 404 on routes that were confirmed, answers by configurations that were replaced, and 503 while no read counted as a proof, until the store's revision had passed the old one. Cause: a revision was taken for a point in time. A list with a lower one was thrown away, the store was asked again without a pause, and a revision that was given out again seemed to be known.

A position of the store is its era and its revision now (StorePosition). A list that is older than what is known is read again after a pause.

--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowListener.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowListener.java
@@ -11,6 +11,14 @@
   /** Receives all objects; they replace everything received before. */
   void onSnapshot(ImmutableList<StoredObject> objects, ReadTimestamp readAt);
 
+  /**
+   * Receives all objects of a store that was restored from an older copy. What was written since
+   * the copy is missing until it is written again.
+   */
+  default void onStoreRestored(ImmutableList<StoredObject> objects, ReadTimestamp readAt) {
+    onSnapshot(objects, readAt);
+  }
+
   /** Receives the changes since the last call; none if the content was only validated again. */
   void onChanges(WatchResult.Changes changes, ReadTimestamp readAt);
 
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowedPrefix.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowedPrefix.java
@@ -4,6 +4,7 @@
 import dev.apricotmill.coordination.platform.ListResult;
 import dev.apricotmill.coordination.platform.Platform;
 import dev.apricotmill.coordination.platform.PlatformFailure;
+import dev.apricotmill.coordination.platform.StorePosition;
 import dev.apricotmill.coordination.platform.WatchResult;
 import dev.apricotmill.coordination.time.Timing;
 import java.time.Duration;
@@ -84,19 +85,19 @@
     return settings.maxStaleness();
   }
 
-  long revision() {
-    return content.revision();
+  StorePosition position() {
+    return content.position();
   }
 
-  boolean hasUpdateFor(long peerRevision) {
-    return content.isKnown() && !content.updateSince(peerRevision).isEmpty();
+  boolean hasUpdateFor(StorePosition peerPosition) {
+    return content.isKnown() && !content.updateSince(peerPosition).isEmpty();
   }
 
-  /** Returns the state for a peer that knows {@code peerRevision}, empty if nothing is known. */
-  Optional<FollowResponse.PrefixState> stateFor(long peerRevision) {
+  /** Returns the state for a peer that knows {@code peerPosition}, empty if nothing is known. */
+  Optional<FollowResponse.PrefixState> stateFor(StorePosition peerPosition) {
     return content.isKnown()
         ? Optional.of(
-            new FollowResponse.PrefixState(content.updateSince(peerRevision), staleness()))
+            new FollowResponse.PrefixState(content.updateSince(peerPosition), staleness()))
         : Optional.empty();
   }
 
@@ -154,7 +155,7 @@
           .thenAccept(result -> timing.scheduler().execute(() -> onList(result, readAt)));
     } else {
       platform
-          .watch(prefix, content.revision(), watchWait())
+          .watch(prefix, content.position().revision(), watchWait())
           .thenAccept(result -> timing.scheduler().execute(() -> onWatch(result, readAt)));
     }
   }
@@ -183,11 +184,12 @@
     }
     if (result instanceof ListResult.Listed listed) {
       failures = 0;
-      historyLost = false;
-      apply(
-          new PrefixUpdate(true, listed.objects(), ImmutableList.of(), listed.revision()),
-          Optional.of(readAt));
-      readWhenDue();
+      boolean isNewest =
+          apply(
+              new PrefixUpdate(true, listed.objects(), ImmutableList.of(), listed.position()),
+              Optional.of(readAt));
+      // A list that is older than the known content must not be read again without a pause.
+      timing.schedule(isNewest ? Duration.ZERO : settings.initialBackoff(), this::readWhenDue);
     } else if (result instanceof ListResult.Unavailable unavailable) {
       backOff(unavailable.failure());
     }
@@ -199,8 +201,14 @@
     }
     if (result instanceof WatchResult.Changes changes) {
       failures = 0;
+      if (changes.position().era() != content.position().era()) {
+        // The store was restored: the watch began at a revision of another history.
+        historyLost = true;
+        readWhenDue();
+        return;
+      }
       apply(
-          new PrefixUpdate(false, changes.changed(), changes.removed(), changes.revision()),
+          new PrefixUpdate(false, changes.changed(), changes.removed(), changes.position()),
           Optional.of(readAt));
       boolean unchanged = changes.changed().isEmpty() && changes.removed().isEmpty();
       timing.schedule(unchanged ? Duration.ZERO : settings.batchDelay(), this::readWhenDue);
@@ -225,10 +233,12 @@
     timing.schedule(Duration.ofMillis(millis), this::readWhenDue);
   }
 
-  private void apply(PrefixUpdate update, Optional<ReadTimestamp> updateValidatedAt) {
+  /** Applies an update and returns whether it is as new as the known content. */
+  private boolean apply(PrefixUpdate update, Optional<ReadTimestamp> updateValidatedAt) {
+    boolean isRestored = content.isKnown() && update.position().era() > content.position().era();
     Optional<PrefixUpdate> applied = content.apply(update);
     if (applied.isEmpty()) {
-      return;
+      return false;
     }
     historyLost = false;
     boolean revalidated =
@@ -238,17 +248,20 @@
       validatedAt = updateValidatedAt.get();
     }
     if (validatedAt == null || (!revalidated && applied.get().isEmpty())) {
-      return;
+      return true;
     }
-    if (applied.get().snapshot()) {
+    if (isRestored) {
+      listener.onStoreRestored(applied.get().changed(), validatedAt);
+    } else if (applied.get().snapshot()) {
       listener.onSnapshot(applied.get().changed(), validatedAt);
     } else {
       listener.onChanges(
           new WatchResult.Changes(
-              applied.get().changed(), applied.get().removed(), applied.get().revision()),
+              applied.get().changed(), applied.get().removed(), applied.get().position()),
           validatedAt);
     }
     onUpdate.run();
+    return true;
   }
 
   private Optional<Duration> staleness() {
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/PrefixContent.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/PrefixContent.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.StorePosition;
 import dev.apricotmill.coordination.platform.StoredObject;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -13,54 +14,52 @@
 import java.util.stream.Collectors;
 
 /**
- * The objects under a prefix at the newest known revision, and the order in which they changed.
+ * The objects under a prefix at the newest known position, and the order in which they changed.
  *
- * <p>The revision never decreases, whether an update comes from the store or from a peer. Applying
- * an update takes time in proportion to its size. Not thread-safe.
+ * <p>The position never goes back, whether an update comes from the store or from a peer. A
+ * snapshot of a later era replaces everything, since revisions of different eras cannot be
+ * compared. Applying an update takes time in proportion to its size. Not thread-safe.
  */
 final class PrefixContent {
 
-  /** The revision before the first update. */
-  static final long UNKNOWN_REVISION = -1;
-
   /** Tombstones let a peer that is only slightly behind catch up without a snapshot. */
   private static final int MAX_TOMBSTONES = 1024;
 
   private final Map<ObjectKey, StoredObject> objects = new HashMap<>();
   private final Map<ObjectKey, Long> lastChangedAt = new HashMap<>();
   private final NavigableMap<Long, Set<ObjectKey>> keysByRevision = new TreeMap<>();
-  private long revision = UNKNOWN_REVISION;
-  private long tombstonesCompleteSince = UNKNOWN_REVISION;
+  private StorePosition position = StorePosition.UNKNOWN;
+  private long tombstonesCompleteSince = StorePosition.UNKNOWN.revision();
   private int tombstones;
 
-  long revision() {
-    return revision;
+  StorePosition position() {
+    return position;
   }
 
   boolean isKnown() {
-    return revision != UNKNOWN_REVISION;
+    return !position.equals(StorePosition.UNKNOWN);
   }
 
   /**
    * Applies an update.
    *
-   * @return what it changed, a snapshot if it is the first; empty if the update is older than the
-   *     known revision, or is not a snapshot and nothing is known yet
+   * @return what it changed, a snapshot if it is the first one or the first of its era; empty if
+   *     the update is older than the known position, or is not a snapshot and nothing is known yet
    */
   Optional<PrefixUpdate> apply(PrefixUpdate update) {
-    if (update.revision() < revision || (!isKnown() && !update.snapshot())) {
+    boolean isFirst = !isKnown() || update.position().era() > position.era();
+    if (update.position().isBefore(position) || (isFirst && !update.snapshot())) {
       return Optional.empty();
     }
-    if (!isKnown()) {
-      revision = update.revision();
-      tombstonesCompleteSince = revision;
-      update.changed().forEach(this::put);
-      return Optional.of(update);
-    }
-    revision = update.revision();
+    position = update.position();
     if (update.snapshot()) {
       // A snapshot does not show objects that were created and removed since the last revision.
-      tombstonesCompleteSince = revision;
+      tombstonesCompleteSince = position.revision();
+    }
+    if (isFirst) {
+      clear();
+      update.changed().forEach(this::put);
+      return Optional.of(update);
     }
     ImmutableList<StoredObject> changed =
         update.changed().stream().filter(this::isNew).collect(ImmutableList.toImmutableList());
@@ -71,23 +70,36 @@
     changed.forEach(this::put);
     // A peer may know an object that was created and removed between two updates here.
     absent.forEach(this::remove);
-    return Optional.of(new PrefixUpdate(false, changed, removed, revision));
+    return Optional.of(new PrefixUpdate(false, changed, removed, position));
+  }
+
+  private void clear() {
+    objects.clear();
+    lastChangedAt.clear();
+    keysByRevision.clear();
+    tombstones = 0;
   }
 
-  /** Returns the update for a peer that knows the content at {@code peerRevision}. */
-  PrefixUpdate updateSince(long peerRevision) {
-    if (peerRevision < tombstonesCompleteSince) {
+  /**
+   * Returns the update for a peer that knows the content at {@code peerPosition}; an empty one if
+   * the peer knows a later era.
+   */
+  PrefixUpdate updateSince(StorePosition peerPosition) {
+    if (peerPosition.era() > position.era()) {
+      return new PrefixUpdate(false, ImmutableList.of(), ImmutableList.of(), position);
+    }
+    if (peerPosition.era() < position.era() || peerPosition.revision() < tombstonesCompleteSince) {
       return new PrefixUpdate(
-          true, ImmutableList.copyOf(objects.values()), ImmutableList.of(), revision);
+          true, ImmutableList.copyOf(objects.values()), ImmutableList.of(), position);
     }
     ImmutableList.Builder<StoredObject> changed = ImmutableList.builder();
     ImmutableList.Builder<ObjectKey> removed = ImmutableList.builder();
-    for (Set<ObjectKey> keys : keysByRevision.tailMap(peerRevision, false).values()) {
+    for (Set<ObjectKey> keys : keysByRevision.tailMap(peerPosition.revision(), false).values()) {
       for (ObjectKey key : keys) {
         Optional.ofNullable(objects.get(key)).ifPresentOrElse(changed::add, () -> removed.add(key));
       }
     }
-    return new PrefixUpdate(false, changed.build(), removed.build(), revision);
+    return new PrefixUpdate(false, changed.build(), removed.build(), position);
   }
 
   private boolean isNew(StoredObject object) {
@@ -120,7 +132,7 @@
   }
 
   private void recordChange(ObjectKey key) {
-    Long previous = lastChangedAt.put(key, revision);
+    Long previous = lastChangedAt.put(key, position.revision());
     if (previous != null) {
       keysByRevision.computeIfPresent(
           previous,
@@ -129,7 +141,7 @@
             return keys.isEmpty() ? null : keys;
           });
     }
-    keysByRevision.computeIfAbsent(revision, at -> new LinkedHashSet<>()).add(key);
+    keysByRevision.computeIfAbsent(position.revision(), at -> new LinkedHashSet<>()).add(key);
   }
 
   /**
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.coordination.membership.Member;
 import dev.apricotmill.coordination.platform.Platform;
+import dev.apricotmill.coordination.platform.StorePosition;
 import dev.apricotmill.coordination.time.ResponseLimits;
 import dev.apricotmill.coordination.time.Timing;
 import java.time.Duration;
@@ -137,7 +138,7 @@
     boolean hasUpdate =
         prefixes.entrySet().stream()
             .anyMatch(
-                entry -> entry.getValue().hasUpdateFor(requestedRevision(request, entry.getKey())));
+                entry -> entry.getValue().hasUpdateFor(requestedPosition(request, entry.getKey())));
     if (hasUpdate || request.maxWait().isZero()) {
       respond(poll);
       return;
@@ -174,14 +175,14 @@
     prefixes.forEach(
         (name, prefix) ->
             prefix
-                .stateFor(requestedRevision(poll.request(), name))
+                .stateFor(requestedPosition(poll.request(), name))
                 .ifPresent(state -> states.put(name, state)));
     Duration holdTime = Duration.ofNanos(timing.nanoTime() - poll.arrivedNanos());
     poll.callback().accept(new FollowResponse(states.buildOrThrow(), holdTime));
   }
 
-  private static long requestedRevision(FollowRequest request, String prefix) {
-    return request.revisions().getOrDefault(prefix, PrefixContent.UNKNOWN_REVISION);
+  private static StorePosition requestedPosition(FollowRequest request, String prefix) {
+    return request.positions().getOrDefault(prefix, StorePosition.UNKNOWN);
   }
 
   private void pollPeer() {
@@ -202,7 +203,7 @@
     ReadTimestamp sentAt = new ReadTimestamp(timing.nanoTime(), timing.clock().millis());
     peers.poll(
         peer.get(),
-        new FollowRequest(revisions(), wait),
+        new FollowRequest(positions(), wait),
         new ResponseLimits(
             wait.plus(RESPONSE_ALLOWANCE), RESPONSE_ALLOWANCE, wait.plus(minMaxStaleness())),
         result -> timing.scheduler().execute(() -> onResult(peer.get(), sentAt, result)));
@@ -219,10 +220,10 @@
         .orElse(MAX_POLL_WAIT);
   }
 
-  private ImmutableMap<String, Long> revisions() {
-    ImmutableMap.Builder<String, Long> revisions = ImmutableMap.builder();
-    prefixes.forEach((name, prefix) -> revisions.put(name, prefix.revision()));
-    return revisions.buildOrThrow();
+  private ImmutableMap<String, StorePosition> positions() {
+    ImmutableMap.Builder<String, StorePosition> positions = ImmutableMap.builder();
+    prefixes.forEach((name, prefix) -> positions.put(name, prefix.position()));
+    return positions.buildOrThrow();
   }
 
   private boolean needsPeers() {
@@ -267,7 +268,8 @@
     Optional<ReadTimestamp> peerValidatedAt =
         state.age().map(age -> response.validatedAt(sentAt, age));
     prefix.applyFromPeer(state.update(), peerValidatedAt);
-    return prefix.isTooStale(peerValidatedAt);
+    return state.update().position().era() < prefix.position().era()
+        || prefix.isTooStale(peerValidatedAt);
   }
 
   private void backOff(Member peer, PeerFault fault, long receivedBytes) {
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowerFleet.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowerFleet.java
@@ -178,6 +178,12 @@
       violations.addAll(history.violationsOf(content, validatedAt));
     }
 
+    @Override
+    public void onStoreRestored(ImmutableList<StoredObject> objects, ReadTimestamp readAt) {
+      newestVersions.clear();
+      onSnapshot(objects, readAt);
+    }
+
     @Override
     public void onChanges(WatchResult.Changes changes, ReadTimestamp readAt) {
       changes.removed().forEach(key -> content.remove(key.path()));
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/PrefixContentTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/PrefixContentTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.StorePosition;
 import dev.apricotmill.coordination.platform.StoredObject;
 import org.junit.jupiter.api.Test;
 
@@ -17,7 +18,37 @@
 
     assertThat(content.apply(snapshotAt(19, object("a", 15)))).isEmpty();
     assertThat(content.apply(removal(19, "a"))).isEmpty();
-    assertThat(content.updateSince(-1).changed()).containsExactly(object("a", 20));
+    assertThat(content.updateSince(StorePosition.of(-1)).changed())
+        .containsExactly(object("a", 20));
+  }
+
+  @Test
+  void aSnapshotOfALaterEraReplacesEverythingAndAnEarlierEraChangesNothing() {
+    content.apply(snapshotAt(20, object("a", 20), object("b", 15)));
+    PrefixUpdate restored =
+        new PrefixUpdate(
+            true, ImmutableList.of(object("a", 12)), ImmutableList.of(), new StorePosition(1, 13));
+
+    assertThat(content.apply(restored)).hasValue(restored);
+    assertThat(content.apply(snapshotAt(21, object("c", 21)))).isEmpty();
+    assertThat(content.updateSince(StorePosition.of(20))).isEqualTo(restored);
+    assertThat(content.updateSince(new StorePosition(1, 13)).isEmpty()).isTrue();
+    assertThat(content.updateSince(new StorePosition(2, 1)).isEmpty()).isTrue();
+  }
+
+  @Test
+  void changesOfALaterEraChangeNothingWithoutItsSnapshot() {
+    content.apply(snapshotAt(20, object("a", 20)));
+
+    assertThat(
+            content.apply(
+                new PrefixUpdate(
+                    false,
+                    ImmutableList.of(object("a", 22)),
+                    ImmutableList.of(),
+                    new StorePosition(1, 22))))
+        .isEmpty();
+    assertThat(content.position()).isEqualTo(StorePosition.of(20));
   }
 
   @Test
@@ -26,7 +57,7 @@
     // The object existed from revision 12 to 14; a peer read the store in between.
     content.apply(removal(20, "a"));
 
-    assertThat(content.updateSince(13).removed()).containsExactly(key("a"));
+    assertThat(content.updateSince(StorePosition.of(13)).removed()).containsExactly(key("a"));
   }
 
   @Test
@@ -34,8 +65,9 @@
     content.apply(snapshotAt(10));
     content.apply(snapshotAt(20, object("b", 15)));
 
-    assertThat(content.updateSince(13)).isEqualTo(snapshotAt(20, object("b", 15)));
-    assertThat(content.updateSince(20).isEmpty()).isTrue();
+    assertThat(content.updateSince(StorePosition.of(13)))
+        .isEqualTo(snapshotAt(20, object("b", 15)));
+    assertThat(content.updateSince(StorePosition.of(20)).isEmpty()).isTrue();
   }
 
   @Test
@@ -55,7 +87,7 @@
     content.apply(
         new PrefixUpdate(false, ImmutableList.of(object("a", 14)), ImmutableList.of(), 14));
 
-    assertThat(content.updateSince(11))
+    assertThat(content.updateSince(StorePosition.of(11)))
         .isEqualTo(
             new PrefixUpdate(false, ImmutableList.of(object("a", 14)), ImmutableList.of(), 14));
   }
@@ -67,8 +99,8 @@
       content.apply(removal(revision, "gone" + revision));
     }
 
-    assertThat(content.updateSince(11).snapshot()).isTrue();
-    assertThat(content.updateSince(2990).removed()).hasSize(9);
+    assertThat(content.updateSince(StorePosition.of(11)).snapshot()).isTrue();
+    assertThat(content.updateSince(StorePosition.of(2990)).removed()).hasSize(9);
   }
 
   private static PrefixUpdate snapshotAt(long revision, StoredObject... objects) {
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/RestoredStoreTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/RestoredStoreTest.java
@@ -67,10 +67,12 @@
     write("added", "1");
     remove("removed");
     fleet.advance(SETTLE_TIME);
-    fleet.failStore();
-    fleet.advance(outage);
+    if (!outage.isZero()) {
+      fleet.failStore();
+      fleet.advance(outage);
+      fleet.store().heal();
+    }
     fleet.store().restore(copy);
-    fleet.store().heal();
   }
 
   private void assertAllHave(ImmutableMap<String, String> expected) {
@@ -102,8 +104,8 @@
   @ValueSource(ints = {1, 3, 30})
   void revisionsThatAreGivenOutAgainNameNewContent(int perZone) {
     fleet.start(3, perZone);
-    // Too short for a read to fail, so that nodes meet revisions that they think they know.
-    loseWrites(Duration.ofMillis(1));
+    // Without a failed read, processes meet revisions that they think they know.
+    loseWrites(Duration.ZERO);
 
     for (int i = 0; i < 5; i++) {
       write("changed", "new" + i);
@@ -116,6 +118,21 @@
   @ParameterizedTest
   @ValueSource(ints = {3, 30})
   void aProcessThatTheStoreTurnsAwayLearnsOfTheRestorationFromOthers(int perZone) {
+    fleet.start(3, perZone);
+    fleet.advance(SETTLE_TIME);
+    fleet.namesByRank("z0").forEach(name -> fleet.failStoreFor(name, PlatformFault.UNREACHABLE));
+    fleet.advance(SETTLE_TIME);
+    loseWrites(Duration.ZERO);
+
+    write("changed", "3");
+    fleet.advance(FollowerFleet.MAX_STALENESS);
+
+    assertAllHave(ImmutableMap.of("kept", "1", "changed", "3", "removed", "1"));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {3, 30})
+  void aProcessThatTheStoreTurnsAwayAfterAnOutageLearnsOfTheRestorationFromOthers(int perZone) {
     fleet.start(3, perZone);
     loseWrites(Duration.ofSeconds(2));
     fleet.namesByRank("z0").forEach(name -> fleet.failStoreFor(name, PlatformFault.UNREACHABLE));
--- a/coordination/src/test/java/dev/apricotmill/coordination/testing/ObjectTable.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/testing/ObjectTable.java
@@ -7,6 +7,7 @@
 import dev.apricotmill.coordination.platform.PlatformFailure;
 import dev.apricotmill.coordination.platform.Precondition;
 import dev.apricotmill.coordination.platform.ReadResult;
+import dev.apricotmill.coordination.platform.StorePosition;
 import dev.apricotmill.coordination.platform.StoredObject;
 import dev.apricotmill.coordination.platform.WatchResult;
 import dev.apricotmill.coordination.platform.WriteResult;
@@ -18,6 +19,7 @@
 
   private final TreeMap<String, StoredObject> objects = new TreeMap<>();
   private final TreeMap<String, Long> removals = new TreeMap<>();
+  private long era;
   private long revision;
   private long compactedRevision;
 
@@ -32,7 +34,7 @@
             objects.tailMap(prefix).values().stream()
                 .takeWhile(object -> object.key().path().startsWith(prefix))
                 .toList()),
-        revision);
+        new StorePosition(era, revision));
   }
 
   WriteResult put(ObjectKey key, byte[] value, Precondition precondition) {
@@ -76,7 +78,7 @@
             .map(Map.Entry::getKey)
             .map(ObjectKey::new)
             .collect(ImmutableList.toImmutableList());
-    return new WatchResult.Changes(changed, removed, revision);
+    return new WatchResult.Changes(changed, removed, new StorePosition(era, revision));
   }
 
   /** Returns the state that {@link #restore} brings back. */
@@ -89,6 +91,7 @@
   /** Goes back to an earlier state; its revisions are given out again. */
   void restore(ObjectTable copy) {
     set(copy);
+    era++;
   }
 
   private void set(ObjectTable other) {
--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/FollowMessages.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/FollowMessages.java
@@ -7,6 +7,7 @@
 import dev.apricotmill.coordination.follow.FollowResponse;
 import dev.apricotmill.coordination.follow.PrefixUpdate;
 import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.StorePosition;
 import dev.apricotmill.coordination.platform.StoredObject;
 import dev.apricotmill.protocol.generated.AskFollowed;
 import dev.apricotmill.protocol.generated.Followed;
@@ -21,15 +22,25 @@
   private FollowMessages() {}
 
   static AskFollowed toMessage(FollowRequest request) {
-    return AskFollowed.newBuilder()
-        .putAllRevisions(request.revisions())
-        .setWaitMillis(request.maxWait().toMillis())
-        .build();
+    AskFollowed.Builder message =
+        AskFollowed.newBuilder().setWaitMillis(request.maxWait().toMillis());
+    request
+        .positions()
+        .forEach(
+            (prefix, position) ->
+                message.putRevisions(prefix, position.revision()).putEras(prefix, position.era()));
+    return message.build();
   }
 
   static FollowRequest fromMessage(AskFollowed message) {
-    return new FollowRequest(
-        ImmutableMap.copyOf(message.getRevisionsMap()), Duration.ofMillis(message.getWaitMillis()));
+    ImmutableMap.Builder<String, StorePosition> positions = ImmutableMap.builder();
+    message
+        .getRevisionsMap()
+        .forEach(
+            (prefix, revision) ->
+                positions.put(
+                    prefix, new StorePosition(message.getErasOrDefault(prefix, 0), revision)));
+    return new FollowRequest(positions.buildOrThrow(), Duration.ofMillis(message.getWaitMillis()));
   }
 
   static Followed toMessage(FollowResponse response) {
@@ -41,7 +52,10 @@
   private static FollowedPrefix toMessage(FollowResponse.PrefixState state) {
     PrefixUpdate update = state.update();
     FollowedPrefix.Builder message =
-        FollowedPrefix.newBuilder().setRevision(update.revision()).setWhole(update.snapshot());
+        FollowedPrefix.newBuilder()
+            .setEra(update.position().era())
+            .setRevision(update.position().revision())
+            .setWhole(update.snapshot());
     update.changed().forEach(object -> message.addChanged(toMessage(object)));
     update.removed().forEach(key -> message.addRemoved(key.path()));
     state.age().ifPresent(age -> message.setAgeNanos(age.toNanos()));
@@ -72,7 +86,7 @@
             message.getRemovedList().stream()
                 .map(ObjectKey::new)
                 .collect(ImmutableList.toImmutableList()),
-            message.getRevision()),
+            new StorePosition(message.getEra(), message.getRevision())),
         message.hasAgeNanos()
             ? Optional.of(Duration.ofNanos(message.getAgeNanos()))
             : Optional.empty());
--- a/daemon/src/test/java/dev/apricotmill/daemon/inner/FollowMessagesTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/inner/FollowMessagesTest.java
@@ -8,6 +8,7 @@
 import dev.apricotmill.coordination.follow.FollowResponse;
 import dev.apricotmill.coordination.follow.PrefixUpdate;
 import dev.apricotmill.coordination.platform.ObjectKey;
+import dev.apricotmill.coordination.platform.StorePosition;
 import dev.apricotmill.coordination.platform.StoredObject;
 import java.time.Duration;
 import java.util.Optional;
@@ -18,7 +19,9 @@
   @Test
   void aRequestRoundTrips() {
     FollowRequest request =
-        new FollowRequest(ImmutableMap.of("config", -1L, "servers", 42L), Duration.ofMillis(800));
+        new FollowRequest(
+            ImmutableMap.of("config", StorePosition.UNKNOWN, "servers", new StorePosition(3, 42)),
+            Duration.ofMillis(800));
 
     assertThat(FollowMessages.fromMessage(FollowMessages.toMessage(request))).isEqualTo(request);
   }
@@ -41,7 +44,9 @@
   void aSnapshotOfUnknownAgeRoundTrips() {
     FollowResponse response =
         response(
-            new PrefixUpdate(true, ImmutableList.of(), ImmutableList.of(), 42), Optional.empty());
+            new PrefixUpdate(
+                true, ImmutableList.of(), ImmutableList.of(), new StorePosition(3, 42)),
+            Optional.empty());
 
     assertThat(FollowMessages.fromMessage(FollowMessages.toMessage(response))).isEqualTo(response);
   }
