Keep prompt parts blocked that a restored store lacks, and store them again

Engines would crash again under a part that was known to crash them: its object, lost with the copy, was taken for one that an operator had deleted.

--- a/node/src/main/java/dev/apricotmill/node/relay/BlockedPartDirectory.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BlockedPartDirectory.java
@@ -68,6 +68,16 @@
         .forEach(blockedParts::unblock);
   }
 
+  /** Writes the parts again that the copy lacks; no operator has deleted their objects. */
+  @Override
+  public void onStoreRestored(ImmutableList<StoredObject> objects, ReadTimestamp readAt) {
+    storedVersions.clear();
+    objects.forEach(this::apply);
+    blockedParts.parts().stream()
+        .filter(part -> !storedVersions.containsKey(part))
+        .forEach(part -> timing.schedule(SECONDARY_WRITE_DELAY, () -> write(part)));
+  }
+
   @Override
   public void onChanges(WatchResult.Changes changes, ReadTimestamp readAt) {
     changes.removed().stream()
--- a/node/src/test/java/dev/apricotmill/node/relay/BlockedPartDirectoryTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/BlockedPartDirectoryTest.java
@@ -90,6 +90,21 @@
     assertThat(isStored()).isFalse();
   }
 
+  @Test
+  void aPartThatARestoredStoreLacksStaysBlockedAndIsStoredAgain() {
+    BlockedParts first = startNode("n1");
+    FakePlatform.Copy copy = store.copy();
+    first.block("bad", BlockedParts.Source.CRASHES);
+    time.advance(Duration.ofSeconds(3));
+    assertThat(isStored()).isTrue();
+
+    store.restore(copy);
+    time.advance(Duration.ofSeconds(3));
+    assertThat(first.contains("bad")).isTrue();
+    time.advance(Duration.ofSeconds(2));
+    assertThat(isStored()).isTrue();
+  }
+
   private boolean isStored() {
     return read() instanceof ReadResult.Found;
   }
