Write a node's entry again if a restored store has an earlier incarnation's

Other nodes would take a node that had restarted in the lost seconds for its predecessor, since an entry that was written once was looked at only if it was missing.

--- a/coordination/src/main/java/dev/apricotmill/coordination/directory/NodeDirectory.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/directory/NodeDirectory.java
@@ -129,12 +129,16 @@
 
   /**
    * Writes this node's entry if it is missing, also after another node has deleted it. An entry of
-   * another incarnation is replaced only until the first successful write.
+   * a later incarnation is replaced only until the first successful write; one of an earlier
+   * incarnation is back after that if the store was restored from an older copy.
    */
   private void writeIfMissing() {
-    boolean missing = !members.containsKey(ownKey());
-    boolean outdated = !entryWritten && !self.equals(members.get(ownKey()));
-    if (!writeInProgress && (missing || outdated)) {
+    Member entry = members.get(ownKey());
+    boolean outdated =
+        entry == null
+            || (!entryWritten && !self.equals(entry))
+            || entry.incarnation().number() < self.incarnation().number();
+    if (!writeInProgress && outdated) {
       writeInProgress = true;
       writeEntry();
     }
--- a/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
@@ -76,6 +76,22 @@
     assertThat(seenMembers.get("n1")).containsExactly(member("n1", 2));
   }
 
+  @Test
+  void aNodeWritesItsEntryAgainThatARestoredStoreLacksOrHasOfAnEarlierIncarnation() {
+    start("n1", 1);
+    time.advance(Duration.ofSeconds(1));
+    FakePlatform.Copy copy = store.copy();
+    start("n1", 2);
+    start("n2", 1);
+    time.advance(Duration.ofSeconds(3));
+    assertThat(seenMembers.get("n2")).containsExactly(member("n1", 2), member("n2", 1));
+
+    store.restore(copy);
+    time.advance(Duration.ofSeconds(4));
+
+    assertThat(seenMembers.get("n2")).containsExactly(member("n1", 2), member("n2", 1));
+  }
+
   @Test
   void anEntryWhoseWriteWasLostIsWrittenAgain() {
     store.failNext(
