Believe a restored store only what is newer than what was known

A copy could confirm a configuration that was replaced, so that keys that were revoked since counted as valid on proofs of an older version; it could bring back servers as ready that were leaving or gone, and hide servers until they had written their entries again. A configuration that is older than the known one confirms nothing now, and the list of servers is corrected by what was known before until the servers have written their entries again (RestoredServerList).

--- a/node/src/main/java/dev/apricotmill/node/relay/ServingState.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServingState.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.node.relay;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import dev.apricotmill.coordination.follow.ReadTimestamp;
 import dev.apricotmill.coordination.platform.ObjectKey;
 import dev.apricotmill.coordination.platform.PlatformFailure;
@@ -25,7 +26,10 @@
   private final EventLog log;
   private final Consumer<ServingView> onChange;
   private final Set<String> unavailableSources = new HashSet<>();
+  private final RestoredServerList restoredServers = new RestoredServerList();
+  private ImmutableMap<ReplicaId, BackendServer> storedServers = ImmutableMap.of();
   private boolean newestUnreadable;
+  private boolean storedOutdated;
 
   /**
    * Creates the state of a node.
@@ -50,6 +54,7 @@
     newestUnreadable = false;
     long currentVersion =
         relay.view().configuration().map(ServingConfiguration::version).orElse(-1L);
+    storedOutdated = configuration.version() < currentVersion;
     if (configuration.version() <= currentVersion) {
       return;
     }
@@ -75,10 +80,18 @@
     objectUnreadable(key, reason);
   }
 
-  /** Records that the configuration that was read last was the newest at {@code readAt}. */
+  /** Records that a store that was restored from an older copy has no configuration. */
+  public void configurationMissing() {
+    storedOutdated = relay.view().configuration().isPresent();
+  }
+
+  /**
+   * Records that the configuration that was read last was the newest at {@code readAt}. An older
+   * one than the current shows that the store was restored, and proves nothing.
+   */
   public void configurationValidated(ReadTimestamp readAt) {
     markAvailable("config");
-    if (newestUnreadable) {
+    if (newestUnreadable || storedOutdated) {
       return;
     }
     relay.update(view -> view.withValidation(Optional.of(readAt)));
@@ -86,6 +99,36 @@
 
   /** Applies the list of backend servers. */
   public void serversRead(ImmutableMap<ReplicaId, BackendServer> servers) {
+    serversRead(servers, ImmutableSet.of());
+  }
+
+  /**
+   * Applies the list of backend servers.
+   *
+   * @param written the servers whose entries have been written since the last list
+   */
+  public void serversRead(
+      ImmutableMap<ReplicaId, BackendServer> servers, ImmutableSet<ReplicaId> written) {
+    storedServers = servers;
+    applyServers(restoredServers.read(servers, written, relay.timing().nanoTime()));
+  }
+
+  /** Applies the first list of backend servers of a store that was restored from an older copy. */
+  public void serversRestored(ImmutableMap<ReplicaId, BackendServer> servers) {
+    storedServers = servers;
+    log.write("store.restored", ImmutableMap.of("servers", servers.size()));
+    applyServers(restoredServers.restore(servers, relay.timing().nanoTime()));
+    relay.timing().schedule(RestoredServerList.REWRITE_TIME, this::endCorrections);
+    relay.timing().schedule(RestoredServerList.DEPARTURE_TIME, this::endCorrections);
+  }
+
+  private void endCorrections() {
+    if (restoredServers.isCorrected()) {
+      serversRead(storedServers);
+    }
+  }
+
+  private void applyServers(ImmutableMap<ReplicaId, BackendServer> servers) {
     markAvailable("servers");
     ImmutableMap<ReplicaId, BackendServer> usable = leavingServers.update(servers);
     long ready = usable.values().stream().filter(BackendServer::ready).count();
--- a/node/src/test/java/dev/apricotmill/node/relay/ServingStateTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServingStateTest.java
@@ -59,6 +59,38 @@
     assertThat(relay.node().isReady()).isTrue();
   }
 
+  @Test
+  void aConfigurationIsNotConfirmedByAStoreThatHasAnOlderOneOrNone() {
+    state.configurationRead(RelayFixture.configuration(5));
+    relay.time().advance(Duration.ofSeconds(6));
+
+    state.configurationRead(RelayFixture.configuration(4));
+    state.configurationValidated(now());
+    assertThat(relay.node().isReady()).isFalse();
+
+    state.configurationRead(RelayFixture.configuration(5));
+    state.configurationValidated(now());
+    assertThat(relay.node().isReady()).isTrue();
+
+    relay.time().advance(Duration.ofSeconds(6));
+    state.configurationMissing();
+    state.configurationValidated(now());
+    assertThat(relay.node().isReady()).isFalse();
+  }
+
+  @Test
+  void whatIsMissingFromARestoredListIsDroppedWithoutAnotherRead() {
+    ImmutableMap<ReplicaId, BackendServer> before =
+        relay.node().view().servers().orElseThrow().serversById();
+    state.serversRead(before);
+
+    state.serversRestored(ImmutableMap.of());
+    assertThat(relay.node().view().servers().orElseThrow().serversById()).isEqualTo(before);
+
+    relay.time().advance(RestoredServerList.REWRITE_TIME);
+    assertThat(relay.node().view().servers().orElseThrow().serversById()).isEmpty();
+  }
+
   @Test
   void theStartAndEndOfAnOutageAreLoggedOnce() {
     state.storeUnavailable("servers", PlatformFailure.NO_ANSWER);
