--- a/node/src/test/java/dev/apricotmill/node/relay/ServerLimitTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServerLimitTest.java
@@ -4,14 +4,10 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import com.google.common.collect.ImmutableList;
-import dev.apricotmill.core.prompt.PromptParts;
-import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.relay.RelayRefusal;
-import dev.apricotmill.core.request.ServiceName;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -20,70 +16,18 @@
 /** All nodes together send a server no more requests than the limit that it names. */
 final class ServerLimitTest {
 
-  private static final Duration TICK = Duration.ofMillis(10);
   private static final Duration WARM_UP = Duration.ofSeconds(3);
   private static final Duration LIMITED = Duration.ofSeconds(15);
   private static final Duration END = Duration.ofSeconds(6);
-  private static final GenerationSize PROMPT = new GenerationSize(1_000, 100);
-  private static final GenerationSize LARGE_PROMPT = new GenerationSize(500_000, 100);
-
-  /** The kinds of requests that are sent. */
-  private enum Load {
-    POOL {
-      @Override
-      ServiceName service() {
-        return RelayFixture.POOL;
-      }
-
-      @Override
-      RelayRequest next(RelayFleet fleet, Random random) {
-        GenerationSize size = random.nextInt(20) == 0 ? LARGE_PROMPT : PROMPT;
-        return fleet.newRequest(
-            "/stream/", Optional.of(size), EngineFleet.prompt("f" + random.nextInt(3), "d", "own"));
-      }
-    },
-    DESK {
-      @Override
-      ServiceName service() {
-        return RelayFixture.DESK;
-      }
-
-      @Override
-      RelayRequest next(RelayFleet fleet, Random random) {
-        String path = random.nextBoolean() ? "/read/" : "/order/";
-        return fleet.newRequest(path, Optional.empty(), PromptParts.NONE);
-      }
-    };
-
-    abstract ServiceName service();
-
-    abstract RelayRequest next(RelayFleet fleet, Random random);
-  }
-
   private final List<RelayFixture.RecordedCaller> callers = new ArrayList<>();
   private final Random random = new Random(37);
 
-  private static RelayFleet newFleet(int nodeCount, int serverCount) {
-    RelayFleet fleet = new RelayFleet(nodeCount, serverCount, nodeCount);
-    fleet.engines().addServers(RelayFixture.DESK, serverCount);
-    fleet.restartAllNodes();
-    fleet.advance(Duration.ofSeconds(1));
-    return fleet;
-  }
-
-  private void play(RelayFleet fleet, Load load, Duration duration, double requestsPerSecond) {
-    Duration end = fleet.now().plus(duration);
-    while (fleet.now().compareTo(end) < 0) {
-      double count = requestsPerSecond * TICK.toMillis() / 1_000;
-      for (int i = (int) (count + random.nextDouble()); i > 0; i--) {
-        callers.add(fleet.send(random.nextInt(fleet.nodeCount()), load.next(fleet, random)));
-      }
-      fleet.advance(TICK);
-    }
+  private void play(RelayFleet fleet, LimitLoad load, Duration duration, double requestsPerSecond) {
+    callers.addAll(load.play(fleet, random, duration, requestsPerSecond));
   }
 
   private static ImmutableList<FleetServer> limit(
-      RelayFleet fleet, Load load, double requestsPerSecond, int count) {
+      RelayFleet fleet, LimitLoad load, double requestsPerSecond, int count) {
     ImmutableList<FleetServer> limited =
         fleet.engines().serversOf(load.service()).stream()
             .limit(count)
@@ -105,8 +49,8 @@
     "8, 4, 0.25, DESK", "8, 4, 10, DESK", "95, 12, 1, DESK", "95, 12, 0.25, DESK"
   })
   void aServerGetsNoMoreRequestsThanItsLimitAllows(
-      int nodeCount, int serverCount, double limit, Load load) {
-    RelayFleet fleet = newFleet(nodeCount, serverCount);
+      int nodeCount, int serverCount, double limit, LimitLoad load) {
+    RelayFleet fleet = LimitLoad.newFleet(nodeCount, serverCount);
     double rate = 3.0 * serverCount;
     play(fleet, load, WARM_UP, rate);
     Duration from = fleet.now();
@@ -130,8 +74,8 @@
   @ParameterizedTest
   @CsvSource({"1, 1, POOL", "8, 1, POOL", "95, 1, POOL", "8, 1, DESK", "95, 1, DESK"})
   void whatNoServerMayGetIsRefusedAtOnceWithTheTimeToComeBack(
-      int nodeCount, double limit, Load load) {
-    RelayFleet fleet = newFleet(nodeCount, 4);
+      int nodeCount, double limit, LimitLoad load) {
+    RelayFleet fleet = LimitLoad.newFleet(nodeCount, 4);
     play(fleet, load, WARM_UP, 8);
     limit(fleet, load, limit, 4);
     play(fleet, load, LIMITED, 2 * nodeCount + 20);
@@ -155,8 +99,8 @@
   @ParameterizedTest
   @CsvSource({"8, 26, 1, POOL", "8, 26, 1.5, POOL", "8, 4, 1, DESK", "95, 80, 1, POOL"})
   void theLimitHoldsWhileNodesRestartFreezeAndAreCutOff(
-      int nodeCount, int serverCount, double limit, Load load) {
-    RelayFleet fleet = newFleet(nodeCount, serverCount);
+      int nodeCount, int serverCount, double limit, LimitLoad load) {
+    RelayFleet fleet = LimitLoad.newFleet(nodeCount, serverCount);
     double rate = 3.0 * serverCount;
     play(fleet, load, WARM_UP, rate);
     limit(fleet, load, limit, Math.max(1, serverCount / 4));
@@ -177,8 +121,8 @@
 
   @ParameterizedTest
   @CsvSource({"1, POOL", "8, POOL", "95, POOL", "1, DESK", "8, DESK", "95, DESK"})
-  void aServerWhoseLimitHasEndedIsUsedAsBefore(int nodeCount, Load load) {
-    RelayFleet fleet = newFleet(nodeCount, 4);
+  void aServerWhoseLimitHasEndedIsUsedAsBefore(int nodeCount, LimitLoad load) {
+    RelayFleet fleet = LimitLoad.newFleet(nodeCount, 4);
     play(fleet, load, WARM_UP, 20);
     ImmutableList<FleetServer> limited = limit(fleet, load, 1, 4);
     play(fleet, load, LIMITED, 20);
@@ -194,10 +138,10 @@
 
   @Test
   void aServerThatStartsAgainUnderItsIdentifierHasNoLimit() {
-    RelayFleet fleet = newFleet(8, 2);
-    play(fleet, Load.DESK, WARM_UP, 20);
-    ImmutableList<FleetServer> limited = limit(fleet, Load.DESK, 0.25, 2);
-    play(fleet, Load.DESK, Duration.ofSeconds(5), 20);
+    RelayFleet fleet = LimitLoad.newFleet(8, 2);
+    play(fleet, LimitLoad.DESK, WARM_UP, 20);
+    ImmutableList<FleetServer> limited = limit(fleet, LimitLoad.DESK, 0.25, 2);
+    play(fleet, LimitLoad.DESK, Duration.ofSeconds(5), 20);
     limited.forEach(
         server ->
             fleet
@@ -208,7 +152,7 @@
                         FleetServer.ListEntry.ABSENT, Duration.ZERO, Duration.ofMillis(10), true)));
     fleet.advance(Duration.ofSeconds(1));
     callers.clear();
-    play(fleet, Load.DESK, Duration.ofSeconds(4), 20);
+    play(fleet, LimitLoad.DESK, Duration.ofSeconds(4), 20);
     fleet.advance(END);
 
     assertThat(servedShare()).isAtLeast(0.95);
