Leave two dispatchers of one service room below one and a half times a server's limit

While nodes have different lists of nodes, two dispatchers grant: the old one the whole limit, the new one half of it. The share beside another dispatcher is two fifths now, and a tenth of a second's requests may be granted at once in place of a quarter.

--- a/core/src/main/java/dev/apricotmill/core/pool/LimitedServers.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/LimitedServers.java
@@ -38,7 +38,7 @@
   static final Duration MAX_ABSENCE = Duration.ofMinutes(10);
 
   /** The time whose requests may be granted at once. */
-  private static final Duration BURST = Duration.ofMillis(250);
+  private static final Duration BURST = Duration.ofMillis(100);
 
   private final Map<ReplicaId, NamedLimit> limits = new HashMap<>();
 
--- a/node/src/main/java/dev/apricotmill/node/relay/GrantShare.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/GrantShare.java
@@ -12,8 +12,11 @@
   /** The share of the only dispatcher. */
   double WHOLE = 1;
 
-  /** The share of a node beside which another one may grant. */
-  double BESIDE_ANOTHER = 0.5;
+  /**
+   * The share of a node beside which another one may grant the whole limit. Both together stay
+   * within one and a half times the limit, with what each may grant at once.
+   */
+  double BESIDE_ANOTHER = 0.4;
 
   /** The share of a node that must not grant. */
   double NONE = 0;
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
@@ -116,6 +116,17 @@
     applyMembers();
   }
 
+  /** Lets every second node have a list without the node that dispatches a service. */
+  void hideDispatcherFromHalf(ServiceName service) {
+    ImmutableList<Member> ranked =
+        RendezvousHash.ranked(members(), service.value()).collect(ImmutableList.toImmutableList());
+    ImmutableList<Member> successors = ranked.subList(1, ranked.size());
+    for (int i = 1; i < ranked.size(); i += 2) {
+      Member member = ranked.get(i);
+      find(member.address()).ifPresent(node -> node.applyMembers(successors));
+    }
+  }
+
   /** Replaces a node by a new one. */
   void restart(int node) {
     nodes.get(node).kill();
