Move the sanitizing of JSON out of the translating module

What replaces unreadable values knows nothing of the platform but a field's name, so it stands beside the other JSON of the adapters now. No behaviour changes.

--- a/platform/src/main/java/dev/apricotmill/platform/SpecSanitizer.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/JsonSanitizer.java
@@ -1,42 +1,65 @@
-package dev.apricotmill.platform;
+package dev.apricotmill.adapters;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Optional;
 
 /**
- * Replaces each {@code spec} of a response of the store that a JSON parser would reject by {@code
- * null}, so that one odd object does not hide the others. Text that is not UTF-8 becomes text that
- * names nothing.
+ * Replaces the values of one field that a JSON parser would reject by {@code null}, so that one odd
+ * value does not hide all others. Text that is not UTF-8 becomes text that names nothing.
  */
-final class SpecSanitizer {
+public final class JsonSanitizer {
 
-  /** What a parser accepts, less the levels around a spec. */
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** What a parser accepts, less the levels around a value. */
   private static final int MAX_DEPTH = 500;
 
   private static final int MAX_NUMBER_LENGTH = 500;
 
   private static final byte[] NULL = "null".getBytes(StandardCharsets.US_ASCII);
-  private static final byte[] SPEC = "\"spec\"".getBytes(StandardCharsets.US_ASCII);
   private static final int NONE = -1;
 
   private final byte[] input;
+  private final byte[] quotedField;
   private final byte[] output;
   private int length;
   private int depth;
-  private int specDepth = NONE;
-  private int specStart;
-  private boolean specOdd;
-  private boolean afterSpecKey;
+  private int valueDepth = NONE;
+  private int valueStart;
+  private boolean valueOdd;
+  private boolean afterField;
 
-  private SpecSanitizer(byte[] input) {
+  private JsonSanitizer(byte[] input, String field) {
     this.input = input;
+    quotedField = ('"' + field + '"').getBytes(StandardCharsets.UTF_8);
     output = new byte[input.length + NULL.length];
   }
 
-  static byte[] sanitize(byte[] body) {
-    // Malformed bytes become replacement characters.
-    byte[] wellFormed = new String(body, StandardCharsets.UTF_8).getBytes(StandardCharsets.UTF_8);
-    return new SpecSanitizer(wellFormed).sanitize();
+  /**
+   * Parses JSON, without the values of {@code field} that make it unreadable if there are such.
+   *
+   * @return empty if it cannot be parsed without these values either
+   */
+  public static Optional<JsonNode> parse(byte[] json, String field) {
+    try {
+      return Optional.of(JSON.readTree(json));
+    } catch (IOException e) {
+      // Malformed bytes become replacement characters.
+      byte[] text = new String(json, StandardCharsets.UTF_8).getBytes(StandardCharsets.UTF_8);
+      return parse(new JsonSanitizer(text, field).sanitize());
+    }
+  }
+
+  private static Optional<JsonNode> parse(byte[] json) {
+    try {
+      return Optional.of(JSON.readTree(json));
+    } catch (IOException e) {
+      return Optional.empty();
+    }
   }
 
   private byte[] sanitize() {
@@ -57,29 +80,29 @@
 
   private void copyStructure(byte next) {
     if (next == '{' || next == '[') {
-      if (afterSpecKey && specDepth == NONE) {
-        specDepth = depth;
-        specStart = length;
-        specOdd = false;
+      if (afterField && valueDepth == NONE) {
+        valueDepth = depth;
+        valueStart = length;
+        valueOdd = false;
       }
       depth++;
-      specOdd |= specDepth != NONE && depth - specDepth > MAX_DEPTH;
+      valueOdd |= valueDepth != NONE && depth - valueDepth > MAX_DEPTH;
     }
     append(next);
     if (next == '}' || next == ']') {
       depth--;
-      if (depth == specDepth) {
-        endSpec();
+      if (depth == valueDepth) {
+        endValue();
       }
     }
-    afterSpecKey &= next == ':' || isBlank(next);
+    afterField &= next == ':' || isBlank(next);
   }
 
-  private void endSpec() {
-    if (specOdd) {
-      replaceSince(specStart);
+  private void endValue() {
+    if (valueOdd) {
+      replaceSince(valueStart);
     }
-    specDepth = NONE;
+    valueDepth = NONE;
   }
 
   private int copyString(int start) {
@@ -92,7 +115,7 @@
       append(input[i]);
     }
     // A value with this text is followed by no colon.
-    afterSpecKey = Arrays.equals(input, start, end, SPEC, 0, SPEC.length);
+    afterField = Arrays.equals(input, start, end, quotedField, 0, quotedField.length);
     return end;
   }
 
@@ -103,10 +126,10 @@
       append(input[end++]);
     }
     if (end - start > MAX_NUMBER_LENGTH) {
-      specOdd = true;
+      valueOdd = true;
       replaceSince(outputStart);
     }
-    afterSpecKey = false;
+    afterField = false;
     return end;
   }
 
