Let no late report of an earlier limit replace a later one

A server that had just lowered its limit could get requests at the higher one until its next response: after a change of the dispatcher nodes report what they know in any order, and the report that came last counted, however old it was. Found by reading, not in a run. The report with the later response counts now. The new case of LimitedServersTest failed before and passes.

--- a/core/src/main/java/dev/apricotmill/core/pool/LimitedServers.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/LimitedServers.java
@@ -111,11 +111,12 @@
       add(new NamedLimit(instance, accepted, namedNanos, nowNanos));
       return true;
     }
+    if (limit.namedNanos - namedNanos > 0) {
+      return false;
+    }
     boolean changed = limit.requestsPerSecond != accepted;
     limit.requestsPerSecond = accepted;
-    if (namedNanos - limit.namedNanos > 0) {
-      limit.namedNanos = namedNanos;
-    }
+    limit.namedNanos = namedNanos;
     return changed;
   }
 
--- a/core/src/test/java/dev/apricotmill/core/pool/LimitedServersTest.java
+++ b/core/src/test/java/dev/apricotmill/core/pool/LimitedServersTest.java
@@ -95,6 +95,17 @@
     assertThat(limits.name(INSTANCE, 1, millis(5_100), millis(5_200))).isTrue();
   }
 
+  @Test
+  void aLateReportOfAnEarlierLimitDoesNotReplaceALaterOne() {
+    name(4, 0);
+    name(1, 5_000);
+
+    assertThat(limits.name(INSTANCE, 4, millis(3_000), millis(5_200))).isFalse();
+    assertThat(limits.requestsPerSecond(INSTANCE)).isEqualTo(OptionalDouble.of(1));
+    assertThat(limits.name(INSTANCE, 2, millis(5_100), millis(5_200))).isTrue();
+    assertThat(limits.requestsPerSecond(INSTANCE)).isEqualTo(OptionalDouble.of(2));
+  }
+
   @Test
   void anEarlierInstanceChangesNothingAndALaterOneBeginsAnew() {
     BackendServer successor = server("s", 2_000);
