Show that a restarted node takes a withdrawn key of a restored store

Rule: CONFIG, revoke_strict: requests with a key run over 7 s after the acknowledgement of the configuration that took it away. Disruptions: the store comes back from a copy 9 s old, and one node is killed while the store is away. Code: FollowedPrefix and PrefixContent accept the first list of the store, whatever version the peers hold.

--- a/review/standins/review/Store.java
+++ b/review/standins/review/Store.java
@@ -27,7 +27,7 @@
   private static final int PAGE_BYTES = 1 << 20;
   private static final long HISTORY_MILLIS = 20_000;
 
-  private record Stored(long created, long revision, JsonNode spec, int bytes) {}
+  record Stored(long created, long revision, JsonNode spec, int bytes) {}
 
   private record Event(long revision, long atMillis, String kind, ObjectNode json) {}
 
@@ -44,6 +44,11 @@
   private long revision = 1;
   private long oldestWatchable = 1;
   private long largestWatchBytes;
+  private long era = 1;
+  private volatile boolean down;
+
+  /** What the store held at a moment. */
+  record Copy(Map<String, TreeMap<String, Stored>> kinds, long revision) {}
 
   Store() throws IOException {
     server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 256);
@@ -84,8 +89,27 @@
     }
   }
 
-  synchronized boolean contains(String kind, String name) {
-    return kinds.containsKey(kind) && kinds.get(kind).containsKey(name);
+  synchronized Copy copy() {
+    Map<String, TreeMap<String, Stored>> copied = new HashMap<>();
+    kinds.forEach((kind, objects) -> copied.put(kind, new TreeMap<>(objects)));
+    return new Copy(copied, revision);
+  }
+
+  /** Answers nothing but 503 from now on, to anyone. */
+  void goDown() {
+    down = true;
+  }
+
+  /** Comes back from a copy, with the next era and without a history. */
+  synchronized void restore(Copy copy) {
+    kinds.clear();
+    kinds.putAll(copy.kinds());
+    revision = copy.revision();
+    history.clear();
+    oldestWatchable = revision;
+    era++;
+    down = false;
+    notifyAll();
   }
 
   private void record(String kind, ObjectNode object, boolean deleted) {
@@ -112,6 +136,10 @@
 
   private void handle(HttpExchange exchange) throws IOException {
     try (exchange) {
+      if (down) {
+        answer(exchange, 503, null);
+        return;
+      }
       String[] path = exchange.getRequestURI().getRawPath().split("/");
       String kind = decode(path[2]);
       String name = path.length > 3 ? decode(path[3]) : "";
@@ -168,7 +196,7 @@
     ArrayNode events = result.putArray("events");
     synchronized (this) {
       while (true) {
-        if (since < oldestWatchable) {
+        if (since < oldestWatchable || since > revision) {
           break;
         }
         history.stream()
@@ -179,7 +207,7 @@
         }
         wait(Math.max(1, end - now()));
       }
-      if (since < oldestWatchable) {
+      if (since < oldestWatchable || since > revision) {
         result = null;
       } else {
         result.put("at", revision);
@@ -236,10 +264,12 @@
     answer(exchange, status, result);
   }
 
-  private static void answer(HttpExchange exchange, int status, ObjectNode json)
-      throws IOException {
+  private void answer(HttpExchange exchange, int status, ObjectNode json) throws IOException {
     byte[] body = (json == null ? "{}" : json.toString()).getBytes(StandardCharsets.UTF_8);
     exchange.getResponseHeaders().set("Content-Type", "application/json");
+    synchronized (this) {
+      exchange.getResponseHeaders().set("Store-Era", Long.toString(era));
+    }
     exchange.sendResponseHeaders(status, body.length);
     exchange.getResponseBody().write(body);
   }
