--- a/review/standins/review/LargeConfigurationStorm.java
+++ b/review/standins/review/LargeConfigurationStorm.java
@@ -1,6 +1,8 @@
 package review;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +14,7 @@
   private static final long GAP_MILLIS = 80;
   /** Just below the {@code value_bytes} of the settings, 1,048,576. */
   private static final int VALUE_BYTES = 1_040_000;
+  private static final int TENANTS = 9;
   private static final long APPLY_MILLIS = 2000;
   private static final long OBSERVED_MILLIS = 15_000;
   private static final long CALL_GAP_MILLIS = 250;
@@ -44,11 +47,15 @@
     }
 
     int first = lab.trouble ? 2 : VERSIONS;
+    List<ObjectNode> configurations = new ArrayList<>();
     for (int version = first; version <= VERSIONS; version++) {
-      lab.store.put(
-          "config", "main", configuration(version, version == VERSIONS ? "ops-new" : "ops"));
-      lab.record.write("operator  version %d acknowledged", version);
-      Thread.sleep(GAP_MILLIS);
+      configurations.add(configuration(version, version == VERSIONS ? "ops-new" : "ops"));
+    }
+    long start = System.nanoTime();
+    for (int i = 0; i < configurations.size(); i++) {
+      Thread.sleep(Math.max(0, i * GAP_MILLIS - millisSince(start)));
+      lab.store.put("config", "main", configurations.get(i));
+      lab.record.write("operator  version %d acknowledged", first + i);
     }
     long acknowledged = System.nanoTime();
 
@@ -75,16 +82,21 @@
     return late == 0 ? Lab.EXIT_HELD : Lab.EXIT_BROKEN;
   }
 
+  /** Few routes, and ten customers with many keys. */
   private static ObjectNode configuration(int version, String service) {
     Configuration configuration = new Configuration(version);
     configuration.route("orders", "idempotent", service, 2000, 2).put("public", true);
+    configuration.route("status", "idempotent", "ops", 800 + version, 2);
+    ArrayNode tenants = (ArrayNode) configuration.json().path("tenants");
     int bytes = configuration.json().toString().length();
-    for (int i = 0; bytes < VALUE_BYTES; i++) {
-      ObjectNode route = configuration.route("route-" + i, "idempotent", "ops", 800, 2);
-      if (i == 0) {
-        route.put("timeout_ms", 800 + version);
+    int keys = 0;
+    for (int i = 1; i <= TENANTS; i++) {
+      ArrayNode tenantKeys = tenants.addObject().put("name", "t" + i).putArray("api_keys");
+      while (bytes < VALUE_BYTES / TENANTS * i) {
+        String key = String.format("%020d", ++keys);
+        tenantKeys.add(key);
+        bytes += key.length() + 3;
       }
-      bytes += route.toString().length() + 1;
     }
     return configuration.json();
   }
