--- a/review/standins/review/Lab.java
+++ b/review/standins/review/Lab.java
@@ -19,8 +19,12 @@
   private static final int ANSWER_MILLIS = 12_000;
 
   static final int EXIT_HELD = 0;
-  static final int EXIT_BROKEN = 1;
+
+  /** Other than the code of a runtime that could not start; {@code run.sh} turns it into 1. */
+  static final int EXIT_BROKEN = 10;
+
   static final int EXIT_NOT_RUN = 2;
+  private static final long WATCHDOG_MILLIS = 110_000;
 
   final Store store = new Store();
   final Record record;
@@ -49,6 +53,7 @@
   /** Runs a check and ends the process with its exit code. */
   static void main(String[] arguments, Check check) {
     int code = EXIT_NOT_RUN;
+    startWatchdog();
     try (Lab lab = new Lab(arguments[0])) {
       try {
         code = check.run(lab);
@@ -63,6 +68,22 @@
     Runtime.getRuntime().halt(code);
   }
 
+  /** Ends the processes and this one, as not run, if a script hangs. */
+  private static void startWatchdog() {
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                Thread.sleep(WATCHDOG_MILLIS);
+              } catch (InterruptedException e) {
+                return;
+              }
+              System.exit(EXIT_NOT_RUN);
+            });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
   Replica replica(String id, String service, Replica.Behaviour behaviour) throws IOException {
     Replica replica = new Replica(id, service, store, behaviour);
     parts.add(replica);
--- a/review/standins/review/UnreadableEntry.java
+++ b/review/standins/review/UnreadableEntry.java
@@ -15,7 +15,7 @@
 
   private static final long DRAIN_MILLIS = 2_000;
   private static final long OBSERVED_MILLIS = 8_000;
-  private static final long CALL_GAP_MILLIS = 200;
+  private static final long CALL_GAP_MILLIS = 100;
   private static final long RESTART_MILLIS = 15_000;
 
   private UnreadableEntry() {}
@@ -37,6 +37,16 @@
           reply.whole(200, "old");
         };
     Replica leaving = lab.replica("ops-old", "ops", old);
+    for (int i = 2; i <= 3; i++) {
+      String id = "ops-" + i;
+      lab.replica(
+          id,
+          "ops",
+          (request, reply) -> {
+            lab.record.write("runs      %s at %s", request.attempt(), id);
+            reply.whole(200, id);
+          });
+    }
     Configuration configuration = new Configuration(1);
     configuration.route("status", "idempotent", "ops", 800, 2);
     lab.store.put("config", "main", configuration.json());
