Leave a silent server only when another one writes

Callers saw streams reset in the middle although the engine was sound: it read a long prompt in one pass of 1.65 s, and after 1.5 s without an event the relay closed the attempt, before it knew whether the stream could go on elsewhere. No other engine, a full, draining, paused, refusing or failing one, or an empty retry budget then ended the stream, with and without a stop. Streams that may run once only were cut in the same way.

Silence now has another server tried beside the silent one. The first complete event decides which of the two attempts is cancelled. If no server accepts the stream, this is asked again every 250 ms. The silent server is reported at once, as before, so that new requests avoid it.

RelayCall is split for this: CallScope and ServerSelection hold what the attempts of a request share, SilenceWatch and StandbyAttempt the rest.

--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementRequest.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementRequest.java
@@ -32,6 +32,19 @@
     Duration remainingTime,
     ImmutableSet<ReplicaId> excludedServers) {
 
+  /** Returns the request with another identifier. */
+  public PlacementRequest withId(RequestId newRequestId) {
+    return new PlacementRequest(
+        newRequestId,
+        service,
+        size,
+        promptParts,
+        firstEventTarget,
+        eventGapTarget,
+        remainingTime,
+        excludedServers);
+  }
+
   /** Returns the request with more servers excluded. */
   public PlacementRequest excluding(ImmutableSet<ReplicaId> servers) {
     return servers.isEmpty()
--- a/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
@@ -32,7 +32,7 @@
 
   private final BackendServer server;
   private final Executor executor;
-  private final AttemptListener listener;
+  private AttemptListener listener;
   private final long sentNanos;
   private BackendClient.@Nullable Exchange exchange;
   private boolean closed;
@@ -52,6 +52,11 @@
     exchange = backends.send(request, this);
   }
 
+  /** Reports all further events to another listener; called on the relay's executor. */
+  void setListener(AttemptListener newListener) {
+    listener = newListener;
+  }
+
   BackendServer server() {
     return server;
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/CallLog.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CallLog.java
@@ -51,6 +51,25 @@
                     .orElse(0L)));
   }
 
+  /** Logs that a server is silent, so that another one is tried as well. */
+  void serverSilent(BackendAttempt attempt, Duration remaining) {
+    node.log(
+        "relay.server_silent",
+        request,
+        ImmutableMap.of(
+            "server", attempt.server().id().value(),
+            "response_begun", attempt.hasResponseBegun(),
+            "left_ms", remaining.toMillis()));
+  }
+
+  /** Logs that a server has written again while others were tried. */
+  void serverWritesAgain(BackendAttempt attempt, Duration remaining) {
+    node.log(
+        "relay.server_writes_again",
+        request,
+        ImmutableMap.of("server", attempt.server().id().value(), "left_ms", remaining.toMillis()));
+  }
+
   /** Logs that an attempt has failed, and whether its response had begun. */
   void attemptFailed(BackendAttempt attempt, String reason, Duration remaining) {
     node.log(
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -1,13 +1,10 @@
 package dev.apricotmill.node.relay;
 
 import com.google.common.collect.ImmutableList;
-import dev.apricotmill.core.pool.PoolScheduler;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.NotRunStatuses;
 import dev.apricotmill.core.relay.RelayRefusal;
 import dev.apricotmill.core.relay.Route;
-import dev.apricotmill.core.request.ReplicaId;
-import dev.apricotmill.core.request.ServiceName;
 import java.time.Duration;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
@@ -16,29 +13,29 @@
  * Handles one admitted request: sends it, retries it where allowed, and responds to the caller
  * once.
  *
+ * <p>A server that is silent may be lost, or may prefill a long prompt. Its attempt stays open
+ * while other servers are tried, and is given up only when one of them writes.
+ *
  * <p>Runs on the relay's executor, as do the events of its attempts.
  */
 final class RelayCall
     implements BackendAttempt.AttemptListener,
-        EngineAllocation.Callback,
+        ServerSelection.Callback,
         CallerConnection.ConnectionListener {
 
   private final RelayNode node;
   private final RelayRequest request;
   private final CallerConnection caller;
-  private final RequestAuthorizer.Decision.Allowed decision;
-  private final long arrivedNanos;
-  private final long deadlineNanos;
+  private final CallScope scope;
   private final CandidateServers candidates;
   private final RelayResponse response;
-  private final CallLog log;
-  private final EngineAllocation allocation;
   private final FlowControlWindow window = new FlowControlWindow();
   private final AttemptLimits limits;
+  private final ServerSelection ownSelection;
+  private final SilenceWatch silenceWatch;
   private final ResettableTimer deadlineTimer;
-  private final ResettableTimer silenceTimer;
+  private ServerSelection selection;
   private @Nullable BackendAttempt currentAttempt;
-  private boolean mayHaveRun;
   private boolean ended;
 
   RelayCall(
@@ -50,93 +47,51 @@
     this.node = node;
     this.request = request;
     this.caller = caller;
-    this.decision = decision;
-    this.arrivedNanos = arrivedNanos;
-    Duration timeLimit = request.timeLimit(decision.route(), node.settings().defaultTimeout());
-    deadlineNanos = arrivedNanos + timeLimit.toNanos();
+    scope = new CallScope(node, request, decision, arrivedNanos);
+    candidates = scope.candidates();
+    limits = scope.limits();
     response = new RelayResponse(decision.route(), request.resumeAfterEvent(), caller, window);
-    allocation = new EngineAllocation(node, this);
-    log = new CallLog(node, request);
-    candidates = new CandidateServers(node, service());
-    limits = new AttemptLimits(node, route(), service(), this::remaining);
+    ownSelection = new ServerSelection(scope, request.id(), this);
+    selection = ownSelection;
+    silenceWatch = new SilenceWatch(scope, response, this::onStandbyAlive);
     deadlineTimer = new ResettableTimer(node.timing(), this::onDeadline);
-    silenceTimer = new ResettableTimer(node.timing(), this::onSilenceTimeout);
   }
 
   void start() {
     caller.setListener(this);
-    deadlineTimer.restart(remaining());
+    deadlineTimer.restart(scope.remaining());
     startAttempt();
   }
 
-  private Duration remaining() {
-    return Duration.ofNanos(deadlineNanos - node.timing().nanoTime());
-  }
-
-  private ServiceName service() {
-    return decision.service().name();
-  }
-
   private Route route() {
-    return decision.route();
+    return scope.route();
   }
 
   private void startAttempt() {
-    Optional<String> blockedPart = node.blockedParts().blockedPartOf(request.promptParts());
-    if (blockedPart.isPresent()) {
-      onBlocked(blockedPart.get());
-      return;
-    }
-    if (endIfServersPaused()) {
-      return;
-    }
-    if (decision.isGeneration(request)) {
-      Duration waited = Duration.ofNanos(node.timing().nanoTime() - arrivedNanos);
-      allocation.allocate(candidates.toPlacementRequest(request, route(), waited, remaining()));
-      return;
-    }
-    Optional<BackendServer> server = candidates.choose();
-    if (server.isEmpty()) {
-      endWithFailure(candidates.absenceReason(), candidates.retryAfter());
-    } else if (node.backendLimits().isLimited(server.get())) {
-      allocation.allocate(candidates.toLimitRequest(request, route(), remaining()));
-    } else {
-      send(server.get(), ImmutableList.of(), route().timeout());
-    }
-  }
-
-  /** Refuses the request at once if all servers of the service are paused. */
-  private boolean endIfServersPaused() {
-    Optional<Duration> pause = candidates.shortestPause();
-    pause.ifPresent(duration -> endWithFailure(RelayRefusal.SERVERS_PAUSED, duration));
-    return pause.isPresent();
+    selection = ownSelection;
+    selection.select();
   }
 
   @Override
-  public void onAllocated(
+  public void onSelected(
       BackendServer server, ImmutableList<BackendClient.Helper> helpers, Duration expected) {
-    send(server, helpers, expected);
+    if (!scope.hasTimeToSend()) {
+      onDeadline();
+      return;
+    }
+    BackendAttempt attempt = scope.send(server, helpers, expected, response.lastEventId(), this);
+    currentAttempt = attempt;
+    silenceWatch.begin(attempt, expected);
   }
 
   @Override
-  public void onUnusable(Optional<ReplicaId> server, RelayRefusal reason) {
-    server.ifPresent(candidates::exclude);
+  public void onUnusable(RelayRefusal reason) {
     tryNextServer(reason);
   }
 
   @Override
-  public void onFull(Duration retryAfter) {
-    if (decision.isGeneration(request)) {
-      endWithFailure(RelayRefusal.OVERLOADED, retryAfter);
-      return;
-    }
-    candidates.excludeLimited(retryAfter);
-    startAttempt();
-  }
-
-  @Override
-  public void onBlocked(String part) {
-    endWithFailure(RelayRefusal.PROMPT_BLOCKED, node.blockedParts().remaining(part));
+  public void onNoServer(RelayRefusal reason, Duration retryAfter) {
+    endWithFailure(reason, retryAfter);
   }
 
   /** Ends the request if it has this part, unless it evidently crashes no engine. */
@@ -145,8 +100,8 @@
     if (ended || !request.promptParts().shared().contains(part)) {
       return;
     }
-    if (attempt == null || !hasWrittenLong(attempt)) {
-      onBlocked(part);
+    if (attempt == null || !scope.hasWrittenLong(attempt)) {
+      endWithFailure(RelayRefusal.PROMPT_BLOCKED, node.blockedParts().remaining(part));
     }
   }
 
@@ -155,40 +110,38 @@
     endWithFailure(RelayRefusal.STOPPING, Duration.ZERO);
   }
 
-  private boolean hasWrittenLong(BackendAttempt attempt) {
-    return attempt.hasWrittenFor(PoolScheduler.WRITING_CLEARS_AFTER, node.timing().nanoTime());
+  /** Leaves a silent server for one that writes. */
+  private void onStandbyAlive(StandbyAttempt standby) {
+    BackendAttempt silent = currentAttempt;
+    if (silent != null) {
+      scope.log().attemptFailed(silent, BackendFailure.SILENT.logValue(), scope.remaining());
+      scope.cancel(silent);
+    }
+    continueWith(standby);
   }
 
-  private void send(
-      BackendServer server, ImmutableList<BackendClient.Helper> helpers, Duration expected) {
-    if (remaining().compareTo(Duration.ofMillis(1)) < 0) {
-      onDeadline();
-      return;
-    }
-    limits.onSend();
-    BackendAttempt attempt = new BackendAttempt(server, node.timing(), this);
+  /** Replaces an attempt that has ended by one that was made beside it. */
+  private void continueWith(StandbyAttempt standby) {
+    scope.recordPossibleRun();
+    selection.release();
+    selection = standby.selection();
+    BackendAttempt attempt = standby.handOver(this);
     currentAttempt = attempt;
-    node.balancer().requestStarted(server.id());
-    log.sent(server, service(), helpers, limits.attempts(), remaining(), expected);
-    attempt.start(
-        node.backends(),
-        new BackendClient.BackendRequest(
-            request, server, decision.customer(), remaining(), helpers, response.lastEventId()));
-    if (route().resumable()) {
-      silenceTimer.restart(SilenceTimeouts.firstEventTimeout(route(), expected));
+    if (response.isStreamBegun()) {
+      node.metrics().recordResume();
     }
-  }
-
-  private void onSilenceTimeout() {
-    BackendAttempt attempt = currentAttempt;
-    if (attempt != null && !ended && limits.canRetry()) {
-      failAttempt(attempt, true, BackendFailure.SILENT, true);
+    response.discardPartial();
+    silenceWatch.begin(attempt, standby.expected());
+    standby.head().ifPresent(response::onHead);
+    byte[] received = standby.received();
+    if (received.length > 0) {
+      onBody(attempt, received);
     }
   }
 
   /** Tries another server outside the retry budget, since nothing was sent to the last one. */
   private void tryNextServer(RelayRefusal refusal) {
-    allocation.release();
+    selection.release();
     if (limits.tryTakeReplacement()) {
       startAttempt();
     } else {
@@ -197,12 +150,15 @@
   }
 
   private void retryOrRefuse(RelayRefusal refusal) {
-    allocation.release();
-    boolean retryAllowed = route().retryPolicy().allowsRetry(mayHaveRun);
-    if (retryAllowed && endIfServersPaused()) {
+    selection.release();
+    if (!route().retryPolicy().allowsRetry(scope.mayHaveRun())) {
+      endWithFailure(refusal, RelayNode.RETRY_AFTER);
       return;
     }
-    if (retryAllowed && limits.tryTakeRetry()) {
+    Optional<Duration> pause = candidates.shortestPause();
+    if (pause.isPresent()) {
+      endWithFailure(RelayRefusal.SERVERS_PAUSED, pause.get());
+    } else if (limits.tryTakeRetry()) {
       if (response.isStreamBegun()) {
         node.metrics().recordResume();
       }
@@ -217,9 +173,11 @@
       return;
     }
     // A server may run the request of an open attempt.
-    mayHaveRun |= currentAttempt != null;
+    if (currentAttempt != null) {
+      scope.recordPossibleRun();
+    }
     RelayRefusal reportedRefusal =
-        mayHaveRun && refusal.guaranteesNotRun() ? RelayRefusal.BROKEN : refusal;
+        scope.mayHaveRun() && refusal.guaranteesNotRun() ? RelayRefusal.BROKEN : refusal;
     finish(refusal.name(), response.statusToCaller().orElse(reportedRefusal.status()), false);
     if (response.sendFallback()) {
       return;
@@ -249,7 +207,7 @@
     BackendAttempt attempt = currentAttempt;
     if (attempt != null) {
       attempt.resumeReading();
-      silenceTimer.restart(SilenceTimeouts.eventGapTimeout(route()));
+      silenceWatch.onProgress();
     }
   }
 
@@ -268,18 +226,22 @@
   private void finish(String outcome, int status, boolean completed) {
     ended = true;
     deadlineTimer.cancel();
-    silenceTimer.cancel();
     BackendAttempt attempt = currentAttempt;
+    currentAttempt = null;
     if (attempt != null) {
-      cancel(attempt);
+      scope.cancel(attempt);
     }
-    allocation.close(completed);
-    long tookNanos = node.timing().nanoTime() - arrivedNanos;
-    log.ended(
-        new CallLog.Ending(outcome, status, limits.attempts(), mayHaveRun, tookNanos),
-        route(),
-        response,
-        arrivedNanos);
+    silenceWatch.end();
+    selection.close(completed);
+    ownSelection.close(completed);
+    long tookNanos = scope.elapsedNanos();
+    scope
+        .log()
+        .ended(
+            new CallLog.Ending(outcome, status, limits.attempts(), scope.mayHaveRun(), tookNanos),
+            route(),
+            response,
+            scope.arrivedNanos());
     node.metrics().recordEnd(tookNanos);
     node.callEnded(this);
   }
@@ -290,7 +252,7 @@
       onRefused(attempt, head, "not_run " + head.status(), RelayRefusal.REFUSED_BY_SERVER);
       return;
     }
-    mayHaveRun = true;
+    scope.recordPossibleRun();
     node.backendLimits().onResponse(attempt.server(), attempt.sentNanos());
     if (NotRunStatuses.contains(head.status())) {
       candidates.exclude(attempt.server().id());
@@ -300,59 +262,66 @@
     node.pauses().onResponse(attempt.server());
     response.onHead(head);
     if (response.isFailedResume()) {
-      failAttempt(attempt, true, BackendFailure.NOT_A_STREAM, false);
+      failAttempt(attempt, true, BackendFailure.NOT_A_STREAM);
     }
   }
 
   private void onRefused(
       BackendAttempt attempt, BackendClient.Head head, String reason, RelayRefusal refusal) {
-    log.attemptFailed(attempt, reason, remaining());
-    close(attempt);
-    attempt.discardRest(node.timing());
+    scope.log().attemptFailed(attempt, reason, scope.remaining());
+    currentAttempt = null;
+    scope.discard(attempt);
     response.discardPartial();
     candidates.onRefusal(attempt.server(), head.faultyServer());
-    retryOrRefuse(refusal);
+    silenceWatch
+        .endExceptFirstSent()
+        .ifPresentOrElse(this::continueWith, () -> retryOrRefuse(refusal));
   }
 
   @Override
   public void onBody(BackendAttempt attempt, byte[] chunk) {
     int sentBytes = response.onBody(chunk, node.timing().nanoTime());
     if (response.isTooLong()) {
-      failAttempt(attempt, true, BackendFailure.TOO_LONG, false);
+      failAttempt(attempt, true, BackendFailure.TOO_LONG);
     } else if (response.isOutOfOrder()) {
-      failAttempt(attempt, true, BackendFailure.OUT_OF_ORDER, false);
+      failAttempt(attempt, true, BackendFailure.OUT_OF_ORDER);
     } else if (sentBytes > 0 && response.isStream()) {
-      if (attempt.markFirstEvent(node.timing().nanoTime())) {
-        allocation.onFirstEvent();
-      }
-      if (response.hasFirstEventInChunk()) {
-        node.metrics().recordFirstEvent(node.timing().nanoTime() - arrivedNanos);
-      }
-      if (window.isFull()) {
-        silenceTimer.cancel();
-        attempt.pauseReading();
-      } else {
-        silenceTimer.restart(SilenceTimeouts.eventGapTimeout(route()));
-      }
+      onEventsPassedOn(attempt);
+    }
+  }
+
+  private void onEventsPassedOn(BackendAttempt attempt) {
+    if (attempt.markFirstEvent(node.timing().nanoTime())) {
+      selection.onFirstEvent();
+    }
+    if (response.hasFirstEventInChunk()) {
+      node.metrics().recordFirstEvent(scope.elapsedNanos());
+    }
+    silenceWatch.onProgress();
+    if (window.isFull()) {
+      silenceWatch.pause();
+      attempt.pauseReading();
     }
   }
 
   @Override
   public void onEnd(BackendAttempt attempt) {
     if (response.isIncomplete()) {
-      failAttempt(attempt, true, BackendFailure.ENDED_WITHIN_EVENT, false);
+      failAttempt(attempt, true, BackendFailure.ENDED_WITHIN_EVENT);
       return;
     }
-    close(attempt);
-    if (response.isServerError()
-        && route().retryPolicy().allowsRetry(true)
-        && limits.tryTakeRetry()) {
-      log.attemptFailed(attempt, "server error", remaining());
-      response.keepAsFallback();
-      candidates.exclude(attempt.server().id());
-      allocation.release();
-      startAttempt();
-      return;
+    currentAttempt = null;
+    scope.close(attempt);
+    if (response.isServerError() && route().retryPolicy().allowsRetry(true)) {
+      Optional<StandbyAttempt> standby = silenceWatch.endExceptFirstSent();
+      if (standby.isPresent() || limits.tryTakeRetry()) {
+        scope.log().attemptFailed(attempt, "server error", scope.remaining());
+        response.keepAsFallback();
+        candidates.exclude(attempt.server().id());
+        selection.release();
+        standby.ifPresentOrElse(this::continueWith, this::startAttempt);
+        return;
+      }
     }
     finish("ANSWERED", response.status(), response.isSuccess());
     node.metrics().recordPassedOn(response.status());
@@ -361,39 +330,22 @@
 
   @Override
   public void onFailure(BackendAttempt attempt, boolean maybeSent, BackendFailure failure) {
-    failAttempt(attempt, maybeSent, failure, !maybeSent);
+    failAttempt(attempt, maybeSent, failure);
   }
 
-  private void failAttempt(
-      BackendAttempt attempt, boolean maybeSent, BackendFailure failure, boolean unreachable) {
-    log.attemptFailed(attempt, failure.logValue(), remaining());
-    cancel(attempt);
-    silenceTimer.cancel();
-    ReplicaId server = attempt.server().id();
-    candidates.onFailure(server, unreachable);
-    if (!maybeSent) {
-      limits.onNotSent();
-      tryNextServer(RelayRefusal.NO_SERVER);
-      return;
-    }
-    if (failure.isPossibleCrash() && !hasWrittenLong(attempt)) {
-      node.placer().brokenOff(service(), server, request.promptParts());
+  private void failAttempt(BackendAttempt attempt, boolean maybeSent, BackendFailure failure) {
+    currentAttempt = null;
+    scope.fail(attempt, maybeSent, failure, /* unreachable= */ !maybeSent);
+    if (maybeSent) {
+      response.discardPartial();
     }
-    mayHaveRun = true;
-    response.discardPartial();
-    retryOrRefuse(RelayRefusal.BROKEN);
-  }
-
-  private void cancel(BackendAttempt attempt) {
-    close(attempt);
-    attempt.cancel();
-  }
-
-  private void close(BackendAttempt attempt) {
-    if (!attempt.isClosed()) {
-      attempt.close();
-      currentAttempt = null;
-      node.balancer().requestEnded(attempt.server().id());
+    Optional<StandbyAttempt> standby = silenceWatch.endExceptFirstSent();
+    if (standby.isPresent()) {
+      continueWith(standby.get());
+    } else if (maybeSent) {
+      retryOrRefuse(RelayRefusal.BROKEN);
+    } else {
+      tryNextServer(RelayRefusal.NO_SERVER);
     }
   }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
@@ -80,9 +80,18 @@
 
   /** Returns whether the response that is being received is a stream of events. */
   boolean isStream() {
+    return isStream(status());
+  }
+
+  /** Returns whether a response with this head can continue what the caller has been sent. */
+  boolean canContinueWith(BackendClient.Head newHead) {
+    return isStream(newHead.status());
+  }
+
+  private boolean isStream(int status) {
     return route.responseKind() == Route.ResponseKind.STREAM
-        && isSuccess()
-        && (!streamBegun || status() == streamStatus);
+        && status / 100 == SUCCESS_CLASS
+        && (!streamBegun || status == streamStatus);
   }
 
   /** Returns whether the status of the response that is being received is a success. */
--- a/node/src/main/java/dev/apricotmill/node/relay/SilenceTimeouts.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/SilenceTimeouts.java
@@ -4,10 +4,11 @@
 import java.time.Duration;
 
 /**
- * Decides how long a server may be silent before its stream moves to another server.
+ * Decides how long a server may be silent before another server is tried as well.
  *
- * <p>A stream that moves too early causes a second prefill of its prompt, which adds load to a pool
- * that is already slower than expected. Long prompts therefore get more time.
+ * <p>Silence alone does not tell a lost server from one that prefills a long prompt. An attempt
+ * that is made too early causes a second prefill, which adds load to a pool that is already slower
+ * than expected. Long prompts therefore get more time.
  */
 final class SilenceTimeouts {
 
@@ -17,9 +18,12 @@
   /** A gap between events may always be this long; callers wait two seconds. */
   private static final Duration MIN_EVENT_GAP_TIMEOUT = Duration.ofMillis(1500);
 
-  /** A gap this many times as long as the target means that the server is lost. */
+  /** A gap this many times as long as the target may mean that the server is lost. */
   private static final int EVENT_GAP_TARGET_MULTIPLIER = 3;
 
+  /** How soon another server is looked for again while none accepts the stream. */
+  static final Duration STANDBY_RETRY_PERIOD = Duration.ofMillis(250);
+
   private SilenceTimeouts() {}
 
   /** Returns the timeout for the first event, which is expected after {@code expected}. */
