Bound what is buffered of all responses together

Callers lost everything on a VM: a few servers sent bodies without end, the relay buffered up to 8 MB of each, and some tens of them at once used up the heap of 128 MB. The OutOfMemoryError ended the only I/O thread of the client for servers and store, and the node served nothing any more. Chunks that waited for the relay's thread were not counted either.

BufferBudget bounds the bytes of all exchanges of a process. The relay reserves a chunk on the I/O thread, before it waits for the relay's thread; queued chunks, incomplete events, whole bodies, errors that are kept while another server is tried, and responses that a caller has not taken are all counted. Where the budget is used up, the largest response is given up, so that a small one beside an endless one is served. The gauge apricotmill_relay_buffered_bytes shows it.

The bound for request bodies (BodyBudget) is now a BufferBudget too.

--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ExchangeEnvironment.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ExchangeEnvironment.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.daemon.http;
 
+import dev.apricotmill.coordination.memory.BufferBudget;
 import dev.apricotmill.coordination.time.Timing;
 import java.util.concurrent.Executor;
 
@@ -17,6 +18,6 @@
     ServerLimits limits,
     RequestHandler handler,
     Executor workers,
-    BodyBudget budget,
+    BufferBudget budget,
     ConnectionTable connections,
     Timing timing) {}
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
@@ -2,6 +2,7 @@
 
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import dev.apricotmill.adapters.CompleteHeadParser;
+import dev.apricotmill.coordination.memory.BufferBudget;
 import dev.apricotmill.coordination.time.Timing;
 import java.io.IOException;
 import java.lang.System.Logger;
@@ -53,7 +54,7 @@
       HttpProcessorBuilder.create()
           .addAll(new ResponseDate(), new ResponseContent(), new ResponseConnControl())
           .build();
-  private final BodyBudget budget;
+  private final BufferBudget budget;
   private final ConnectionTable connections;
   private final Future<?> idleSweep;
   private final ExecutorService workers;
@@ -77,7 +78,7 @@
       throws IOException {
     config = config(limits);
     parserFactory = CompleteHeadParser.factory(new DefaultHttpRequestParserFactory(config));
-    budget = new BodyBudget(limits.maximumBufferedBytes());
+    budget = new BufferBudget(limits.maximumBufferedBytes());
     connections = new ConnectionTable(limits, timing);
     workers =
         Executors.newFixedThreadPool(
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/RequestBody.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/RequestBody.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.daemon.http;
 
 import com.google.errorprone.annotations.concurrent.GuardedBy;
+import dev.apricotmill.coordination.memory.BufferBudget;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Optional;
@@ -9,20 +10,17 @@
 final class RequestBody {
 
   private final int maximumBytes;
-  private final BodyBudget budget;
+  private final BufferBudget.Account account;
 
   @GuardedBy("this")
   private ByteArrayOutputStream buffer = new ByteArrayOutputStream();
 
-  @GuardedBy("this")
-  private long heldBytes;
-
   @GuardedBy("this")
   private boolean released;
 
-  RequestBody(int maximumBytes, BodyBudget budget) {
+  RequestBody(int maximumBytes, BufferBudget budget) {
     this.maximumBytes = maximumBytes;
-    this.budget = budget;
+    account = budget.open();
   }
 
   /** Adds a chunk; returns the refusal if the chunk exceeds a limit. Ignored after release. */
@@ -35,10 +33,9 @@
     if (buffer.size() + (long) bytes > maximumBytes) {
       return Optional.of(EarlyRefusal.BODY_TOO_LARGE);
     }
-    if (!budget.tryReserve(bytes)) {
+    if (!account.reserve(bytes)) {
       return Optional.of(EarlyRefusal.NO_BUFFER);
     }
-    heldBytes += bytes;
     byte[] copy = new byte[bytes];
     chunk.get(copy);
     buffer.writeBytes(copy);
@@ -56,7 +53,6 @@
   synchronized void release() {
     released = true;
     buffer = new ByteArrayOutputStream(0);
-    budget.release(heldBytes);
-    heldBytes = 0;
+    account.close();
   }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.node.relay;
 
+import dev.apricotmill.coordination.memory.BufferBudget;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.relay.BackendServer;
 import java.time.Duration;
@@ -23,6 +24,9 @@
 
     /** Called when no complete response will come. */
     void onFailure(BackendAttempt attempt, boolean maybeSent, BackendFailure failure);
+
+    /** Returns the bytes of the attempt's response that are buffered. */
+    long bufferedBytes();
   }
 
   /** A refusal is shorter, and its server writes it at once. */
@@ -34,6 +38,7 @@
   private final Executor executor;
   private AttemptListener listener;
   private final long sentNanos;
+  private final BufferBudget.Account buffer;
   private BackendClient.@Nullable Exchange exchange;
   private boolean closed;
   private boolean responseBegun;
@@ -41,11 +46,18 @@
   private long discardedBytes;
   private OptionalLong firstEventNanos = OptionalLong.empty();
 
-  BackendAttempt(BackendServer server, Timing timing, AttemptListener listener) {
+  /**
+   * Creates an attempt that was not sent yet.
+   *
+   * @param buffers the memory for the responses of all attempts
+   */
+  BackendAttempt(
+      BackendServer server, Timing timing, BufferBudget buffers, AttemptListener listener) {
     this.server = server;
     executor = timing.scheduler();
     sentNanos = timing.nanoTime();
     this.listener = listener;
+    buffer = buffers.openRevocable(this::onNoBuffer);
   }
 
   void start(BackendClient backends, BackendClient.BackendRequest request) {
@@ -73,6 +85,7 @@
   /** Ignores all further events of the response. */
   void close() {
     closed = true;
+    buffer.close();
   }
 
   /**
@@ -144,16 +157,37 @@
         });
   }
 
+  /** Reserves memory for the chunk on the caller's thread, since tasks may queue up. */
   @Override
   public void onBody(byte[] chunk) {
-    executor.execute(
-        () -> {
-          if (closed) {
-            discard(chunk.length);
-          } else {
-            listener.onBody(this, chunk);
-          }
-        });
+    int bytes = chunk.length;
+    if (buffer.reserve(bytes)) {
+      executor.execute(() -> handleBody(chunk));
+    } else {
+      executor.execute(() -> discardOrFail(bytes));
+    }
+  }
+
+  private void handleBody(byte[] chunk) {
+    if (closed) {
+      discard(chunk.length);
+      return;
+    }
+    long before = listener.bufferedBytes();
+    listener.onBody(this, chunk);
+    buffer.release(chunk.length + before - listener.bufferedBytes());
+  }
+
+  private void discardOrFail(int bytes) {
+    if (closed) {
+      discard(bytes);
+    } else {
+      listener.onFailure(this, true, BackendFailure.NO_BUFFER);
+    }
+  }
+
+  private void onNoBuffer() {
+    run(() -> listener.onFailure(this, true, BackendFailure.NO_BUFFER));
   }
 
   private void discard(int bytes) {
--- a/node/src/main/java/dev/apricotmill/node/relay/BackendFailure.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendFailure.java
@@ -18,6 +18,8 @@
   OVERSIZE("OVERSIZE", false),
   /** The response, or one of its events, is too long. */
   TOO_LONG("answer too long", false),
+  /** The response does not fit into the memory for responses of all servers. */
+  NO_BUFFER("no buffer left", false),
   /** The events of the response are not in order. */
   OUT_OF_ORDER("events out of order", false),
   /** The response was malformed. */
--- a/node/src/main/java/dev/apricotmill/node/relay/CallScope.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CallScope.java
@@ -130,7 +130,8 @@
       OptionalLong resumeAfterEvent,
       BackendAttempt.AttemptListener listener) {
     limits.onSend();
-    BackendAttempt attempt = new BackendAttempt(server, node.timing(), listener);
+    BackendAttempt attempt =
+        new BackendAttempt(server, node.timing(), node.responseBuffers(), listener);
     node.balancer().requestStarted(server.id());
     log.sent(server, service(), helpers, limits.attempts(), remaining(), expected);
     attempt.start(
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -50,7 +50,14 @@
     scope = new CallScope(node, request, decision, arrivedNanos);
     candidates = scope.candidates();
     limits = scope.limits();
-    response = new RelayResponse(decision.route(), request.resumeAfterEvent(), caller, window);
+    response =
+        new RelayResponse(
+            decision.route(),
+            request.resumeAfterEvent(),
+            caller,
+            window,
+            node.responseBuffers(),
+            node.timing().scheduler());
     ownSelection = new ServerSelection(scope, request.id(), this);
     selection = ownSelection;
     silenceWatch = new SilenceWatch(scope, response, this::onStandbyAlive);
@@ -179,7 +186,9 @@
     RelayRefusal reportedRefusal =
         scope.mayHaveRun() && refusal.guaranteesNotRun() ? RelayRefusal.BROKEN : refusal;
     finish(refusal.name(), response.statusToCaller().orElse(reportedRefusal.status()), false);
-    if (response.sendFallback()) {
+    boolean fallbackSent = response.sendFallback();
+    response.dropFallback();
+    if (fallbackSent) {
       return;
     }
     if (response.isStreamBegun()) {
@@ -198,6 +207,7 @@
 
   @Override
   public void onChunksWritten(int count) {
+    response.onDelivered();
     if (window.acknowledge(count)) {
       node.timing().scheduler().execute(this::resumeReading);
     }
@@ -219,8 +229,10 @@
   private void endAfterDisconnect() {
     if (!ended) {
       node.metrics().recordCallerGone();
+      response.dropFallback();
       finish("CALLER_GONE", CallLog.NO_STATUS, false);
     }
+    response.onDelivered();
   }
 
   private void finish(String outcome, int status, boolean completed) {
@@ -324,10 +336,16 @@
       }
     }
     finish("ANSWERED", response.status(), response.isSuccess());
+    response.dropFallback();
     node.metrics().recordPassedOn(response.status());
     response.complete();
   }
 
+  @Override
+  public long bufferedBytes() {
+    return response.bufferedBytes();
+  }
+
   @Override
   public void onFailure(BackendAttempt attempt, boolean maybeSent, BackendFailure failure) {
     failAttempt(attempt, maybeSent, failure);
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
@@ -7,6 +7,7 @@
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 /** Counters and latency histograms of the relay. */
 final class RelayMetrics {
@@ -25,7 +26,8 @@
   private final Counter cappedPauses;
   private final Counter namedLimits;
 
-  RelayMetrics(MeterRegistry registry, AtomicInteger openRequestCount) {
+  RelayMetrics(
+      MeterRegistry registry, AtomicInteger openRequestCount, Supplier<Number> bufferedBytes) {
     this.registry = registry;
     firstEventTimer = timer("apricotmill.relay.first_event");
     responseTimer = timer("apricotmill.relay.answer");
@@ -37,6 +39,7 @@
     namedLimits = registry.counter("apricotmill.relay.limits_named");
     Gauge.builder("apricotmill.relay.open", openRequestCount, AtomicInteger::get)
         .register(registry);
+    Gauge.builder("apricotmill.relay.buffered_bytes", bufferedBytes).register(registry);
   }
 
   private Timer timer(String name) {
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.memory.BufferBudget;
 import dev.apricotmill.coordination.retry.RetryBudget;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.relay.BackendServer;
@@ -44,6 +45,7 @@
   private final RequestAuthorizer authorizer;
   private final LeastRequestBalancer balancer = new LeastRequestBalancer();
   private final ServerPauses pauses;
+  private final BufferBudget responseBuffers;
   private final AtomicReference<ServingView> view = new AtomicReference<>(ServingView.EMPTY);
   private final Set<RelayCall> openCalls = new LinkedHashSet<>();
   private final AtomicInteger openRequestCount = new AtomicInteger();
@@ -69,7 +71,8 @@
     this.backendLimits = backendLimits;
     blockedParts.addListener(new BlockedCallsEnder());
     this.log = log;
-    metrics = new RelayMetrics(registry, openRequestCount);
+    responseBuffers = new BufferBudget(settings.maximumBufferedBytes());
+    metrics = new RelayMetrics(registry, openRequestCount, responseBuffers::heldBytes);
     pauses = new ServerPauses(timing, log, metrics, balancer);
     authorizer =
         new RequestAuthorizer(settings.maxConfigurationStaleness(), settings.configurationBound());
@@ -271,6 +274,11 @@
     return settings;
   }
 
+  /** Returns the memory for what is buffered of the responses of all servers. */
+  BufferBudget responseBuffers() {
+    return responseBuffers;
+  }
+
   BackendClient backends() {
     return backends;
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
@@ -1,11 +1,12 @@
 package dev.apricotmill.node.relay;
 
 import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.memory.BufferBudget;
 import dev.apricotmill.core.relay.Route;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.concurrent.Executor;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -16,7 +17,7 @@
  */
 final class RelayResponse {
 
-  /** Responses that are not streamed are buffered whole; a node has a few hundred MB. */
+  /** Responses that are not streamed are buffered whole. */
   private static final int MAX_BUFFERED_BYTES = 8 << 20;
 
   private static final int SUCCESS_CLASS = 2;
@@ -25,11 +26,15 @@
   private final Route route;
   private final CallerConnection caller;
   private final FlowControlWindow window;
+  private final BufferBudget buffers;
+  private final Executor executor;
   private final SseEventAssembler assembler;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final ChunkBuffer body = new ChunkBuffer();
   private BackendClient.@Nullable Head head;
   private BackendClient.@Nullable Head fallbackHead;
   private byte @Nullable [] fallbackBody;
+  private BufferBudget.@Nullable Account fallbackBuffer;
+  private volatile BufferBudget.@Nullable Account deliveryBuffer;
   private boolean streamBegun;
   private int streamStatus;
   private boolean firstEventInChunk;
@@ -37,14 +42,24 @@
   private long lastEventNanos = -1;
   private long longestEventGapNanos;
 
+  /**
+   * Creates the state of a response of which nothing has been received.
+   *
+   * @param buffers the memory for the responses to all requests
+   * @param executor runs the methods of this object
+   */
   RelayResponse(
       Route route,
       OptionalLong resumeAfterEvent,
       CallerConnection caller,
-      FlowControlWindow window) {
+      FlowControlWindow window,
+      BufferBudget buffers,
+      Executor executor) {
     this.route = route;
     this.caller = caller;
     this.window = window;
+    this.buffers = buffers;
+    this.executor = executor;
     assembler = new SseEventAssembler(resumeAfterEvent);
   }
 
@@ -56,7 +71,7 @@
   /** Adds a chunk and returns the number of bytes that were written to the caller. */
   int onBody(byte[] chunk, long nowNanos) {
     if (!isStream()) {
-      body.writeBytes(chunk);
+      body.add(chunk);
       return 0;
     }
     byte[] completeEvents = assembler.add(chunk);
@@ -127,6 +142,11 @@
     return assembler.isOutOfOrder();
   }
 
+  /** Returns the bytes that were received and not sent to the caller yet. */
+  long bufferedBytes() {
+    return body.size() + (long) assembler.partialBytes();
+  }
+
   boolean isTooLong() {
     return body.size() > MAX_BUFFERED_BYTES || assembler.isTooLong();
   }
@@ -164,13 +184,30 @@
     head = null;
   }
 
-  /** Keeps a server's error response, to be sent if the retry fails. */
+  /** Keeps a server's error response, to be sent if the retry fails, unless memory is short. */
   void keepAsFallback() {
-    fallbackHead = head;
-    fallbackBody = body.toByteArray();
+    dropFallback();
+    BufferBudget.Account buffer = buffers.openRevocable(() -> executor.execute(this::dropFallback));
+    if (buffer.reserve(body.size())) {
+      fallbackHead = head;
+      fallbackBody = body.toByteArray();
+      fallbackBuffer = buffer;
+    } else {
+      buffer.close();
+    }
     discardPartial();
   }
 
+  /** Drops the error response that was kept. */
+  void dropFallback() {
+    fallbackHead = null;
+    fallbackBody = null;
+    BufferBudget.Account buffer = fallbackBuffer;
+    if (buffer != null) {
+      buffer.close();
+    }
+  }
+
   /** Sends the error response that was kept; returns false if there is none. */
   boolean sendFallback() {
     BackendClient.Head keptHead = fallbackHead;
@@ -178,7 +215,7 @@
     if (keptHead == null || keptBody == null || streamBegun) {
       return false;
     }
-    caller.respond(keptHead.status(), keptHead.headers(), keptBody);
+    respond(keptHead.status(), keptHead.headers(), keptBody);
     return true;
   }
 
@@ -187,7 +224,24 @@
     if (streamBegun) {
       caller.endStream();
     } else {
-      caller.respond(status(), headers(), body.toByteArray());
+      respond(status(), headers(), body.toByteArray());
+    }
+  }
+
+  private void respond(int status, ImmutableMap<String, String> headers, byte[] wholeBody) {
+    if (wholeBody.length > 0) {
+      BufferBudget.Account buffer = buffers.open();
+      buffer.add(wholeBody.length);
+      deliveryBuffer = buffer;
+    }
+    caller.respond(status, headers, wholeBody);
+  }
+
+  /** Records that the caller has taken the response, or has left. Thread-safe. */
+  void onDelivered() {
+    BufferBudget.Account buffer = deliveryBuffer;
+    if (buffer != null) {
+      buffer.close();
     }
   }
 
--- a/node/src/main/java/dev/apricotmill/node/relay/RelaySettings.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelaySettings.java
@@ -13,10 +13,13 @@
  * @param retriesPerThousandRequests retries that each thousand requests of a service add to its
  *     budget
  * @param retryReserve retries that all nodes together may save up for a service
+ * @param maximumBufferedBytes the maximum total size of what is buffered of the responses of all
+ *     servers
  */
 public record RelaySettings(
     Duration maxConfigurationStaleness,
     Duration configurationBound,
     Duration defaultTimeout,
     int retriesPerThousandRequests,
-    int retryReserve) {}
+    int retryReserve,
+    long maximumBufferedBytes) {}
--- a/node/src/main/java/dev/apricotmill/node/relay/SseEventAssembler.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/SseEventAssembler.java
@@ -51,6 +51,11 @@
     return partial.size() > MAX_EVENT_BYTES;
   }
 
+  /** Returns the bytes of the incomplete event. */
+  int partialBytes() {
+    return partial.size();
+  }
+
   /** Returns whether an incomplete event is buffered. */
   boolean hasPartial() {
     return partial.size() > 0;
--- a/node/src/main/java/dev/apricotmill/node/relay/StandbyAttempt.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/StandbyAttempt.java
@@ -5,7 +5,6 @@
 import dev.apricotmill.core.relay.NotRunStatuses;
 import dev.apricotmill.core.relay.RelayRefusal;
 import dev.apricotmill.core.request.RequestId;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
@@ -38,7 +37,7 @@
   private final Owner owner;
   private final ServerSelection selection;
   private final SseEventAssembler assembler;
-  private final ByteArrayOutputStream received = new ByteArrayOutputStream();
+  private final ChunkBuffer received = new ChunkBuffer();
   private BackendClient.@Nullable Head head;
   private @Nullable BackendAttempt attempt;
   private Duration expected = Duration.ZERO;
@@ -161,7 +160,7 @@
 
   @Override
   public void onBody(BackendAttempt sender, byte[] chunk) {
-    received.writeBytes(chunk);
+    received.add(chunk);
     byte[] events = assembler.add(chunk);
     if (assembler.isTooLong()) {
       fail(sender, true, BackendFailure.TOO_LONG);
@@ -172,6 +171,11 @@
     }
   }
 
+  @Override
+  public long bufferedBytes() {
+    return received.size() + (long) assembler.partialBytes();
+  }
+
   @Override
   public void onEnd(BackendAttempt sender) {
     if (assembler.hasPartial() || !response.isStreamBegun()) {
--- a/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
@@ -41,7 +41,8 @@
           RelayFixture.CONFIGURATION_BOUND,
           Duration.ofSeconds(10),
           RETRIES_PER_THOUSAND_REQUESTS,
-          RETRY_RESERVE);
+          RETRY_RESERVE,
+          16 << 20);
 
   private final Timing network;
   private final EngineFleet engines;
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -38,6 +38,9 @@
   /** The time within which a confirmed configuration is in force. */
   static final Duration CONFIGURATION_BOUND = Duration.ofSeconds(2);
 
+  /** What the relay may buffer of all responses together. */
+  static final int MAX_BUFFERED_BYTES = 16 << 20;
+
   private final VirtualTime time = new VirtualTime();
   private final Timing timing = time.newTiming();
   private final List<SentExchange> sent = new ArrayList<>();
@@ -56,7 +59,12 @@
         new RelayNode(
             timing,
             new RelaySettings(
-                MAX_STALENESS, CONFIGURATION_BOUND, Duration.ofSeconds(10), 0, retryReserve),
+                MAX_STALENESS,
+                CONFIGURATION_BOUND,
+                Duration.ofSeconds(10),
+                0,
+                retryReserve,
+                MAX_BUFFERED_BYTES),
             new ScriptedBackends(),
             placer,
             new BlockedParts(timing, (event, fields) -> log.add(event + " " + fields)),
@@ -145,6 +153,11 @@
     return placer.poolScheduler(POOL).orElseThrow().placedCount();
   }
 
+  /** Returns the bytes that the relay has buffered of all responses. */
+  long bufferedBytes() {
+    return node.responseBuffers().heldBytes();
+  }
+
   ReadTimestamp validatedNow() {
     return new ReadTimestamp(timing.nanoTime(), timing.clock().millis());
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayInvariantsTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayInvariantsTest.java
@@ -119,6 +119,8 @@
     calls.forEach(this::checkCall);
     assertThat(relay.node().openRequests()).isEqualTo(0);
     assertWithMessage("requests left in the scheduler").that(relay.placedCount()).isEqualTo(0);
+    calls.forEach(call -> call.caller().readChunks(1));
+    assertWithMessage("bytes left in buffers").that(relay.bufferedBytes()).isEqualTo(0);
     checkBudget(true);
     checkBudget(false);
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/ServerPausePlacementTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServerPausePlacementTest.java
@@ -46,7 +46,7 @@
       new RelayNode(
           timing,
           new RelaySettings(
-              Duration.ofSeconds(5), Duration.ofSeconds(2), Duration.ofSeconds(10), 0, 2),
+              Duration.ofSeconds(5), Duration.ofSeconds(2), Duration.ofSeconds(10), 0, 2, 16 << 20),
           backends,
           placer,
           new BlockedParts(timing, EventLog.NONE),
