Bound heads, interim responses and trailers of servers as a whole

A server that sends header lines, interim responses or trailers without end took memory of the node that had called it: the HTTP library bounds each line (16 KB) and their number (100) and so 1.6 MB for each connection, and interim responses not at all, so that they were read until the request's deadline. What went over a bound was reported as a lost connection, which counts as evidence that the prompt crashes engines.

A head with the interim responses before it, and what is read of a body's framing without any of the body (sizes of chunks, trailers), is now bounded to 64 KB each, and more than that is a malformed response.

--- /dev/null
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BoundedChunkDecoder.java
@@ -0,0 +1,115 @@
+package dev.apricotmill.adapters;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+import java.util.List;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A decoder of bodies that bounds what it reads without delivering any of the body: sizes of chunks
+ * with their extensions, and trailers.
+ *
+ * <p>The library bounds each line and the number of lines, but not all of them together.
+ */
+public final class BoundedChunkDecoder implements ContentDecoder {
+
+  private final ContentDecoder decoder;
+  private final SessionInputBuffer input;
+  private final CountingChannel channel;
+  private final int maximumBytes;
+  private long bytesWithoutBody;
+
+  private BoundedChunkDecoder(
+      ContentDecoder decoder, SessionInputBuffer input, CountingChannel channel, int maximumBytes) {
+    this.decoder = decoder;
+    this.input = input;
+    this.channel = channel;
+    this.maximumBytes = maximumBytes;
+  }
+
+  /** Creates a decoder of the library for a channel. */
+  @FunctionalInterface
+  public interface DecoderFactory {
+    /** Returns the decoder; null if the message has no body. */
+    @Nullable ContentDecoder create(ReadableByteChannel channel) throws HttpException;
+  }
+
+  /**
+   * Creates a decoder that bounds one of the library.
+   *
+   * @param source the channel of the connection
+   * @param input what was read of the channel already
+   * @param maximumBytes the bytes that may be read without any of the body
+   */
+  public static @Nullable ContentDecoder bound(
+      ReadableByteChannel source,
+      SessionInputBuffer input,
+      int maximumBytes,
+      DecoderFactory decoders)
+      throws HttpException {
+    CountingChannel channel = new CountingChannel(source);
+    ContentDecoder decoder = decoders.create(channel);
+    return decoder == null ? null : new BoundedChunkDecoder(decoder, input, channel, maximumBytes);
+  }
+
+  @Override
+  public int read(ByteBuffer target) throws IOException {
+    long readBefore = channel.bytesRead;
+    int bufferedBefore = input.length();
+    int bodyBytes = decoder.read(target);
+    if (bodyBytes > 0) {
+      bytesWithoutBody = 0;
+      return bodyBytes;
+    }
+    bytesWithoutBody += channel.bytesRead - readBefore + bufferedBefore - input.length();
+    if (bytesWithoutBody > maximumBytes) {
+      throw new MessageConstraintException(
+          "more than " + maximumBytes + " bytes without any of the body");
+    }
+    return bodyBytes;
+  }
+
+  @Override
+  public boolean isCompleted() {
+    return decoder.isCompleted();
+  }
+
+  @Override
+  public @Nullable List<? extends Header> getTrailers() {
+    return decoder.getTrailers();
+  }
+
+  /** Counts the bytes that are read of a channel. */
+  private static final class CountingChannel implements ReadableByteChannel {
+
+    private final ReadableByteChannel channel;
+    private long bytesRead;
+
+    CountingChannel(ReadableByteChannel channel) {
+      this.channel = channel;
+    }
+
+    @Override
+    public int read(ByteBuffer target) throws IOException {
+      int count = channel.read(target);
+      bytesRead += Math.max(0, count);
+      return count;
+    }
+
+    @Override
+    public boolean isOpen() {
+      return channel.isOpen();
+    }
+
+    @Override
+    public void close() throws IOException {
+      channel.close();
+    }
+  }
+}
--- a/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
@@ -12,6 +12,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
@@ -208,10 +209,13 @@
 
   @Override
   public final void failed(Exception cause) {
-    abort(
-        cause instanceof HttpException && !(cause instanceof ConnectionClosedException)
-            ? ExchangeFailure.MALFORMED
-            : ExchangeFailure.CONNECTION_LOST);
+    abort(isMalformed(cause) ? ExchangeFailure.MALFORMED : ExchangeFailure.CONNECTION_LOST);
+  }
+
+  /** A peer that sends too much has not ended: this must not look like a crash. */
+  private static boolean isMalformed(Exception cause) {
+    return cause instanceof MessageConstraintException
+        || (cause instanceof HttpException && !(cause instanceof ConnectionClosedException));
   }
 
   @Override
--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
@@ -9,14 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
-import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandlerFactory;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
@@ -41,6 +35,9 @@
   private static final int MAXIMUM_LINE_BYTES = 16 * 1024;
   private static final int MAXIMUM_HEADERS = 100;
 
+  /** The size of a head with the interim responses before it, and of trailers. */
+  private static final int MAXIMUM_HEAD_BYTES = 64 << 10;
+
   private final HttpAsyncRequester requester;
   private final HttpClientSettings settings;
   private final Timing timing;
@@ -61,8 +58,7 @@
     HttpAsyncRequester requester =
         new HttpAsyncRequester(
             reactorConfig(settings),
-            new ClientHttp1IOEventHandlerFactory(
-                connectionFactory(), /* tlsStrategy= */ null, /* handshakeTimeout= */ null),
+            new BoundedClientHandlerFactory(requestProcessor(), http1Config(), MAXIMUM_HEAD_BYTES),
             /* ioSessionDecorator= */ null,
             /* exceptionCallback= */ null,
             new IdleTimeoutRemover(),
@@ -85,18 +81,6 @@
         .build();
   }
 
-  private static ClientHttp1StreamDuplexerFactory connectionFactory() {
-    Http1Config config = http1Config();
-    return new ClientHttp1StreamDuplexerFactory(
-        requestProcessor(),
-        config,
-        CharCodingConfig.DEFAULT,
-        DefaultConnectionReuseStrategy.INSTANCE,
-        CompleteHeadParser.factory(new DefaultHttpResponseParserFactory(config)),
-        DefaultHttpRequestWriterFactory.INSTANCE,
-        /* streamListener= */ null);
-  }
-
   private static LaxConnPool<HttpHost, IOSession> connectionPool(HttpClientSettings settings) {
     return new LaxConnPool<>(
         settings.connectionsPerPeer(),
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
@@ -48,6 +48,9 @@
   private static final int MAX_HEADER_COUNT = 100;
   private static final int INITIAL_WINDOW_BYTES = 64 << 10;
 
+  /** Leaves the exact check to {@link RequestHeadCheck}, which does not count the framing. */
+  private static final int HEAD_BYTES_PER_HEADER_BYTE = 2;
+
   private final Http1Config config;
   private final NHttpMessageParserFactory<HttpRequest> parserFactory;
   private final HttpProcessor processor =
@@ -77,7 +80,10 @@
       int threads)
       throws IOException {
     config = config(limits);
-    parserFactory = CompleteHeadParser.factory(new DefaultHttpRequestParserFactory(config));
+    parserFactory =
+        CompleteHeadParser.factory(
+            new DefaultHttpRequestParserFactory(config),
+            HEAD_BYTES_PER_HEADER_BYTE * limits.maximumHeaderBytes());
     budget = new BufferBudget(limits.maximumBufferedBytes());
     connections = new ConnectionTable(limits, timing);
     workers =
