--- a/adapters/src/main/java/dev/apricotmill/adapters/BoundedChunkDecoder.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BoundedChunkDecoder.java
@@ -19,6 +19,9 @@
  */
 public final class BoundedChunkDecoder implements ContentDecoder {
 
+  /** A chunk of one byte takes six bytes; anything beyond that is not a proportion of the body. */
+  private static final int MAXIMUM_FRAMING_PER_BODY_BYTE = 16;
+
   private final ContentDecoder decoder;
   private final SessionInputBuffer input;
   private final CountingChannel channel;
@@ -60,14 +63,15 @@
 
   @Override
   public int read(ByteBuffer target) throws IOException {
-    long readBefore = channel.bytesRead;
     int bufferedBefore = input.length();
+    channel.startRead(maximumBytes);
     int bodyBytes = decoder.read(target);
-    if (bodyBytes > 0) {
-      bytesWithoutBody = 0;
-      return bodyBytes;
-    }
-    bytesWithoutBody += channel.bytesRead - readBefore + bufferedBefore - input.length();
+    long framingBytes =
+        bufferedBefore
+            + channel.bytesRead()
+            - input.length()
+            - (long) MAXIMUM_FRAMING_PER_BODY_BYTE * Math.max(0, bodyBytes);
+    bytesWithoutBody = Math.max(0, framingBytes) + (bodyBytes > 0 ? 0 : bytesWithoutBody);
     if (bytesWithoutBody > maximumBytes) {
       throw new MessageConstraintException(
           "more than " + maximumBytes + " bytes without any of the body");
@@ -85,18 +89,32 @@
     return decoder.getTrailers();
   }
 
-  /** Counts the bytes that are read of a channel. */
+  /** Counts the bytes of one read, and provides no more of them than the maximum. */
   private static final class CountingChannel implements ReadableByteChannel {
 
     private final ReadableByteChannel channel;
-    private long bytesRead;
+    private int maximumBytes;
+    private int bytesRead;
 
     CountingChannel(ReadableByteChannel channel) {
       this.channel = channel;
     }
 
+    void startRead(int newMaximumBytes) {
+      maximumBytes = newMaximumBytes;
+      bytesRead = 0;
+    }
+
+    /** Returns the bytes since {@link #startRead}. */
+    int bytesRead() {
+      return bytesRead;
+    }
+
     @Override
     public int read(ByteBuffer target) throws IOException {
+      if (bytesRead >= maximumBytes) {
+        return 0;
+      }
       int count = channel.read(target);
       bytesRead += Math.max(0, count);
       return count;
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.daemon.http;
 
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import dev.apricotmill.adapters.BoundedChunkDecoder;
 import dev.apricotmill.adapters.CompleteHeadParser;
 import dev.apricotmill.coordination.memory.BufferBudget;
 import dev.apricotmill.coordination.time.Timing;
@@ -9,23 +10,29 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.channels.ReadableByteChannel;
 import java.time.Duration;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandlerFactory;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.apache.hc.core5.http.nio.NHttpMessageParserFactory;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -34,16 +41,16 @@
 import org.apache.hc.core5.http.protocol.ResponseContent;
 import org.apache.hc.core5.http.protocol.ResponseDate;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
-import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.Timeout;
 
 /** An HTTP/1.1 server on one address. */
 public final class HttpListener implements AutoCloseable {
 
   private static final Logger LOGGER = System.getLogger(HttpListener.class.getName());
-  private static final Timeout TLS_TIMEOUT = Timeout.ofSeconds(10);
   private static final int SWEEPS_PER_IDLE_TIMEOUT = 2;
   private static final int MAX_HEADER_COUNT = 100;
   private static final int INITIAL_WINDOW_BYTES = 64 << 10;
@@ -158,9 +165,7 @@
             .setSelectInterval(Timeout.ofMilliseconds(100))
             .build();
     return new HttpAsyncServer(
-        (session, attachment) ->
-            new ServerHttp1IOEventHandlerFactory(duplexerFactory(session), null, TLS_TIMEOUT)
-                .createHandler(session, attachment),
+        (session, attachment) -> newConnection(session),
         reactorConfig,
         null,
         failure ->
@@ -172,20 +177,44 @@
         null);
   }
 
-  private ServerHttp1StreamDuplexerFactory duplexerFactory(IOSession session) {
-    SocketAddress remote = session.getRemoteAddress();
-    return new ServerHttp1StreamDuplexerFactory(
-        processor,
-        this::newExchange,
-        config,
-        CharCodingConfig.DEFAULT,
-        DefaultConnectionReuseStrategy.INSTANCE,
-        () ->
-            new TolerantRequestParser(
-                parserFactory.create(), () -> connections.onEndOfInput(remote)),
-        DefaultHttpResponseWriterFactory.INSTANCE,
-        null,
-        failure -> LOGGER.log(Level.DEBUG, "http: connection failed: {0}", failure.toString()));
+  private IOEventHandler newConnection(ProtocolIOSession session) {
+    return new ServerHttp1IOEventHandler(new BoundedDuplexer(session));
+  }
+
+  /** A connection that reads trailers of bounded size. */
+  private final class BoundedDuplexer extends ServerHttp1StreamDuplexer {
+
+    BoundedDuplexer(ProtocolIOSession session) {
+      super(
+          session,
+          processor,
+          HttpListener.this::newExchange,
+          URIScheme.HTTP.id,
+          config,
+          CharCodingConfig.DEFAULT,
+          DefaultConnectionReuseStrategy.INSTANCE,
+          new TolerantRequestParser(
+              parserFactory.create(), () -> connections.onEndOfInput(session.getRemoteAddress())),
+          DefaultHttpResponseWriterFactory.INSTANCE.create(),
+          DefaultContentLengthStrategy.INSTANCE,
+          DefaultContentLengthStrategy.INSTANCE,
+          /* streamListener= */ null,
+          failure -> LOGGER.log(Level.DEBUG, "http: connection failed: {0}", failure.toString()));
+    }
+
+    @Override
+    protected ContentDecoder createContentDecoder(
+        long length,
+        ReadableByteChannel channel,
+        SessionInputBuffer input,
+        BasicHttpTransportMetrics metrics)
+        throws HttpException {
+      return BoundedChunkDecoder.bound(
+          channel,
+          input,
+          HEAD_BYTES_PER_HEADER_BYTE * environment.limits().maximumHeaderBytes(),
+          counted -> super.createContentDecoder(length, counted, input, metrics));
+    }
   }
 
   private static Http1Config config(ServerLimits limits) {
--- a/daemon/src/test/java/dev/apricotmill/daemon/http/HttpListenerTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/http/HttpListenerTest.java
@@ -81,6 +81,29 @@
         postHead("transfer-encoding: chunked") + chunk.repeat(5), "413", "body-too-large");
   }
 
+  /** Guards against callers that use up memory with trailers, each of which is within its limit. */
+  @Test
+  void trailersThatTogetherExceedTheLimitReachNoHandler() throws Exception {
+    StringBuilder trailers = new StringBuilder();
+    for (int i = 0; i < 60; i++) {
+      trailers.append("x-").append(i).append(": ").append("a".repeat(1000)).append("\r\n");
+    }
+    try (RawConnection connection = callers.connect()) {
+      connection.send(
+          postHead("transfer-encoding: chunked")
+              + Integer.toHexString(BODY.length())
+              + "\r\n"
+              + BODY
+              + "\r\n0\r\n"
+              + trailers
+              + "\r\n");
+      Eventually.holds(() -> callers.listener().connectionCount() == 0);
+    }
+    assertThat(callers.node().generations()).isEmpty();
+    Eventually.holds(() -> callers.listener().bufferedBytes() == 0);
+    assertServes();
+  }
+
   @Test
   void aTruncatedBodyReachesNoHandlerAndHoldsNoMemory() throws Exception {
     try (RawConnection connection = callers.connect()) {
