Bound the incomplete messages of all peers' connections together

A faulty peer could make a node hold 128 MB of messages that never end on each of up to 1,024 connections, and one message could have 24 MB, where the node's heap has 128 MB.

The limit on incomplete messages now holds for all connections of a client or a server together; a connection that exceeds it is closed, and what it had buffered is freed.

InnerServerTest.incompleteMessagesOfAllConnectionsTogetherAreBounded fails with the limit taken for each connection alone, as before: the second connection then stays open until it is idle for too long.

--- a/protocol/src/main/java/dev/apricotmill/protocol/ClientConnection.java
+++ b/protocol/src/main/java/dev/apricotmill/protocol/ClientConnection.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** The client side of a connection. Its state is confined to the channel's event loop. */
 final class ClientConnection extends Connection {
@@ -23,8 +24,13 @@
   private long lastStreamId;
   private boolean closed;
 
-  ClientConnection(String daemonName, TransportLimits limits, EventLoop loop, Runnable onClosed) {
-    super(daemonName, limits);
+  ClientConnection(
+      String daemonName,
+      TransportLimits limits,
+      AtomicLong incompleteBytes,
+      EventLoop loop,
+      Runnable onClosed) {
+    super(daemonName, limits, incompleteBytes);
     this.loop = loop;
     this.onClosed = onClosed;
   }
--- a/protocol/src/main/java/dev/apricotmill/protocol/Connection.java
+++ b/protocol/src/main/java/dev/apricotmill/protocol/Connection.java
@@ -12,6 +12,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 
 /** The part common to both sides of a connection: hello, keep-alives, and closing on any fault. */
@@ -30,10 +31,10 @@
   private boolean helloReceived;
   private boolean faultLogged;
 
-  Connection(String daemonName, TransportLimits limits) {
+  Connection(String daemonName, TransportLimits limits, AtomicLong incompleteBytes) {
     this.daemonName = daemonName;
     this.limits = limits;
-    assembly = new MessageAssembly(limits);
+    assembly = new MessageAssembly(limits, incompleteBytes);
   }
 
   /** Called once the peer's hello has been accepted. */
@@ -134,6 +135,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext handlerContext) {
+    assembly.discardAll();
     onClosed();
     handlerContext.fireChannelInactive();
   }
--- a/protocol/src/main/java/dev/apricotmill/protocol/InnerClient.java
+++ b/protocol/src/main/java/dev/apricotmill/protocol/InnerClient.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Opens streams to other daemons over one connection per peer, which is opened on demand and
@@ -22,6 +23,7 @@
   private final TransportLimits limits;
   private final TransportSecurity security;
   private final EventLoopGroup group;
+  private final AtomicLong incompleteBytes = new AtomicLong();
   private final ConcurrentHashMap<InetSocketAddress, ClientConnection> connections =
       new ConcurrentHashMap<>();
 
@@ -49,7 +51,8 @@
     EventLoop loop = group.next();
     ClientConnection[] self = new ClientConnection[1];
     ClientConnection connection =
-        new ClientConnection(daemonName, limits, loop, () -> connections.remove(peer, self[0]));
+        new ClientConnection(
+            daemonName, limits, incompleteBytes, loop, () -> connections.remove(peer, self[0]));
     self[0] = connection;
     loop.execute(() -> startConnecting(peer, loop, connection));
     return connection;
--- a/protocol/src/main/java/dev/apricotmill/protocol/InnerServer.java
+++ b/protocol/src/main/java/dev/apricotmill/protocol/InnerServer.java
@@ -14,6 +14,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 
 /** Accepts connections from other daemons and passes their requests to a {@link StreamAcceptor}. */
@@ -25,6 +26,7 @@
   private final TransportLimits limits;
   private final TransportSecurity security;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final AtomicLong incompleteBytes = new AtomicLong();
   private final AtomicReference<StreamAcceptor> acceptor;
   private final Channel listener;
 
@@ -64,6 +66,11 @@
     return connections.size();
   }
 
+  /** Returns the bytes that are buffered for incomplete messages of all connections. */
+  public long incompleteBytes() {
+    return incompleteBytes.get();
+  }
+
   @Override
   public void close() {
     listener.close().awaitUninterruptibly();
@@ -104,6 +111,7 @@
     ConnectionPipeline.build(
         channel.pipeline(),
         limits,
-        new ServerConnection(daemonName, limits, channel.eventLoop(), acceptor::get));
+        new ServerConnection(
+            daemonName, limits, incompleteBytes, channel.eventLoop(), acceptor::get));
   }
 }
--- a/protocol/src/main/java/dev/apricotmill/protocol/MessageAssembly.java
+++ b/protocol/src/main/java/dev/apricotmill/protocol/MessageAssembly.java
@@ -5,20 +5,28 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Joins the parts of a connection's streams into messages, with a size limit for each and for all.
+ * Joins the parts of a connection's streams into messages, with a size limit for each, and for all
+ * incomplete ones of the connections that share the limit.
  */
 final class MessageAssembly {
 
   private final int maximumMessageBytes;
   private final int maximumIncompleteBytes;
   private final Map<Long, ByteString> incompleteMessages = new HashMap<>();
-  private long incompleteBytes;
+  private final AtomicLong incompleteBytes;
 
-  MessageAssembly(TransportLimits limits) {
+  /**
+   * Creates the assembly of one connection.
+   *
+   * @param incompleteBytes the bytes of the incomplete messages of all connections
+   */
+  MessageAssembly(TransportLimits limits, AtomicLong incompleteBytes) {
     maximumMessageBytes = limits.maximumMessageBytes();
     maximumIncompleteBytes = limits.maximumIncompleteBytes();
+    this.incompleteBytes = incompleteBytes;
   }
 
   /** Adds a part; returns the complete message if this was its last part. */
@@ -34,9 +42,9 @@
       return Optional.of(joined);
     }
     incompleteMessages.put(streamId, joined);
-    incompleteBytes += part.getData().size();
-    if (incompleteBytes > maximumIncompleteBytes) {
-      throw new OversizedMessageException(incompleteBytes, maximumIncompleteBytes);
+    long incomplete = incompleteBytes.addAndGet(part.getData().size());
+    if (incomplete > maximumIncompleteBytes) {
+      throw new OversizedMessageException(incomplete, maximumIncompleteBytes);
     }
     return Optional.empty();
   }
@@ -45,12 +53,13 @@
   void discard(long streamId) {
     ByteString dropped = incompleteMessages.remove(streamId);
     if (dropped != null) {
-      incompleteBytes -= dropped.size();
+      incompleteBytes.addAndGet(-dropped.size());
     }
   }
 
-  /** Returns the bytes buffered for incomplete messages. */
-  long incompleteBytes() {
-    return incompleteBytes;
+  /** Drops the incomplete messages of all streams of the connection. */
+  void discardAll() {
+    incompleteMessages.values().forEach(dropped -> incompleteBytes.addAndGet(-dropped.size()));
+    incompleteMessages.clear();
   }
 }
--- a/protocol/src/main/java/dev/apricotmill/protocol/ServerConnection.java
+++ b/protocol/src/main/java/dev/apricotmill/protocol/ServerConnection.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -28,9 +29,10 @@
   ServerConnection(
       String daemonName,
       TransportLimits limits,
+      AtomicLong incompleteBytes,
       EventLoop loop,
       Supplier<StreamAcceptor> acceptor) {
-    super(daemonName, limits);
+    super(daemonName, limits, incompleteBytes);
     this.loop = loop;
     this.acceptor = acceptor;
   }
--- a/protocol/src/main/java/dev/apricotmill/protocol/TransportLimits.java
+++ b/protocol/src/main/java/dev/apricotmill/protocol/TransportLimits.java
@@ -7,8 +7,8 @@
  *
  * @param maximumFrameBytes size limit of a frame
  * @param maximumMessageBytes size limit of a message after its parts are joined
- * @param maximumIncompleteBytes limit on the bytes that a connection buffers for incomplete
- *     messages
+ * @param maximumIncompleteBytes limit on the bytes that all connections of a client, or of a
+ *     server, buffer together for incomplete messages
  * @param maximumStreams limit on the open streams of a connection
  * @param maximumConnections limit on the open connections of a server
  * @param keepAliveInterval write idle time after which a keep-alive frame is sent
@@ -26,6 +26,8 @@
     Duration connectTimeout) {
 
   private static final int FRAME_OVERHEAD_BYTES = 64;
+  private static final int HEAP_PER_MESSAGE = 16;
+  private static final int HEAP_PER_INCOMPLETE_BYTES = 8;
 
   /** Limits that fit prompts of a million tokens. */
   public static final TransportLimits DEFAULT =
@@ -39,6 +41,19 @@
           Duration.ofSeconds(4),
           Duration.ofSeconds(1));
 
+  /** Returns these limits with sizes of messages that fit into a heap of {@code heapBytes}. */
+  public TransportLimits withinHeap(long heapBytes) {
+    return new TransportLimits(
+        maximumFrameBytes,
+        (int) Math.min(maximumMessageBytes, heapBytes / HEAP_PER_MESSAGE),
+        (int) Math.min(maximumIncompleteBytes, heapBytes / HEAP_PER_INCOMPLETE_BYTES),
+        maximumStreams,
+        maximumConnections,
+        keepAliveInterval,
+        readIdleTimeout,
+        connectTimeout);
+  }
+
   /** Returns the maximum number of message bytes in one part. */
   public int maximumPartBytes() {
     return maximumFrameBytes - FRAME_OVERHEAD_BYTES;
--- a/protocol/src/test/java/dev/apricotmill/protocol/InnerServerTest.java
+++ b/protocol/src/test/java/dev/apricotmill/protocol/InnerServerTest.java
@@ -118,6 +118,38 @@
     assertServes("after");
   }
 
+  /** Guards against peers that use up memory with messages that never end, on many connections. */
+  @Test
+  void incompleteMessagesOfAllConnectionsTogetherAreBounded() throws Exception {
+    Frame[] withinLimit = new Frame[1 + 3 * 10];
+    withinLimit[0] = HELLO;
+    for (int i = 1; i < withinLimit.length; i++) {
+      withinLimit[i] = part(1 + (i - 1) / 10, new byte[3000], false);
+    }
+    try (Socket first = connect();
+        Socket second = connect()) {
+      write(first, withinLimit);
+      awaitIncompleteBytes(90_000);
+
+      write(second, withinLimit);
+
+      long writtenNanos = System.nanoTime();
+      assertThat(readsToEnd(second)).isTrue();
+      // An idle connection is closed as well, but later.
+      assertThat(Duration.ofNanos(System.nanoTime() - writtenNanos))
+          .isLessThan(LIMITS.readIdleTimeout().dividedBy(2));
+      awaitIncompleteBytes(90_000);
+      assertServes("after");
+    }
+    awaitIncompleteBytes(0);
+  }
+
+  private void awaitIncompleteBytes(long bytes) throws InterruptedException {
+    while (server.incompleteBytes() != bytes) {
+      Thread.sleep(1);
+    }
+  }
+
   @Test
   void aStreamIdBelowAnEarlierOneIsRefused() throws Exception {
     assertClosedAfter(HELLO, part(7, new byte[1], false), part(6, new byte[1], false));
