Bound the bodies that the HTTP client buffers whole together

A store that sent bodies without end could use up the heap: each response is bounded to 4 MB, and lists, watches and writes of several kinds are open at a time, each in a growing buffer that takes up to three times its bytes.

Bodies are kept in the chunks in which they came.

--- a/adapters/src/main/java/dev/apricotmill/adapters/BufferedExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BufferedExchange.java
@@ -1,7 +1,8 @@
 package dev.apricotmill.adapters;
 
 import dev.apricotmill.coordination.membership.PeerAddress;
-import java.io.ByteArrayOutputStream;
+import dev.apricotmill.coordination.memory.BufferBudget;
+import dev.apricotmill.coordination.memory.ChunkBuffer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
@@ -9,17 +10,24 @@
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.jspecify.annotations.Nullable;
 
-/** An exchange that buffers the complete response body, up to a size limit. */
+/** An exchange that buffers the complete response body, up to its own limit and that of all. */
 final class BufferedExchange extends ClientExchange {
 
   private final int maximumBytes;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final BufferBudget.Account account;
+  private final ChunkBuffer body = new ChunkBuffer();
   private final CompletableFuture<ExchangeResult> result = new CompletableFuture<>();
   private volatile @Nullable HttpResponse head;
 
-  BufferedExchange(PeerAddress peer, HttpCall call, int maximumBytes) {
+  /**
+   * Creates an exchange.
+   *
+   * @param buffers the memory for the bodies of all exchanges
+   */
+  BufferedExchange(PeerAddress peer, HttpCall call, int maximumBytes, BufferBudget buffers) {
     super(peer, call);
     this.maximumBytes = maximumBytes;
+    account = buffers.openRevocable(() -> abort(ExchangeFailure.OVERSIZE));
   }
 
   CompletableFuture<ExchangeResult> result() {
@@ -39,17 +47,18 @@
   @Override
   public void consume(ByteBuffer source) {
     onProgress();
-    if (body.size() + source.remaining() > maximumBytes) {
+    if (body.size() + source.remaining() > maximumBytes || !account.reserve(source.remaining())) {
       abort(ExchangeFailure.OVERSIZE);
       return;
     }
     byte[] bytes = new byte[source.remaining()];
     source.get(bytes);
-    body.writeBytes(bytes);
+    body.add(bytes);
   }
 
   @Override
   void onComplete() {
+    account.close();
     HttpResponse response = head;
     result.complete(
         response == null
@@ -59,6 +68,7 @@
 
   @Override
   void onFailure(boolean sent, ExchangeFailure failure) {
+    account.close();
     boolean incomplete = failure == ExchangeFailure.TIMEOUT && head != null;
     ExchangeFailure reported = incomplete ? ExchangeFailure.INCOMPLETE : failure;
     result.complete(
--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.adapters;
 
 import dev.apricotmill.coordination.membership.PeerAddress;
+import dev.apricotmill.coordination.memory.BufferBudget;
 import dev.apricotmill.coordination.time.ResponseLimits;
 import dev.apricotmill.coordination.time.ResponseTimer;
 import dev.apricotmill.coordination.time.Timing;
@@ -40,11 +41,13 @@
 
   private final HttpAsyncRequester requester;
   private final HttpClientSettings settings;
+  private final BufferBudget buffers;
   private final Timing timing;
 
   private HttpClients(HttpAsyncRequester requester, HttpClientSettings settings, Timing timing) {
     this.requester = requester;
     this.settings = settings;
+    buffers = new BufferBudget(settings.maximumBufferedBytes());
     this.timing = timing;
   }
 
@@ -123,7 +126,7 @@
   /** Sends a request as above, with limits that tell a large response from a stalled one. */
   public CompletableFuture<ExchangeResult> send(
       PeerAddress peer, HttpCall call, int maximumBytes, ResponseLimits limits) {
-    BufferedExchange exchange = new BufferedExchange(peer, call, maximumBytes);
+    BufferedExchange exchange = new BufferedExchange(peer, call, maximumBytes, buffers);
     start(exchange, limits);
     return exchange.result();
   }
--- a/adapters/src/test/java/dev/apricotmill/adapters/EndlessResponseTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/EndlessResponseTest.java
@@ -11,6 +11,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.apache.hc.core5.http.HttpResponse;
 import org.junit.jupiter.api.AfterEach;
@@ -28,10 +30,12 @@
   private static final int MAX_WRITTEN_BYTES = 256 << 10;
 
   private static final int GIVE_UP_BYTES = 4 << 20;
+  private static final int BUFFER_BYTES = 1 << 20;
+  private static final HttpClientSettings SMALL_BUFFERS =
+      new HttpClientSettings(1, 8, 16, Duration.ofSeconds(10), Duration.ofMinutes(1), BUFFER_BYTES);
   private static final String LONG_LINE = "X-Long: " + "x".repeat(4_000) + "\r\n";
 
   private final AdapterFixture fixture = new AdapterFixture();
-  private final CompletableFuture<Integer> written = new CompletableFuture<>();
 
   @AfterEach
   void close() throws IOException {
@@ -65,30 +69,60 @@
 
   @Test
   void bytesWithoutEndAfterAResponseCloseTheConnection() throws Exception {
+    CompletableFuture<Integer> written = new CompletableFuture<>();
     CompletableFuture<ExchangeFailure> outcome =
-        request("HTTP/1.1 204 No Content\r\n\r\n", "x".repeat(4_000));
+        request("HTTP/1.1 204 No Content\r\n\r\n", "x".repeat(4_000), written);
 
     assertThat(AdapterFixture.await(written)).isAtMost(MAX_WRITTEN_BYTES);
     assertThat(outcome.isCompletedExceptionally()).isFalse();
   }
 
+  /** Guards against bodies that are each within their limit and together use up the memory. */
+  @Test
+  void bodiesWithoutEndAreBoundedTogether() throws Exception {
+    List<CompletableFuture<ExchangeResult>> results = new ArrayList<>();
+    List<CompletableFuture<Integer>> allWritten = new ArrayList<>();
+    try (HttpClients clients = HttpClients.start(SMALL_BUFFERS, fixture.timing())) {
+      for (int i = 0; i < 8; i++) {
+        CompletableFuture<Integer> written = new CompletableFuture<>();
+        allWritten.add(written);
+        PeerAddress server =
+            serve("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x".repeat(4_000), written);
+        results.add(clients.send(server, GET, GIVE_UP_BYTES, Duration.ofMinutes(1)));
+      }
+
+      for (CompletableFuture<ExchangeResult> result : results) {
+        assertThat(AdapterFixture.await(result))
+            .isEqualTo(new ExchangeResult.Interrupted(ExchangeFailure.OVERSIZE));
+      }
+      int sum = 0;
+      for (CompletableFuture<Integer> written : allWritten) {
+        sum += AdapterFixture.await(written);
+      }
+      // One after the other is given up as the largest, and the last one takes all of the memory.
+      assertThat(sum).isAtMost(3 * BUFFER_BYTES + 8 * MAX_WRITTEN_BYTES);
+    }
+  }
+
   private void assertGivenUp(String start, String repeated) throws Exception {
-    CompletableFuture<ExchangeFailure> outcome = request(start, repeated);
+    CompletableFuture<Integer> written = new CompletableFuture<>();
+    CompletableFuture<ExchangeFailure> outcome = request(start, repeated, written);
 
     assertThat(AdapterFixture.await(outcome)).isEqualTo(ExchangeFailure.MALFORMED);
     assertThat(AdapterFixture.await(written)).isAtMost(MAX_WRITTEN_BYTES);
   }
 
-  private CompletableFuture<ExchangeFailure> request(String start, String repeated)
-      throws IOException {
+  private CompletableFuture<ExchangeFailure> request(
+      String start, String repeated, CompletableFuture<Integer> written) throws IOException {
     CompletableFuture<ExchangeFailure> outcome = new CompletableFuture<>();
     fixture.clients().stream(
-        serve(start, repeated), GET, new FailureListener(outcome), Duration.ofMinutes(1));
+        serve(start, repeated, written), GET, new FailureListener(outcome), Duration.ofMinutes(1));
     return outcome;
   }
 
   /** Serves one request with {@code start} and then {@code repeated} until the client closes. */
-  private PeerAddress serve(String start, String repeated) throws IOException {
+  private PeerAddress serve(String start, String repeated, CompletableFuture<Integer> written)
+      throws IOException {
     InetAddress loopback = InetAddress.getLoopbackAddress();
     ServerSocket server = new ServerSocket(0, 1, loopback);
     fixture.closeAtEnd(server);
--- a/adapters/src/test/java/dev/apricotmill/adapters/StreamedExchangeTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/StreamedExchangeTest.java
@@ -31,7 +31,7 @@
   private final AdapterFixture fixture = new AdapterFixture();
   private final HttpClients clients =
       HttpClients.start(
-          new HttpClientSettings(1, 4, 8, Duration.ofSeconds(10), Duration.ofMinutes(1)),
+          new HttpClientSettings(1, 4, 8, Duration.ofSeconds(10), Duration.ofMinutes(1), 1 << 20),
           fixture.timing());
   private final AtomicLong bytesRead = new AtomicLong();
   private final AtomicBoolean complete = new AtomicBoolean();
--- a/node/src/main/java/dev/apricotmill/node/relay/ChunkBuffer.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/memory/ChunkBuffer.java
@@ -1,27 +1,27 @@
-package dev.apricotmill.node.relay;
+package dev.apricotmill.coordination.memory;
 
 import java.util.ArrayList;
 import java.util.List;
 
-/** Buffers chunks as they came, so that what it takes is known to the byte. */
-final class ChunkBuffer {
+/** Buffers chunks as they came, so that what it takes is known to the byte. Not thread-safe. */
+public final class ChunkBuffer {
 
   private final List<byte[]> chunks = new ArrayList<>();
   private int size;
 
   /** Adds a chunk, which must not be modified. */
-  void add(byte[] chunk) {
+  public void add(byte[] chunk) {
     chunks.add(chunk);
     size += chunk.length;
   }
 
   /** Returns the number of bytes. */
-  int size() {
+  public int size() {
     return size;
   }
 
   /** Returns all bytes in one array. */
-  byte[] toByteArray() {
+  public byte[] toByteArray() {
     byte[] bytes = new byte[size];
     int position = 0;
     for (byte[] chunk : chunks) {
@@ -32,7 +32,7 @@
   }
 
   /** Drops all bytes. */
-  void reset() {
+  public void reset() {
     chunks.clear();
     size = 0;
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.coordination.memory.BufferBudget;
+import dev.apricotmill.coordination.memory.ChunkBuffer;
 import dev.apricotmill.core.relay.Route;
 import java.time.Duration;
 import java.util.OptionalInt;
--- a/node/src/main/java/dev/apricotmill/node/relay/StandbyAttempt.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/StandbyAttempt.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.node.relay;
 
 import com.google.common.collect.ImmutableList;
+import dev.apricotmill.coordination.memory.ChunkBuffer;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.NotRunStatuses;
 import dev.apricotmill.core.relay.RelayRefusal;
