--- a/node/src/test/java/dev/apricotmill/node/relay/SilentServerTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/SilentServerTest.java
@@ -31,27 +31,21 @@
   @Test
   void aStreamOutlastsALongPassOfTheOnlyEngine() {
     relay.setServers(ScriptedServers.ofServices(1, RelayFixture.POOL));
-    RecordedCaller caller = relay.accept("/stream/1");
-    SentExchange engine = relay.last();
-    engine.head(200, false);
-    engine.body("id: 1\n\n");
+    OpenStream stream = begin(relay, "/stream/1");
 
     relay.time().advance(LONG_PASS);
 
-    assertStreamContinues(caller, engine);
+    stream.assertContinues();
     assertThat(relay.sent()).hasSize(1);
   }
 
   @Test
   void anAtMostOnceStreamOutlastsALongPass() {
-    RecordedCaller caller = relay.accept("/once/1");
-    SentExchange engine = relay.last();
-    engine.head(200, false);
-    engine.body("id: 1\n\n");
+    OpenStream stream = begin(relay, "/once/1");
 
     relay.time().advance(LONG_PASS);
 
-    assertStreamContinues(caller, engine);
+    stream.assertContinues();
     assertThat(relay.sent()).hasSize(1);
   }
 
@@ -66,15 +60,12 @@
     assertThat(engine.cancelled()).isFalse();
     engine.head(200, false);
     engine.body("id: 1\n\n");
-    assertStreamContinues(caller, engine);
+    new OpenStream(caller, engine).assertContinues();
   }
 
   @Test
   void aStreamOutlastsALongPassWhileAllOtherEnginesAreFull() {
-    RecordedCaller caller = relay.accept("/stream/1");
-    SentExchange engine = relay.last();
-    engine.head(200, false);
-    engine.body("id: 1\n\n");
+    OpenStream stream = begin(relay, "/stream/1");
     for (int i = 1; i < 3 * SLOTS; i++) {
       relay.accept("other" + i, "/stream/1", OptionalLong.empty());
       relay.last().head(200, false);
@@ -85,7 +76,7 @@
     for (int i = 2; i < 5; i++) {
       relay.time().advance(Duration.ofMillis(500));
       for (SentExchange other : relay.sent().subList(0, sentBefore)) {
-        if (other != engine) {
+        if (other != stream.engine()) {
           other.body("id: " + i + "\n\n");
         }
       }
@@ -93,30 +84,24 @@
     relay.time().advance(Duration.ofMillis(200));
 
     assertThat(relay.sent()).hasSize(sentBefore);
-    assertStreamContinues(caller, engine);
+    stream.assertContinues();
   }
 
   @Test
   void aStreamOutlastsALongPassWhileAllOtherEnginesDrain() {
-    RecordedCaller caller = relay.accept("/stream/1");
-    SentExchange engine = relay.last();
-    engine.head(200, false);
-    engine.body("id: 1\n\n");
-    relay.setServers(onlyReady(engine.request().server().id()));
+    OpenStream stream = begin(relay, "/stream/1");
+    relay.setServers(onlyReady(stream.engine().request().server().id()));
 
     relay.time().advance(LONG_PASS);
 
-    assertStreamContinues(caller, engine);
+    stream.assertContinues();
   }
 
   @Test
   void aStreamOutlastsALongPassWhileAllOtherEnginesArePaused() {
-    RecordedCaller caller = relay.accept("/stream/1");
-    SentExchange engine = relay.last();
-    engine.head(200, false);
-    engine.body("id: 1\n\n");
+    OpenStream stream = begin(relay, "/stream/1");
     ScriptedServers.ofServices(3, RelayFixture.POOL).values().stream()
-        .filter(server -> !server.id().equals(engine.request().server().id()))
+        .filter(server -> !server.id().equals(stream.engine().request().server().id()))
         .forEach(
             server ->
                 relay
@@ -126,30 +111,24 @@
 
     relay.time().advance(LONG_PASS);
 
-    assertStreamContinues(caller, engine);
+    stream.assertContinues();
     assertThat(relay.sent()).hasSize(1);
   }
 
   @Test
   void aStreamOutlastsALongPassWithoutARetryBudget() {
     RelayFixture withoutBudget = new RelayFixture(0);
-    RecordedCaller caller = withoutBudget.accept("/stream/1");
-    SentExchange engine = withoutBudget.last();
-    engine.head(200, false);
-    engine.body("id: 1\n\n");
+    OpenStream stream = begin(withoutBudget, "/stream/1");
 
     withoutBudget.time().advance(LONG_PASS);
 
-    assertStreamContinues(caller, engine);
+    stream.assertContinues();
   }
 
   @Test
   void aStreamOutlastsALongPassDuringAPlannedStop() {
     relay.setServers(ScriptedServers.ofServices(1, RelayFixture.POOL));
-    RecordedCaller caller = relay.accept("/stream/1");
-    SentExchange engine = relay.last();
-    engine.head(200, false);
-    engine.body("id: 1\n\n");
+    OpenStream stream = begin(relay, "/stream/1");
     relay.node().beginStop(GRACE);
 
     for (int i = 0; i < 22; i++) {
@@ -157,16 +136,13 @@
       relay.time().advance(Duration.ofMillis(100));
     }
 
-    assertStreamContinues(caller, engine);
+    stream.assertContinues();
   }
 
   @Test
   void aStreamOutlastsALongPassDuringAChangeOfTheConfiguration() {
     relay.setServers(ScriptedServers.ofServices(1, RelayFixture.POOL));
-    RecordedCaller caller = relay.accept("/stream/1");
-    SentExchange engine = relay.last();
-    engine.head(200, false);
-    engine.body("id: 1\n\n");
+    OpenStream stream = begin(relay, "/stream/1");
 
     for (int i = 2; i < 13; i++) {
       int version = i;
@@ -179,17 +155,14 @@
       relay.time().advance(Duration.ofMillis(200));
     }
 
-    assertStreamContinues(caller, engine);
+    stream.assertContinues();
   }
 
   @Test
   void aStreamIsNotLostIfTheServerThatWasTriedInsteadRefusesIt() {
     for (boolean notRun : new boolean[] {true, false}) {
       RelayFixture fixture = new RelayFixture(RETRY_RESERVE);
-      RecordedCaller caller = fixture.accept("/stream/1");
-      SentExchange engine = fixture.last();
-      engine.head(200, false);
-      engine.body("id: 1\n\n");
+      OpenStream stream = begin(fixture, "/stream/1");
       fixture.time().advance(Duration.ofMillis(1_600));
       assertThat(fixture.sent()).hasSize(2);
 
@@ -197,7 +170,7 @@
       fixture.last().end();
       fixture.time().advance(Duration.ofMillis(600));
 
-      assertStreamContinues(caller, engine);
+      stream.assertContinues();
     }
   }
 
@@ -205,16 +178,13 @@
   void aStreamIsNotLostIfTheServerThatWasTriedInsteadFails() {
     for (boolean maybeSent : new boolean[] {true, false}) {
       RelayFixture fixture = new RelayFixture(RETRY_RESERVE);
-      RecordedCaller caller = fixture.accept("/stream/1");
-      SentExchange engine = fixture.last();
-      engine.head(200, false);
-      engine.body("id: 1\n\n");
+      OpenStream stream = begin(fixture, "/stream/1");
       fixture.time().advance(Duration.ofMillis(1_600));
       assertThat(fixture.sent()).hasSize(2);
 
       fixture.last().fail(maybeSent);
 
-      assertStreamContinues(caller, engine);
+      stream.assertContinues();
     }
   }
 
@@ -318,13 +288,26 @@
     assertThat(relay.placedCount()).isEqualTo(0);
   }
 
-  private static void assertStreamContinues(RecordedCaller caller, SentExchange engine) {
-    assertThat(engine.cancelled()).isFalse();
-    assertThat(caller.aborted()).isFalse();
-    engine.body("id: 2\n\n");
-    engine.end();
-    assertThat(caller.body()).isEqualTo("id: 1\n\nid: 2\n\n");
-    assertThat(caller.ended()).isTrue();
+  /** A stream of which one event was passed on. */
+  private record OpenStream(RecordedCaller caller, SentExchange engine) {
+
+    /** Writes the rest of the stream, which must arrive. */
+    void assertContinues() {
+      assertThat(engine.cancelled()).isFalse();
+      assertThat(caller.aborted()).isFalse();
+      engine.body("id: 2\n\n");
+      engine.end();
+      assertThat(caller.body()).isEqualTo("id: 1\n\nid: 2\n\n");
+      assertThat(caller.ended()).isTrue();
+    }
+  }
+
+  private static OpenStream begin(RelayFixture fixture, String path) {
+    RecordedCaller caller = fixture.accept(path);
+    SentExchange engine = fixture.last();
+    engine.head(200, false);
+    engine.body("id: 1\n\n");
+    return new OpenStream(caller, engine);
   }
 
   /** Returns the list of servers while all but one drain. */
