--- a/protocol/src/test/java/dev/apricotmill/protocol/InnerServerTest.java
+++ b/protocol/src/test/java/dev/apricotmill/protocol/InnerServerTest.java
@@ -144,9 +144,9 @@
     awaitIncompleteBytes(0);
   }
 
-  private void awaitIncompleteBytes(long bytes) throws InterruptedException {
+  private void awaitIncompleteBytes(long bytes) {
     while (server.incompleteBytes() != bytes) {
-      Thread.sleep(1);
+      Thread.onSpinWait();
     }
   }
 
