--- a/node/src/main/java/dev/apricotmill/node/relay/CallLog.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CallLog.java
@@ -39,6 +39,7 @@
         request,
         ImmutableMap.of(
             "server", lastServer,
+            "address", server.address().toString(),
             "service", service.value(),
             "helpers", helpers.stream().map(helper -> helper.address().toString()).toList(),
             "send", attemptNumber,
