Let no response be completed by the response to the next request

Callers got a success where their server had answered a failure (MIXED). A server that answers twice may break the second response off within its head. The HTTP library fails a connection for a whole response that no request waits for, but keeps the begin of one in its buffer, and the connection went back to the pool. The response to the next request then completed that begin: status of the one, identifier, seal and body of the other. The check of the identifier, which every response has to pass, cannot see this.

A connection is now closed when any byte comes while no exchange is open, and is not used again if bytes follow a complete response in the buffer. Bytes that are still on their way when the next request is written cannot be told by time; so a head that contains a status line after its begin is malformed, wherever it stands. For that the client leases the connections of the library's pool itself (LeasedConnection), which knows when an exchange begins and ends. All users of the client share it: servers, the platform's store, engines and plain services.

--- /dev/null
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandler.java
@@ -0,0 +1,39 @@
+package dev.apricotmill.adapters;
+
+import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
+import org.apache.hc.core5.reactor.IOSession;
+
+/** The handler of one client connection, with the exchanges that it has carried. */
+final class BoundedClientHandler extends ClientHttp1IOEventHandler {
+
+  private final ConnectionExchanges exchanges;
+  private final OwnResponseParser parser;
+
+  BoundedClientHandler(
+      ClientHttp1StreamDuplexer duplexer, ConnectionExchanges exchanges, OwnResponseParser parser) {
+    super(duplexer);
+    this.exchanges = exchanges;
+    this.parser = parser;
+  }
+
+  /** Returns the handler of a connection that {@link BoundedClientHandlerFactory} has set up. */
+  static BoundedClientHandler of(IOSession session) {
+    return (BoundedClientHandler) session.getHandler();
+  }
+
+  /** Records the begin of an exchange; returns false if the connection must not carry it. */
+  boolean tryBeginExchange() {
+    if (!isOpen()) {
+      return false;
+    }
+    exchanges.begin();
+    return true;
+  }
+
+  /** Records the end of an exchange; returns whether the connection may carry others. */
+  boolean endExchange() {
+    exchanges.end();
+    return isOpen() && !parser.hasUnreadBytes();
+  }
+}
--- a/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandlerFactory.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandlerFactory.java
@@ -8,7 +8,6 @@
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
@@ -43,19 +42,21 @@
 
   @Override
   public IOEventHandler createHandler(ProtocolIOSession session, Object attachment) {
-    return new ClientHttp1IOEventHandler(new BoundedDuplexer(session));
+    ConnectionExchanges exchanges = new ConnectionExchanges();
+    OwnResponseParser parser = new OwnResponseParser(parsers.create(), exchanges);
+    return new BoundedClientHandler(new BoundedDuplexer(session, parser), exchanges, parser);
   }
 
   private final class BoundedDuplexer extends ClientHttp1StreamDuplexer {
 
-    BoundedDuplexer(ProtocolIOSession session) {
+    BoundedDuplexer(ProtocolIOSession session, OwnResponseParser parser) {
       super(
           session,
           processor,
           config,
           CharCodingConfig.DEFAULT,
           DefaultConnectionReuseStrategy.INSTANCE,
-          parsers.create(),
+          parser,
           DefaultHttpRequestWriterFactory.INSTANCE.create(),
           DefaultContentLengthStrategy.INSTANCE,
           DefaultContentLengthStrategy.INSTANCE,
--- a/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
@@ -16,12 +16,10 @@
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
-import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.RequestChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
-import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.net.URIAuthority;
 import org.jspecify.annotations.Nullable;
 
@@ -45,7 +43,7 @@
   private final HttpCall call;
   private final ByteBuffer body;
   private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.WAITING);
-  private final AtomicReference<@Nullable AsyncClientEndpoint> endpoint = new AtomicReference<>();
+  private final AtomicReference<@Nullable LeasedConnection> connection = new AtomicReference<>();
   private volatile @Nullable ResponseTimer timer;
 
   ClientExchange(PeerAddress peer, HttpCall call) {
@@ -83,18 +81,13 @@
   }
 
   /** Runs the exchange on a leased connection, or releases that if the exchange has ended. */
-  final void runOn(AsyncClientEndpoint leased) {
-    endpoint.set(leased);
+  final void runOn(LeasedConnection leased) {
+    connection.set(leased);
     if (phase.get() == Phase.ENDED) {
       releaseConnection(true);
       return;
     }
-    try {
-      leased.execute(this, HttpCoreContext.create());
-    } catch (IllegalStateException released) {
-      // The exchange ended after the check above, which released the connection.
-      abort(ExchangeFailure.CONNECTION_LOST);
-    }
+    leased.execute(this);
   }
 
   /** Fails the exchange and closes its connection, unless it has already ended. */
@@ -132,16 +125,16 @@
     if (running != null) {
       running.close();
     }
-    AsyncClientEndpoint leased = endpoint.getAndSet(null);
+    LeasedConnection leased = connection.getAndSet(null);
     if (leased == null) {
       return;
     }
     // If the peer responded before it read the complete body, it would take the next request on
     // this connection for the rest of that body.
     if (reuse && !body.hasRemaining()) {
-      leased.releaseAndReuse();
+      leased.reuse();
     } else {
-      leased.releaseAndDiscard();
+      leased.discard();
     }
   }
 
--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
@@ -8,11 +8,9 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
-import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.http.protocol.RequestConnControl;
@@ -40,12 +38,18 @@
   private static final int MAXIMUM_HEAD_BYTES = 64 << 10;
 
   private final HttpAsyncRequester requester;
+  private final LaxConnPool<HttpHost, IOSession> pool;
   private final HttpClientSettings settings;
   private final BufferBudget buffers;
   private final Timing timing;
 
-  private HttpClients(HttpAsyncRequester requester, HttpClientSettings settings, Timing timing) {
+  private HttpClients(
+      HttpAsyncRequester requester,
+      LaxConnPool<HttpHost, IOSession> pool,
+      HttpClientSettings settings,
+      Timing timing) {
     this.requester = requester;
+    this.pool = pool;
     this.settings = settings;
     buffers = new BufferBudget(settings.maximumBufferedBytes());
     this.timing = timing;
@@ -58,6 +62,7 @@
 
   /** Starts a client whose timeouts are scheduled by {@code timing}. */
   public static HttpClients start(HttpClientSettings settings, Timing timing) {
+    LaxConnPool<HttpHost, IOSession> pool = connectionPool(settings);
     HttpAsyncRequester requester =
         new HttpAsyncRequester(
             reactorConfig(settings),
@@ -65,14 +70,14 @@
             /* ioSessionDecorator= */ null,
             /* exceptionCallback= */ null,
             new IdleTimeoutRemover(),
-            connectionPool(settings),
+            pool,
             /* tlsStrategy= */ null,
             /* handshakeTimeout= */ null,
             /* threadPoolListener= */ null,
             /* workerSelector= */ null);
     requester.setMaxTotal(settings.connections());
     requester.start();
-    return new HttpClients(requester, settings, timing);
+    return new HttpClients(requester, pool, settings, timing);
   }
 
   private static IOReactorConfig reactorConfig(HttpClientSettings settings) {
@@ -146,7 +151,7 @@
         ResponseTimer.start(timing, limits, () -> exchange.abort(ExchangeFailure.TIMEOUT)));
     Duration connectTimeout =
         begin.compareTo(settings.connectTimeout()) < 0 ? begin : settings.connectTimeout();
-    connect(exchange, timeout(connectTimeout));
+    LeasedConnection.lease(requester, pool, exchange, timeout(connectTimeout));
   }
 
   /** Sends a request and streams the response; aborts it after {@code timeLimit}. */
@@ -157,42 +162,8 @@
     return exchange;
   }
 
-  private void connect(ClientExchange exchange, Timeout connectTimeout) {
-    requester.connect(
-        new HttpHost("http", exchange.peer().host(), exchange.peer().port()),
-        connectTimeout,
-        null,
-        new ExchangeStarter(exchange, () -> connect(exchange, connectTimeout)));
-  }
-
   @Override
   public void close() {
     requester.close(CloseMode.IMMEDIATE);
   }
-
-  /** Runs the exchange once a connection has been leased for it. */
-  private record ExchangeStarter(ClientExchange exchange, Runnable reconnect)
-      implements FutureCallback<AsyncClientEndpoint> {
-
-    @Override
-    public void completed(AsyncClientEndpoint endpoint) {
-      if (endpoint.isConnected()) {
-        exchange.runOn(endpoint);
-        return;
-      }
-      // The peer closed the connection while it was idle in the pool.
-      endpoint.releaseAndDiscard();
-      reconnect.run();
-    }
-
-    @Override
-    public void failed(Exception cause) {
-      exchange.abort(ExchangeFailure.CONNECTION_LOST);
-    }
-
-    @Override
-    public void cancelled() {
-      exchange.abort(ExchangeFailure.CONNECTION_LOST);
-    }
-  }
 }
