Let a connection carry each request once, and skip late second responses

Callers got a success where their server had answered a failure (MIXED), if one request went over one connection twice: the late second response to the first send has the right identifier and was taken for the response to the second send. The same holds for a caller that sends an identifier again, for a refusal that comes twice (a request counted as not run that ran), and for orders, whose responses name nothing.

A connection now remembers the identifiers that it has carried (ConnectionExchanges, as hashes, 256 at most, then it is closed) and carries none twice; another connection is opened. A response that names an exchange which has ended is skipped if it tells its end, so that the response to the next request is read after it: sound requests are not failed any more by the stutter of their server. A second response that is cut short would be completed by the next response, so a status line within what is skipped ends the connection. Connections of orders are not used again. Skipped responses are logged as relay.late_response.

--- a/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandler.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandler.java
@@ -23,17 +23,18 @@
   }
 
   /** Records the begin of an exchange; returns false if the connection must not carry it. */
-  boolean tryBeginExchange() {
-    if (!isOpen()) {
-      return false;
-    }
-    exchanges.begin();
-    return true;
+  boolean tryBegin(ClientExchange exchange) {
+    return isOpen() && exchanges.tryBegin(exchange.call());
+  }
+
+  /** Returns whether the current exchange is the only one that the connection has carried. */
+  boolean isFirstExchange() {
+    return exchanges.isFirst();
   }
 
   /** Records the end of an exchange; returns whether the connection may carry others. */
   boolean endExchange() {
     exchanges.end();
-    return isOpen() && !parser.hasUnreadBytes();
+    return isOpen() && !exchanges.isExhausted() && !parser.hasUnreadBytes();
   }
 }
--- a/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandlerFactory.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandlerFactory.java
@@ -26,16 +26,22 @@
   private final Http1Config config;
   private final int maximumHeadBytes;
   private final NHttpMessageParserFactory<HttpResponse> parsers;
+  private final LateResponseListener lateResponses;
 
   /**
    * Creates a factory.
    *
    * @param maximumHeadBytes the maximum size of a head, and of trailers
    */
-  BoundedClientHandlerFactory(HttpProcessor processor, Http1Config config, int maximumHeadBytes) {
+  BoundedClientHandlerFactory(
+      HttpProcessor processor,
+      Http1Config config,
+      int maximumHeadBytes,
+      LateResponseListener lateResponses) {
     this.processor = processor;
     this.config = config;
     this.maximumHeadBytes = maximumHeadBytes;
+    this.lateResponses = lateResponses;
     parsers =
         CompleteHeadParser.factory(new DefaultHttpResponseParserFactory(config), maximumHeadBytes);
   }
@@ -43,7 +49,7 @@
   @Override
   public IOEventHandler createHandler(ProtocolIOSession session, Object attachment) {
     ConnectionExchanges exchanges = new ConnectionExchanges();
-    OwnResponseParser parser = new OwnResponseParser(parsers.create(), exchanges);
+    OwnResponseParser parser = new OwnResponseParser(parsers.create(), exchanges, lateResponses);
     return new BoundedClientHandler(new BoundedDuplexer(session, parser), exchanges, parser);
   }
 
--- a/adapters/src/main/java/dev/apricotmill/adapters/BufferedExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BufferedExchange.java
@@ -36,7 +36,28 @@
 
   @Override
   void onHead(HttpResponse response) {
-    head = response;
+    if (belongsToExchange(response)) {
+      head = response;
+    } else {
+      abort(ExchangeFailure.MALFORMED);
+    }
+  }
+
+  private boolean belongsToExchange(HttpResponse response) {
+    return call().exchangeId().map(id -> belongsTo(id, response)).orElse(true);
+  }
+
+  /** The first response on a connection can belong only to the first request. */
+  private boolean belongsTo(ExchangeId id, HttpResponse response) {
+    return id.isNamedBy(response)
+        || (id.isUnnamed(response) && (!id.named() || isFirstOnConnection()));
+  }
+
+  /** A second response that names no request would be taken for the response to the next one. */
+  @Override
+  boolean allowsReuse() {
+    HttpResponse response = head;
+    return response != null && call().exchangeId().map(id -> id.isNamedBy(response)).orElse(true);
   }
 
   @Override
--- a/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
@@ -65,6 +65,16 @@
     return peer;
   }
 
+  final HttpCall call() {
+    return call;
+  }
+
+  /** Returns whether the connection has carried no exchange before this one. */
+  final boolean isFirstOnConnection() {
+    LeasedConnection leased = connection.get();
+    return leased != null && leased.isFirstExchange();
+  }
+
   final void setTimer(ResponseTimer started) {
     timer = started;
     if (phase.get() == Phase.ENDED) {
--- a/adapters/src/main/java/dev/apricotmill/adapters/ConnectionExchanges.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ConnectionExchanges.java
@@ -1,13 +1,55 @@
 package dev.apricotmill.adapters;
 
-/** The exchanges of one connection, one at a time. Thread-safe. */
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Objects;
+import java.util.Optional;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.Method;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The exchanges that one connection has carried: no identifier goes over it twice, and a response
+ * that comes after the end of its exchange is recognized. Thread-safe.
+ */
 final class ConnectionExchanges {
 
+  /** Bounds the memory of a connection; one that has carried as many exchanges is closed. */
+  static final int MAXIMUM_EXCHANGES = 256;
+
+  private static final int INITIAL_CAPACITY = 8;
+
+  private long[] carried = new long[INITIAL_CAPACITY];
+  private int count;
+  private int lateResponses;
+  private boolean lateResponsesFramed = true;
+  private @Nullable String header;
   private boolean open;
+  private @Nullable String currentId;
+
+  /** Records the begin of an exchange; returns false if the connection must not carry it. */
+  synchronized boolean tryBegin(HttpCall call) {
+    // The length of a response to HEAD is that of a body that does not follow.
+    lateResponsesFramed &= !Method.HEAD.isSame(call.method());
+    boolean accepted = call.exchangeId().map(this::tryBegin).orElse(true);
+    open |= accepted;
+    return accepted;
+  }
 
-  /** Records the begin of an exchange. */
-  synchronized void begin() {
-    open = true;
+  private boolean tryBegin(ExchangeId id) {
+    long hash = hash(id.value());
+    if (hasCarried(hash) || isExhausted()) {
+      return false;
+    }
+    if (count == carried.length) {
+      carried = Arrays.copyOf(carried, 2 * count);
+    }
+    carried[count++] = hash;
+    currentId = id.value();
+    header = id.header();
+    return true;
   }
 
   /** Returns whether the response to an exchange is due. */
@@ -15,8 +57,48 @@
     return open;
   }
 
+  /** Returns whether the current exchange is the only one that the connection has carried. */
+  synchronized boolean isFirst() {
+    return count == 1;
+  }
+
   /** Records that the response to the last exchange is complete. */
   synchronized void end() {
     open = false;
+    currentId = null;
+  }
+
+  /** Returns whether the connection must not carry further exchanges. */
+  synchronized boolean isExhausted() {
+    return count == MAXIMUM_EXCHANGES;
+  }
+
+  /**
+   * Returns the identifier that a response names if it is one more response to an exchange that has
+   * ended. No more such responses are recognized than exchanges were carried.
+   */
+  synchronized Optional<String> lateResponseId(HttpResponse response) {
+    Optional<String> id =
+        Optional.ofNullable(header)
+            .map(response::getFirstHeader)
+            .map(Header::getValue)
+            .filter(this::isEnded);
+    if (id.isEmpty() || !lateResponsesFramed || lateResponses == count) {
+      return Optional.empty();
+    }
+    lateResponses++;
+    return id;
+  }
+
+  private boolean isEnded(String id) {
+    return !Objects.equals(id, currentId) && hasCarried(hash(id));
+  }
+
+  private boolean hasCarried(long hash) {
+    return Arrays.stream(carried, 0, count).anyMatch(other -> other == hash);
+  }
+
+  private static long hash(String id) {
+    return Hashing.sipHash24().hashString(id, StandardCharsets.UTF_8).asLong();
   }
 }
--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpCall.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpCall.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.adapters;
 
 import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
 import org.apache.hc.core5.http.ContentType;
 import org.jspecify.annotations.Nullable;
 
@@ -13,6 +14,8 @@
  *     the peer's address in the request's Host header
  * @param contentType the type of the body, null if it is given in the headers
  * @param body the body, empty if none; not to be modified
+ * @param exchangeId what tells its response from others; empty if the peer responds once to each
+ *     request
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record HttpCall(
@@ -20,10 +23,26 @@
     String path,
     ImmutableMap<String, String> headers,
     @Nullable ContentType contentType,
-    byte[] body) {
+    byte[] body,
+    Optional<ExchangeId> exchangeId) {
 
   private static final byte[] NO_BODY = {};
 
+  /** Creates a request to a peer that responds once to each request. */
+  public HttpCall(
+      String method,
+      String path,
+      ImmutableMap<String, String> headers,
+      @Nullable ContentType contentType,
+      byte[] body) {
+    this(method, path, headers, contentType, body, Optional.empty());
+  }
+
+  /** Returns this request with what tells its response from others. */
+  public HttpCall withExchangeId(ExchangeId id) {
+    return new HttpCall(method, path, headers, contentType, body, Optional.of(id));
+  }
+
   /** Returns a GET request without a body. */
   public static HttpCall get(String path) {
     return new HttpCall("GET", path, ImmutableMap.of(), ContentType.APPLICATION_JSON, NO_BODY);
--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
@@ -62,11 +62,18 @@
 
   /** Starts a client whose timeouts are scheduled by {@code timing}. */
   public static HttpClients start(HttpClientSettings settings, Timing timing) {
+    return start(settings, timing, LateResponseListener.NONE);
+  }
+
+  /** Starts a client as above, with a listener for responses that are skipped. */
+  public static HttpClients start(
+      HttpClientSettings settings, Timing timing, LateResponseListener lateResponses) {
     LaxConnPool<HttpHost, IOSession> pool = connectionPool(settings);
     HttpAsyncRequester requester =
         new HttpAsyncRequester(
             reactorConfig(settings),
-            new BoundedClientHandlerFactory(requestProcessor(), http1Config(), MAXIMUM_HEAD_BYTES),
+            new BoundedClientHandlerFactory(
+                requestProcessor(), http1Config(), MAXIMUM_HEAD_BYTES, lateResponses),
             /* ioSessionDecorator= */ null,
             /* exceptionCallback= */ null,
             new IdleTimeoutRemover(),
--- a/adapters/src/main/java/dev/apricotmill/adapters/LeasedConnection.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/LeasedConnection.java
@@ -48,7 +48,7 @@
           @Override
           public void completed(PoolEntry<HttpHost, IOSession> entry) {
             IOSession pooled = entry.getConnection();
-            if (pooled != null && BoundedClientHandler.of(pooled).tryBeginExchange()) {
+            if (pooled != null && BoundedClientHandler.of(pooled).tryBegin(exchange)) {
               exchange.runOn(new LeasedConnection(pool, entry, pooled));
               return;
             }
@@ -73,7 +73,7 @@
           public void completed(IOSession opened) {
             entry.assignConnection(opened);
             LeasedConnection connection = new LeasedConnection(pool, entry, opened);
-            if (BoundedClientHandler.of(opened).tryBeginExchange()) {
+            if (BoundedClientHandler.of(opened).tryBegin(exchange)) {
               exchange.runOn(connection);
             } else {
               connection.discard();
@@ -108,6 +108,11 @@
     }
   }
 
+  /** Returns whether the connection has carried no exchange before this one. */
+  boolean isFirstExchange() {
+    return BoundedClientHandler.of(session).isFirstExchange();
+  }
+
   /** Ends the lease after a complete exchange; the connection may carry others. */
   void reuse() {
     PoolEntry<HttpHost, IOSession> entry = lease.getAndSet(null);
--- a/adapters/src/main/java/dev/apricotmill/adapters/OwnResponseParser.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/OwnResponseParser.java
@@ -2,10 +2,12 @@
 
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.regex.Pattern;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
@@ -15,8 +17,11 @@
  * A parser that returns only what can belong to the open exchange of its connection.
  *
  * <ul>
- *   <li>Bytes that come while no exchange is open end the connection. The begin of a response would
- *       otherwise be completed by the response to the next request, which would get its status.
+ *   <li>A late response to an exchange that has ended is skipped as a whole. If its end cannot be
+ *       found, it is returned and fails the open exchange.
+ *   <li>Any other bytes that come while no exchange is open end the connection. The begin of a
+ *       response would otherwise be completed by the response to the next request, which would get
+ *       its status.
  *   <li>A head that contains the begin of another one ends the connection too, since such bytes may
  *       still be on their way when the next request is written.
  * </ul>
@@ -27,6 +32,8 @@
 
   private final NHttpMessageParser<HttpResponse> parser;
   private final ConnectionExchanges exchanges;
+  private final LateResponseListener listener;
+  private @Nullable SkippedBody skippedBody;
   private boolean withinHead;
   private @Nullable SessionInputBuffer input;
 
@@ -36,9 +43,13 @@
    * @param parser parses each response
    * @param exchanges the exchanges of the connection
    */
-  OwnResponseParser(NHttpMessageParser<HttpResponse> parser, ConnectionExchanges exchanges) {
+  OwnResponseParser(
+      NHttpMessageParser<HttpResponse> parser,
+      ConnectionExchanges exchanges,
+      LateResponseListener listener) {
     this.parser = parser;
     this.exchanges = exchanges;
+    this.listener = listener;
   }
 
   @Override
@@ -50,8 +61,8 @@
   public @Nullable HttpResponse parse(SessionInputBuffer buffer, boolean endOfStream)
       throws IOException, HttpException {
     input = buffer;
-    @Nullable HttpResponse response = parseHead(buffer, endOfStream);
-    boolean partial = withinHead || buffer.hasData();
+    @Nullable HttpResponse response = parseAfterLateResponses(buffer, endOfStream);
+    boolean partial = withinHead || skippedBody != null || buffer.hasData();
     if (response == null && partial && !exchanges.isOpen()) {
       throw new ProtocolException("bytes that belong to no request");
     }
@@ -64,6 +75,25 @@
     return buffer != null && buffer.hasData();
   }
 
+  private @Nullable HttpResponse parseAfterLateResponses(
+      SessionInputBuffer buffer, boolean endOfStream) throws IOException, HttpException {
+    while (skipBody(endOfStream)) {
+      @Nullable HttpResponse response = parseHead(buffer, endOfStream);
+      if (response == null || response.getCode() < HttpStatus.SC_OK) {
+        return response;
+      }
+      Optional<String> lateId = exchanges.lateResponseId(response);
+      Optional<SkippedBody> body = lateId.flatMap(id -> SkippedBody.of(response, buffer));
+      if (body.isEmpty()) {
+        return response;
+      }
+      skippedBody = body.get();
+      parser.reset();
+      listener.onLateResponse(lateId.get(), response.getCode());
+    }
+    return null;
+  }
+
   private @Nullable HttpResponse parseHead(SessionInputBuffer buffer, boolean endOfStream)
       throws IOException, HttpException {
     int bufferedBefore = buffer.length();
@@ -84,11 +114,25 @@
         || Arrays.stream(response.getHeaders()).anyMatch(OwnResponseParser::containsStatusLine);
   }
 
-  private static boolean containsStatusLine(Header header) {
+  /** Returns whether a header or trailer contains the begin of a response. */
+  static boolean containsStatusLine(Header header) {
     return isStatusLineIn(header.getName()) || isStatusLineIn(header.getValue());
   }
 
   private static boolean isStatusLineIn(@Nullable String text) {
     return text != null && STATUS_LINE.matcher(text).find();
   }
+
+  /** Returns whether the next byte belongs to the head of a response. */
+  private boolean skipBody(boolean endOfStream) throws IOException, HttpException {
+    SkippedBody body = skippedBody;
+    if (body == null) {
+      return true;
+    }
+    if (!body.skip(endOfStream)) {
+      return false;
+    }
+    skippedBody = null;
+    return true;
+  }
 }
