Take no late second response for the response to the next call of a service or engine

A caller of a plain service got the body of the call before it, if the service answered that one twice on a kept connection; and a sequence counted as not started, with the engine running it, after a second refusal of a cancellation. Their responses need not name their request, so that their place on the connection was all that tied them to it.

A plain service's connection is used again only after a response that names its call in apricotmill-request-id; one that names another call is no response.

The calls of HttpPlainServiceTest have different identifiers now, so that they share a connection as before.

--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpModelEngine.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpModelEngine.java
@@ -24,6 +24,7 @@
 /** Calls one model engine over HTTP/1.1; streams are server-sent events. */
 public final class HttpModelEngine implements ModelEngine {
 
+  private static final String REQUEST_ID_HEADER = "apricotmill-request-id";
   private static final int MAXIMUM_RESPONSE_BYTES = 4 << 20;
   private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(2);
 
@@ -59,7 +60,7 @@
 
   private CompletionStage<CancelResult> release(String path, byte[] body, Duration timeout) {
     return call(
-            HttpCall.post(path, body),
+            post(path, body),
             timeout,
             EngineMessages.Released.class,
             response -> response.released() ? CancelResult.RELEASED : CancelResult.NOT_HELD)
@@ -100,7 +101,7 @@
       SequenceId sequence, Duration timeout) {
     byte[] body = Json.write(new EngineMessages.SequenceCall(EngineMessages.Sequence.of(sequence)));
     return call(
-        HttpCall.post("/cache/export", body),
+        post("/cache/export", body),
         timeout,
         EngineMessages.ExportCall.class,
         response -> new ExportId(response.export()));
@@ -114,7 +115,7 @@
             new EngineMessages.ImportCall(
                 source, export.value(), EngineMessages.Sequence.of(sequence)));
     return call(
-        HttpCall.post("/cache/import", body),
+        post("/cache/import", body),
         timeout,
         EngineMessages.Imported.class,
         response -> new ImportAccepted(response.tokens()));
@@ -124,7 +125,7 @@
   public CompletionStage<OrderResult> order(EngineOrder order, Duration timeout) {
     byte[] body = Json.write(EngineMessages.Order.of(order));
     return clients
-        .send(engine, HttpCall.post("/orders", body), MAXIMUM_RESPONSE_BYTES, timeout)
+        .send(engine, post("/orders", body), MAXIMUM_RESPONSE_BYTES, timeout)
         .thenApply(HttpModelEngine::orderResult);
   }
 
@@ -141,6 +142,14 @@
     return new OrderResult.Unanswered(failureOf(result));
   }
 
+  /**
+   * Returns a call after which its connection is not used again: a second refusal of it would be
+   * taken for the refusal of the next sequence, which the engine runs.
+   */
+  private static HttpCall post(String path, byte[] body) {
+    return HttpCall.post(path, body).withExchangeId(ExchangeId.notNamedIn(REQUEST_ID_HEADER, path));
+  }
+
   private <M, R> CompletionStage<EngineResult<R>> call(
       HttpCall call, Duration timeout, Class<M> type, Function<M, R> conversion) {
     return clients
--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpPlainService.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpPlainService.java
@@ -42,11 +42,12 @@
     headers.put(REQUEST_ID_HEADER, call.id().value());
     String contentType = call.headers().getOrDefault(CONTENT_TYPE_HEADER, "");
     return new HttpCall(
-        call.method(),
-        call.path(),
-        headers.buildKeepingLast(),
-        ContentType.parseLenient(contentType),
-        call.body());
+            call.method(),
+            call.path(),
+            headers.buildKeepingLast(),
+            ContentType.parseLenient(contentType),
+            call.body())
+        .withExchangeId(ExchangeId.namedIn(REQUEST_ID_HEADER, call.id().value()));
   }
 
   private static CallResult callResult(ExchangeResult result) {
@@ -62,6 +63,7 @@
     ImmutableMap.Builder<String, String> headers = ImmutableMap.builder();
     Stream.of(response.head().getHeaders())
         .filter(header -> !ConnectionHeaders.contains(lowerCaseName(header)))
+        .filter(header -> !lowerCaseName(header).equals(REQUEST_ID_HEADER))
         .forEach(header -> headers.put(lowerCaseName(header), header.getValue()));
     return headers.buildKeepingLast();
   }
--- a/adapters/src/test/java/dev/apricotmill/adapters/HttpPlainServiceTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/HttpPlainServiceTest.java
@@ -5,6 +5,7 @@
 import static dev.apricotmill.adapters.AdapterFixture.await;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.core.request.CustomerId;
@@ -16,6 +17,7 @@
 import dev.apricotmill.testhelpers.service.ServiceOperation;
 import dev.apricotmill.testhelpers.service.ServiceServer;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletionStage;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -27,6 +29,7 @@
 
   private AdapterFixture fixture;
   private ServiceServer server;
+  private int calls;
 
   @BeforeEach
   void start() throws Exception {
@@ -47,7 +50,7 @@
   private CompletionStage<CallResult> send(PeerAddress address, Duration timeout) {
     ServiceCall call =
         new ServiceCall(
-            new RequestId("r-1"),
+            new RequestId("r-" + ++calls),
             new CustomerId("c"),
             new ServiceName("dispatch"),
             "POST",
@@ -123,4 +126,45 @@
     assertThat(order(server.address(), TEST_TIMEOUT)).isInstanceOf(CallResult.Response.class);
     assertThat(order(server.address(), TEST_TIMEOUT)).isInstanceOf(CallResult.Response.class);
   }
+
+  @Test
+  void aSecondResponseOfAServiceIsNotTakenForTheResponseToTheNextCall() throws Exception {
+    for (String first : List.of("", "apricotmill-request-id: r-1\r\n")) {
+      for (String second : List.of("", "apricotmill-request-id: r-1\r\n")) {
+        calls = 0;
+        PeerAddress service =
+            RawServer.start(
+                fixture,
+                ImmutableList.of(rawResponse(first, "one"), rawResponse(second, "late")),
+                ImmutableList.of(rawResponse("", "two")));
+
+        assertThat(textOf(order(service, TEST_TIMEOUT))).isEqualTo("one");
+        assertThat(textOf(order(service, TEST_TIMEOUT))).isNotEqualTo("late");
+      }
+    }
+  }
+
+  @Test
+  void aConnectionOfAServiceThatNamesItsCallsIsUsedAgain() throws Exception {
+    PeerAddress service =
+        RawServer.start(
+            fixture,
+            ImmutableList.of(
+                rawResponse("apricotmill-request-id: r-1\r\n", "one"),
+                rawResponse("apricotmill-request-id: r-2\r\n", "two")),
+            ImmutableList.of());
+
+    assertThat(textOf(order(service, TEST_TIMEOUT))).isEqualTo("one");
+    assertThat(textOf(order(service, TEST_TIMEOUT))).isEqualTo("two");
+  }
+
+  private static String rawResponse(String headers, String body) {
+    return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  private static String textOf(CallResult result) {
+    return result instanceof CallResult.Response response
+        ? new String(response.body(), UTF_8)
+        : result.toString();
+  }
 }
--- a/test_helpers/src/main/java/dev/apricotmill/testhelpers/service/ServiceServer.java
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/service/ServiceServer.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.service.CallResult;
@@ -68,14 +69,16 @@
   }
 
   private StandInAnswer execute(StandInRequest request) {
+    String requestId = request.headers().getOrDefault(REQUEST_ID_HEADER, "");
     CallResult.Response response =
-        core.execute(
-            replica,
-            request.headers().getOrDefault(REQUEST_ID_HEADER, ""),
-            request.method(),
-            request.target(),
-            request.headers());
-    return new StandInAnswer(response.status(), response.headers(), response.body());
+        core.execute(replica, requestId, request.method(), request.target(), request.headers());
+    return new StandInAnswer(
+        response.status(),
+        ImmutableMap.<String, String>builder()
+            .putAll(response.headers())
+            .put(REQUEST_ID_HEADER, requestId)
+            .buildOrThrow(),
+        response.body());
   }
 
   private String logAsJson() {
