Take no body in chunks as complete whose last chunk was cut off

The decoder of chunks is not told that the connection has ended; a body that is not complete then is broken off. BrokenOffResponseTest.aResponseInChunksIsCompleteOnlyAsAWhole replaces a case that took a last chunk without its line end for complete; it is stricter, cuts padded sizes and trailers too, and failed before (complete after 88 of 110 bytes).

--- a/adapters/src/main/java/dev/apricotmill/adapters/BoundedChunkDecoder.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BoundedChunkDecoder.java
@@ -4,9 +4,11 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.util.List;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.impl.nio.ChunkDecoder;
 import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.jspecify.annotations.Nullable;
@@ -58,6 +60,7 @@
       throws HttpException {
     CountingChannel channel = new CountingChannel(source);
     ContentDecoder decoder = decoders.create(channel);
+    channel.hideEnd(decoder instanceof ChunkDecoder);
     return decoder == null ? null : new BoundedChunkDecoder(decoder, input, channel, maximumBytes);
   }
 
@@ -71,6 +74,9 @@
             + channel.bytesRead()
             - input.length()
             - (long) MAXIMUM_FRAMING_PER_BODY_BYTE * Math.max(0, bodyBytes);
+    if (channel.hasHiddenEnd() && bodyBytes <= 0 && !decoder.isCompleted()) {
+      throw new ConnectionClosedException("connection closed before the end of the last chunk");
+    }
     bytesWithoutBody = Math.max(0, framingBytes) + (bodyBytes > 0 ? 0 : bytesWithoutBody);
     if (bytesWithoutBody > maximumBytes) {
       throw new MessageConstraintException(
@@ -89,12 +95,19 @@
     return decoder.getTrailers();
   }
 
-  /** Counts the bytes of one read, and provides no more of them than the maximum. */
+  /**
+   * Counts the bytes of one read, and provides no more of them than the maximum.
+   *
+   * <p>The end of the channel can be hidden from the decoder of chunks, which would take a size
+   * that was cut off, such as the first digit of {@code 0010}, for that of the last chunk.
+   */
   private static final class CountingChannel implements ReadableByteChannel {
 
     private final ReadableByteChannel channel;
     private int maximumBytes;
     private int bytesRead;
+    private boolean hidesEnd;
+    private boolean hasHiddenEnd;
 
     CountingChannel(ReadableByteChannel channel) {
       this.channel = channel;
@@ -105,6 +118,15 @@
       bytesRead = 0;
     }
 
+    void hideEnd(boolean hide) {
+      hidesEnd = hide;
+    }
+
+    /** Returns whether the end was reached and hidden. */
+    boolean hasHiddenEnd() {
+      return hasHiddenEnd;
+    }
+
     /** Returns the bytes since {@link #startRead}. */
     int bytesRead() {
       return bytesRead;
@@ -117,6 +139,10 @@
       }
       int count = channel.read(target);
       bytesRead += Math.max(0, count);
+      if (count < 0 && hidesEnd) {
+        hasHiddenEnd = true;
+        return 0;
+      }
       return count;
     }
 
--- a/adapters/src/test/java/dev/apricotmill/adapters/BrokenOffResponseTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/BrokenOffResponseTest.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.apache.hc.core5.http.HttpResponse;
 import org.junit.jupiter.api.AfterEach;
@@ -43,17 +44,19 @@
   }
 
   @Test
-  void aResponseInChunksIsCompleteOnlyWithItsLastChunk() throws Exception {
-    String beforeLastChunk =
-        HEAD
-            + "Transfer-Encoding: chunked\r\n\r\n"
-            + Integer.toHexString(BODY.length())
-            + "\r\n"
-            + BODY
-            + "\r\n";
-
-    // The size of the last chunk tells that the whole body has come.
-    assertCompleteFrom(beforeLastChunk + "0\r\n\r\n", beforeLastChunk.length() + 1);
+  void aResponseInChunksIsCompleteOnlyAsAWhole() throws Exception {
+    for (String size : List.of("", "000")) {
+      String response =
+          HEAD
+              + "Transfer-Encoding: chunked\r\n\r\n"
+              + size
+              + Integer.toHexString(BODY.length())
+              + "\r\n"
+              + BODY
+              + "\r\n0\r\nX-Trailer: value\r\n\r\n";
+
+      assertCompleteFrom(response, response.length());
+    }
   }
 
   @Test
