Pass the source of random delays and shares in, so that tests seed it

Seen: RestoredStoreTest failed in some plays and passed in others (2.002 s where 2 s are allowed), though its time is virtual.

Cause: FollowedPrefix.backOff drew from ThreadLocalRandom, and so did RelayNode for the share of traffic that a route gives to a service.

Change: SharedFollower and RelayNode take a RandomGenerator beside Timing, as Lease, HeadWatcher and ReplicaRouter do. No delay or share changes.

--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowedPrefix.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowedPrefix.java
@@ -9,8 +9,8 @@
 import dev.apricotmill.coordination.time.Timing;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -35,6 +35,7 @@
 
   private final Platform platform;
   private final Timing timing;
+  private final RandomGenerator random;
   private final String prefix;
   private final FollowSettings settings;
   private final FollowListener listener;
@@ -56,6 +57,7 @@
   FollowedPrefix(
       Platform platform,
       Timing timing,
+      RandomGenerator random,
       String prefix,
       FollowSettings settings,
       FollowListener listener,
@@ -63,6 +65,7 @@
       Runnable onUpdate) {
     this.platform = platform;
     this.timing = timing;
+    this.random = random;
     this.prefix = prefix;
     this.settings = settings;
     this.listener = listener;
@@ -229,7 +232,7 @@
             Math.min(exponentialMillis, settings.maxBackoff().toMillis()) * (1 + rank.getAsInt()),
             MAX_BACKOFF.toMillis());
     failures++;
-    long millis = ThreadLocalRandom.current().nextLong(maxMillis / 2, maxMillis + 1);
+    long millis = random.nextLong(maxMillis / 2, maxMillis + 1);
     timing.schedule(Duration.ofMillis(millis), this::readWhenDue);
   }
 
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -57,6 +58,7 @@
 
   private final Platform platform;
   private final Timing timing;
+  private final RandomGenerator random;
   private final Member self;
   private final FollowPeers peers;
   private final FollowObserver observer;
@@ -71,9 +73,15 @@
 
   /** Creates a follower without peers or prefixes. */
   public SharedFollower(
-      Platform platform, Timing timing, Member self, FollowPeers peers, FollowObserver observer) {
+      Platform platform,
+      Timing timing,
+      RandomGenerator random,
+      Member self,
+      FollowPeers peers,
+      FollowObserver observer) {
     this.platform = platform;
     this.timing = timing;
+    this.random = random;
     this.self = self;
     this.peers = peers;
     this.observer = observer;
@@ -97,7 +105,14 @@
   public void follow(String prefix, FollowSettings settings, FollowListener listener) {
     FollowedPrefix followed =
         new FollowedPrefix(
-            platform, timing, prefix, settings, listener, this::rank, this::scheduleResponses);
+            platform,
+            timing,
+            random,
+            prefix,
+            settings,
+            listener,
+            this::rank,
+            this::scheduleResponses);
     timing
         .scheduler()
         .execute(
--- a/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
@@ -32,6 +32,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
@@ -197,6 +198,7 @@
         new SharedFollower(
             platform,
             timing,
+            new SplittableRandom(1),
             member(name, incarnation),
             (peer, request, timeout, callback) ->
                 callback.accept(new PollResult(Optional.empty(), 0)),
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowerFleet.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowerFleet.java
@@ -32,10 +32,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
+import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
 /** Processes in several zones that follow one prefix, on virtual time and a faulty network. */
@@ -52,10 +54,10 @@
   private static final Duration SLOW_ONE_WAY_DELAY = Duration.ofMillis(110);
   private static final Duration ONE_WAY_DELAY = Duration.ofMillis(1);
   private static final PollResult NO_RESPONSE = new PollResult(Optional.empty(), 0);
-
   private static final long UNLIMITED = Long.MAX_VALUE;
 
   private final FollowSettings settings;
+  private final RandomGenerator random;
   private final VirtualTime time = new VirtualTime();
   private final FakePlatform store = new FakePlatform(time);
   private final Platform operator = store.clientFor("operator", new Zone("x"), time.newScheduler());
@@ -68,11 +70,12 @@
   private long linkBytesPerSecond = UNLIMITED;
 
   FollowerFleet() {
-    this(SETTINGS);
+    this(SETTINGS, new SplittableRandom(1));
   }
 
-  FollowerFleet(FollowSettings settings) {
+  FollowerFleet(FollowSettings settings, RandomGenerator random) {
     this.settings = settings;
+    this.random = random;
   }
 
   /** Limits both directions of the links of the processes that are started after this. */
@@ -106,6 +109,7 @@
                   downlink,
                   time.timingOf(scheduler)),
               time.timingOf(scheduler),
+              random,
               member,
               this::poll,
               FollowObserver.NONE);
@@ -335,9 +339,7 @@
     return processes.get(name);
   }
 
-  /**
-   * Returns the names of a zone's processes by rank; without failures the first reads the store.
-   */
+  /** Returns a zone's processes by rank; without failures the first reads the store. */
   ImmutableList<String> namesByRank(String zone) {
     return RendezvousHash.ranked(
             processes.values().stream()
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/SharedFollowerTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/SharedFollowerTest.java
@@ -5,6 +5,7 @@
 
 import dev.apricotmill.coordination.testing.PlatformFault;
 import java.time.Duration;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
@@ -90,7 +91,8 @@
   @Test
   void changesOfALargeObjectOverSlowLinksReachEveryProcessWithinTheBound() {
     Duration bound = Duration.ofSeconds(4);
-    FollowerFleet slowFleet = new FollowerFleet(FollowSettings.within(bound));
+    FollowerFleet slowFleet =
+        new FollowerFleet(FollowSettings.within(bound), new SplittableRandom(1));
     slowFleet.limitLinks(SLOW_LINK_BYTES_PER_SECOND);
     slowFleet.write("large", largeValue(0));
     slowFleet.start(2, 19);
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/SingleFollowerTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/SingleFollowerTest.java
@@ -19,6 +19,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
 final class SingleFollowerTest {
@@ -42,6 +43,7 @@
       new SharedFollower(
           client,
           time.timingOf(scheduler),
+          new SplittableRandom(1),
           FollowerFleet.member("n1", "a", 1),
           (peer, poll, timeout, callback) -> callback.accept(new PollResult(Optional.empty(), 0)),
           FollowObserver.NONE);
--- a/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
@@ -45,6 +45,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.LockSupport;
+import java.util.random.RandomGenerator;
 
 /** The components of one daemon: three listeners, the client for other daemons and the node. */
 public final class DaemonProcess implements AutoCloseable {
@@ -66,6 +67,7 @@
   private final Closer closer = Closer.create();
   private final DaemonSettings settings;
   private final Timing timing;
+  private final RandomGenerator random = new SecureRandom();
   private final Node node;
   private final HttpListener publicListener;
   private final HttpListener operatorsListener;
@@ -102,7 +104,7 @@
                 probes,
                 external.engines(),
                 external.services(),
-                new SecureRandom(),
+                random,
                 meters,
                 tracing.tracer()));
     closer.register(node::close);
@@ -229,7 +231,7 @@
         new CallerHandler(
             node,
             timing.clock(),
-            new RequestIds(timing.clock(), new SecureRandom()),
+            new RequestIds(timing.clock(), random),
             settings.maximumTimeLimit());
     HttpListener listener =
         new HttpListener(
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -17,10 +17,10 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
+import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -35,6 +35,7 @@
   static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
   private final Timing timing;
+  private final RandomGenerator random;
   private final RelaySettings settings;
   private final BackendClient backends;
   private final RequestPlacer placer;
@@ -56,6 +57,7 @@
   /** Creates a relay with an empty view. */
   public RelayNode(
       Timing timing,
+      RandomGenerator random,
       RelaySettings settings,
       BackendClient backends,
       RequestPlacer placer,
@@ -64,6 +66,7 @@
       EventLog log,
       MeterRegistry registry) {
     this.timing = timing;
+    this.random = random;
     this.settings = settings;
     this.backends = backends;
     this.placer = placer;
@@ -163,11 +166,7 @@
     }
     RequestAuthorizer.Decision decision =
         authorizer.authorize(
-            currentView,
-            request,
-            ThreadLocalRandom.current().nextDouble(),
-            timing.nanoTime(),
-            timing.clock().millis());
+            currentView, request, random.nextDouble(), timing.nanoTime(), timing.clock().millis());
     if (decision instanceof RequestAuthorizer.Decision.Refused refused) {
       refuse(request, caller, refused.refusal(), currentView);
     } else if (decision instanceof RequestAuthorizer.Decision.Allowed allowed) {
--- a/node/src/test/java/dev/apricotmill/node/relay/BlockedPartDirectoryTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/BlockedPartDirectoryTest.java
@@ -19,6 +19,7 @@
 import dev.apricotmill.coordination.testing.VirtualTime;
 import dev.apricotmill.coordination.time.Timing;
 import java.time.Duration;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
@@ -128,7 +129,12 @@
     BlockedParts blockedParts = new BlockedParts(timing, (event, fields) -> {});
     SharedFollower follower =
         new SharedFollower(
-            client, timing, self, (peer, request, limits, callback) -> {}, FollowObserver.NONE);
+            client,
+            timing,
+            new SplittableRandom(1),
+            self,
+            (peer, request, limits, callback) -> {},
+            FollowObserver.NONE);
     follower.follow(
         BlockedPartDirectory.KIND,
         BlockedPartDirectory.FOLLOW_SETTINGS,
--- a/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
@@ -27,6 +27,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
 /** One node and what other nodes reach of it. */
@@ -145,6 +146,7 @@
     relay =
         new RelayNode(
             timing,
+            new SplittableRandom(1),
             SETTINGS,
             connections,
             placer,
@@ -166,6 +168,7 @@
         new SharedFollower(
             storeClient,
             timing,
+            new SplittableRandom(1),
             member,
             (peer, request, limits, callback) -> {},
             FollowObserver.NONE);
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -25,6 +25,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
@@ -58,6 +59,7 @@
     node =
         new RelayNode(
             timing,
+            new SplittableRandom(1),
             new RelaySettings(
                 MAX_STALENESS,
                 CONFIGURATION_BOUND,
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayStopTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayStopTest.java
@@ -12,6 +12,7 @@
 import dev.apricotmill.node.relay.RelayFixture.RecordedCaller;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
@@ -152,6 +153,7 @@
     RelayNode node =
         new RelayNode(
             relay.timing(),
+            new SplittableRandom(1),
             relay.node().settings(),
             relay.node().backends(),
             placer,
--- a/node/src/test/java/dev/apricotmill/node/relay/ServerPausePlacementTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServerPausePlacementTest.java
@@ -25,6 +25,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -45,6 +46,7 @@
   private final RelayNode node =
       new RelayNode(
           timing,
+          new SplittableRandom(1),
           new RelaySettings(
               Duration.ofSeconds(5), Duration.ofSeconds(2), Duration.ofSeconds(10), 0, 2, 16 << 20),
           backends,
--- a/node/src/test/java/dev/apricotmill/node/relay/ServingFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServingFixture.java
@@ -27,6 +27,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
 /**
@@ -58,6 +59,7 @@
     node =
         new RelayNode(
             timing,
+            new SplittableRandom(1),
             new RelaySettings(
                 Duration.ofHours(1),
                 RelayFixture.CONFIGURATION_BOUND,
