Keep a zone that the store turns away within the bound, whatever delays are drawn

Seen: after an outage, a zone that the store goes on turning away had a validation of 2.001 to 2.009 s where config_apply_ms allows 2 s: 13 of 400 plays at the moment that RestoredStoreTest looked at, and every play, also with the longest delay at each draw, when it looks each 10 ms for five seconds more.

Cause: the delays of the retries only shift the moments; what adds up is who asks whom. The first process of the zone asked a peer only when its validation was 1.4 s old, and then the second of its own zone, which waits for the first. Each held the other's poll for 0.4 s, until 1.76 s made a peer count as behind; only then was another zone's turn. A peer that was behind was passed over for 1 s, also when all of them were.

Change: the first process polls as soon as a read of the store fails, and another zone before its own. A peer is behind when the process that asks would read the store with a validation of that age. When all peers are behind, they are asked again 0.1 s later. A peer that stays behind is reported once instead of every second.

--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowObserver.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowObserver.java
@@ -18,7 +18,8 @@
       };
 
   /**
-   * Called when a peer will not be polled for the time {@code backoff}.
+   * Called when a peer will not be polled for the time {@code backoff}, or until all others are
+   * behind as well; once for a peer that stays behind.
    *
    * @param receivedBytes the bytes of an incomplete response that arrived
    */
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowRanking.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowRanking.java
@@ -94,6 +94,7 @@
   /**
    * Returns the peers to poll, best first: the peer assigned by rank, the top-ranked processes of
    * the zone, and, if this process is top-ranked itself, the top-ranked processes of other zones.
+   * Rank 0 is assigned a process of another zone, since those of its own zone poll rank 0.
    */
   ImmutableList<Member> candidates(Predicate<Member> reachable) {
     ImmutableList<Member> lowerRanks =
@@ -102,7 +103,9 @@
             .filter(reachable)
             .collect(ImmutableList.toImmutableList());
     Set<Member> candidates = new LinkedHashSet<>();
-    if (!lowerRanks.isEmpty()) {
+    if (lowerRanks.isEmpty()) {
+      otherZones.stream().filter(reachable).findFirst().ifPresent(candidates::add);
+    } else {
       candidates.add(lowerRanks.get((lowerRanks.size() - 1) / MAX_POLLERS_PER_PEER));
     }
     ownZone.stream()
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowedPrefix.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/FollowedPrefix.java
@@ -104,17 +104,17 @@
         : Optional.empty();
   }
 
-  /** Returns whether the content is so stale that peers must be polled as well as the store. */
+  /** Returns whether peers must be polled as well as the store: it failed, or content is stale. */
   boolean needsPeers() {
-    return !isValidatedWithin(FollowRanking.readThreshold(1, settings.maxStaleness()));
+    return failures > 0
+        || !isValidatedWithin(FollowRanking.readThreshold(1, settings.maxStaleness()));
   }
 
-  /** Returns whether a peer's content is too stale for the peer to be polled. */
-  boolean isTooStale(Optional<ReadTimestamp> peerValidatedAt) {
-    return peerValidatedAt
-        .flatMap(readAt -> readAt.ageOnBothClocks(timing.nanoTime(), timing.clock().millis()))
-        .filter(age -> age.compareTo(FollowRanking.maxReadThreshold(settings.maxStaleness())) <= 0)
-        .isEmpty();
+  /** Returns whether a peer's content is so stale that this process would read the store. */
+  boolean isBehind(Optional<ReadTimestamp> peerValidatedAt) {
+    Duration bound =
+        FollowRanking.readThreshold(Math.max(1, rank.getAsInt()), settings.maxStaleness());
+    return !isWithin(bound, age(peerValidatedAt));
   }
 
   /**
@@ -122,7 +122,8 @@
    * so that a peer that is behind cannot supply outdated objects after a restart.
    */
   void applyFromPeer(PrefixUpdate update, Optional<ReadTimestamp> peerValidatedAt) {
-    if (!content.isKnown() && isTooStale(peerValidatedAt)) {
+    Duration bound = FollowRanking.maxReadThreshold(settings.maxStaleness());
+    if (!content.isKnown() && !isWithin(bound, age(peerValidatedAt))) {
       return;
     }
     apply(update, peerValidatedAt);
@@ -178,7 +179,11 @@
   }
 
   private boolean isValidatedWithin(Duration bound) {
-    return staleness().filter(age -> age.compareTo(bound) <= 0).isPresent();
+    return isWithin(bound, staleness());
+  }
+
+  private static boolean isWithin(Duration bound, Optional<Duration> age) {
+    return age.filter(known -> known.compareTo(bound) <= 0).isPresent();
   }
 
   private void onList(ListResult result, ReadTimestamp readAt) {
@@ -268,8 +273,12 @@
   }
 
   private Optional<Duration> staleness() {
-    return Optional.ofNullable(validatedAt)
-        .flatMap(readAt -> readAt.ageOnBothClocks(timing.nanoTime(), timing.clock().millis()));
+    return age(Optional.ofNullable(validatedAt));
+  }
+
+  private Optional<Duration> age(Optional<ReadTimestamp> validation) {
+    return validation.flatMap(
+        readAt -> readAt.ageOnBothClocks(timing.nanoTime(), timing.clock().millis()));
   }
 
   private ReadTimestamp now() {
--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
@@ -95,7 +95,13 @@
    * @param untilNanos the monotonic time after which it is polled again
    * @param length the length of the back-off
    */
-  private record PeerBackoff(PeerFault fault, long untilNanos, Duration length) {}
+  private record PeerBackoff(PeerFault fault, long untilNanos, Duration length) {
+
+    /** Returns this back-off, ended if the peer was only behind. */
+    PeerBackoff endedIfBehind(long nowNanos) {
+      return fault == PeerFault.BEHIND ? new PeerBackoff(fault, nowNanos, length) : this;
+    }
+  }
 
   /** A poll that waits for an update. */
   private record PendingPoll(
@@ -210,6 +216,8 @@
             : Optional.empty();
     if (peer.isEmpty()) {
       lastPolled = null;
+      // When all peers were behind, the first one to catch up must not be missed.
+      backoffs.replaceAll((member, backoff) -> backoff.endedIfBehind(timing.nanoTime()));
       timing.schedule(REPOLL_DELAY, this::pollPeer);
       return;
     }
@@ -254,7 +262,6 @@
       timing.scheduler().execute(this::pollPeer);
       return;
     }
-    backoffs.remove(peer);
     boolean stale = false;
     for (Map.Entry<String, FollowedPrefix> entry : prefixes.entrySet()) {
       stale |=
@@ -266,6 +273,8 @@
     }
     if (stale) {
       backOff(peer, PeerFault.BEHIND, 0);
+    } else {
+      backoffs.remove(peer);
     }
     boolean wasHeld = response.get().holdTime().compareTo(REPOLL_DELAY) >= 0;
     timing.schedule(wasHeld ? Duration.ZERO : REPOLL_DELAY, this::pollPeer);
@@ -284,7 +293,7 @@
         state.age().map(age -> response.validatedAt(sentAt, age));
     prefix.applyFromPeer(state.update(), peerValidatedAt);
     return state.update().position().era() < prefix.position().era()
-        || prefix.isTooStale(peerValidatedAt);
+        || prefix.isBehind(peerValidatedAt);
   }
 
   private void backOff(Member peer, PeerFault fault, long receivedBytes) {
@@ -295,7 +304,9 @@
       length = doubled.compareTo(MAX_NO_ANSWER_BACKOFF) < 0 ? doubled : MAX_NO_ANSWER_BACKOFF;
     }
     backoffs.put(peer, new PeerBackoff(fault, timing.nanoTime() + length.toNanos(), length));
-    observer.onPeerBackoff(peer, fault, receivedBytes, length);
+    if (fault != PeerFault.BEHIND || previous == null || previous.fault() != PeerFault.BEHIND) {
+      observer.onPeerBackoff(peer, fault, receivedBytes, length);
+    }
     reportRank();
   }
 
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowRankingTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/FollowRankingTest.java
@@ -65,6 +65,15 @@
     assertThat(zonesPolledBy(memberWithRank(10))).isEqualTo(1);
   }
 
+  @Test
+  void theReaderOfAZonePollsAnotherZoneFirst() {
+    Member reader = memberWithRank(0);
+
+    Member first = FollowRanking.of(MEMBERS, reader).candidates(peer -> true).get(0);
+
+    assertThat(first.zone()).isNotEqualTo(reader.zone());
+  }
+
   @Test
   void readThresholdsIncreaseWithTheRankAndStayBelowTheBound() {
     Duration bound = Duration.ofSeconds(2);
--- a/coordination/src/test/java/dev/apricotmill/coordination/follow/RestoredStoreTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/follow/RestoredStoreTest.java
@@ -12,24 +12,38 @@
 import dev.apricotmill.coordination.testing.FakePlatform;
 import dev.apricotmill.coordination.testing.PlatformFault;
 import java.time.Duration;
-import org.junit.jupiter.api.Tag;
-import org.junit.jupiter.api.Test;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Every process follows a store that was restored from an older copy. */
 final class RestoredStoreTest {
 
   private static final Duration SETTLE_TIME = Duration.ofSeconds(5);
+  private static final Duration CHECK_INTERVAL = Duration.ofMillis(10);
   private static final Duration TIMEOUT = Duration.ofSeconds(1);
   private static final Duration WRITE_TIME = Duration.ofMillis(5);
 
   /** For a fleet of any size: two watches per second in each of three zones, and as many lists. */
   private static final long MAX_READS_PER_SECOND = 12;
 
-  private final FollowerFleet fleet = new FollowerFleet();
-  private final Platform operator =
-      fleet.store().clientFor("operator", new Zone("x"), fleet.time().newScheduler());
+  private FollowerFleet fleet;
+  private Platform operator;
+
+  RestoredStoreTest() {
+    useRandom(new SplittableRandom(1));
+  }
+
+  private void useRandom(RandomGenerator random) {
+    fleet = new FollowerFleet(FollowerFleet.SETTINGS, random);
+    operator = fleet.store().clientFor("operator", new Zone("x"), fleet.time().newScheduler());
+  }
 
   private void write(String name, String value) {
     ObjectKey key = new ObjectKey(FollowerFleet.PREFIX + name);
@@ -132,16 +146,29 @@
     assertAllHave(ImmutableMap.of("kept", "1", "changed", "3", "removed", "1"));
   }
 
-  @Test
-  void aProcessThatTheStoreTurnsAwayAfterAnOutageLearnsOfTheRestorationFromOthers() {
-    assertLearnsAfterAnOutage(3);
+  @ParameterizedTest
+  @MethodSource("sizesAndSeeds")
+  void aProcessThatTheStoreTurnsAwayAfterAnOutageLearnsOfTheRestorationFromOthers(
+      int perZone, long seed) {
+    useRandom(new SplittableRandom(seed));
+    assertLearnsAfterAnOutage(perZone);
   }
 
-  /** As above; the random delay of a retry exceeds the bound by some milliseconds at times. */
-  @Test
-  @Tag("known-red")
-  void aProcessOfManyThatTheStoreTurnsAwayAfterAnOutageLearnsOfTheRestorationFromOthers() {
-    assertLearnsAfterAnOutage(30);
+  /** The system property {@code soak.seeds} sets the number of seeds. */
+  static Stream<Arguments> sizesAndSeeds() {
+    return IntStream.of(3, 30)
+        .boxed()
+        .flatMap(
+            perZone ->
+                LongStream.range(0, Long.getLong("soak.seeds", 8))
+                    .mapToObj(seed -> Arguments.of(perZone, seed)));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {3, 30})
+  void theLongestDelaysKeepAProcessThatTheStoreTurnsAwayWithinTheBound(int perZone) {
+    useRandom(new LongestDelays());
+    assertLearnsAfterAnOutage(perZone);
   }
 
   private void assertLearnsAfterAnOutage(int perZone) {
@@ -152,7 +179,13 @@
     write("changed", "3");
     fleet.advance(FollowerFleet.MAX_STALENESS);
 
-    assertAllHave(ImmutableMap.of("kept", "1", "changed", "3", "removed", "1"));
+    ImmutableMap<String, String> expected =
+        ImmutableMap.of("kept", "1", "changed", "3", "removed", "1");
+    assertAllHave(expected);
+    for (int i = 0; i < SETTLE_TIME.dividedBy(CHECK_INTERVAL); i++) {
+      fleet.advance(CHECK_INTERVAL);
+      assertAllHave(expected);
+    }
   }
 
   @ParameterizedTest
