--- a/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/follow/SharedFollower.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -57,6 +58,7 @@
 
   private final Platform platform;
   private final Timing timing;
+  private final RandomGenerator random;
   private final Member self;
   private final FollowPeers peers;
   private final FollowObserver observer;
@@ -71,9 +73,15 @@
 
   /** Creates a follower without peers or prefixes. */
   public SharedFollower(
-      Platform platform, Timing timing, Member self, FollowPeers peers, FollowObserver observer) {
+      Platform platform,
+      Timing timing,
+      RandomGenerator random,
+      Member self,
+      FollowPeers peers,
+      FollowObserver observer) {
     this.platform = platform;
     this.timing = timing;
+    this.random = random;
     this.self = self;
     this.peers = peers;
     this.observer = observer;
@@ -87,7 +95,13 @@
    * @param untilNanos the monotonic time after which it is polled again
    * @param length the length of the back-off
    */
-  private record PeerBackoff(PeerFault fault, long untilNanos, Duration length) {}
+  private record PeerBackoff(PeerFault fault, long untilNanos, Duration length) {
+
+    /** Returns this back-off, ended if the peer was only behind. */
+    PeerBackoff endedIfBehind(long nowNanos) {
+      return fault == PeerFault.BEHIND ? new PeerBackoff(fault, nowNanos, length) : this;
+    }
+  }
 
   /** A poll that waits for an update. */
   private record PendingPoll(
@@ -97,7 +111,14 @@
   public void follow(String prefix, FollowSettings settings, FollowListener listener) {
     FollowedPrefix followed =
         new FollowedPrefix(
-            platform, timing, prefix, settings, listener, this::rank, this::scheduleResponses);
+            platform,
+            timing,
+            random,
+            prefix,
+            settings,
+            listener,
+            this::rank,
+            this::scheduleResponses);
     timing
         .scheduler()
         .execute(
@@ -195,6 +216,8 @@
             : Optional.empty();
     if (peer.isEmpty()) {
       lastPolled = null;
+      // When all peers were behind, the first one to catch up must not be missed.
+      backoffs.replaceAll((member, backoff) -> backoff.endedIfBehind(timing.nanoTime()));
       timing.schedule(REPOLL_DELAY, this::pollPeer);
       return;
     }
@@ -239,7 +262,6 @@
       timing.scheduler().execute(this::pollPeer);
       return;
     }
-    backoffs.remove(peer);
     boolean stale = false;
     for (Map.Entry<String, FollowedPrefix> entry : prefixes.entrySet()) {
       stale |=
@@ -251,6 +273,8 @@
     }
     if (stale) {
       backOff(peer, PeerFault.BEHIND, 0);
+    } else {
+      backoffs.remove(peer);
     }
     boolean wasHeld = response.get().holdTime().compareTo(REPOLL_DELAY) >= 0;
     timing.schedule(wasHeld ? Duration.ZERO : REPOLL_DELAY, this::pollPeer);
@@ -269,7 +293,7 @@
         state.age().map(age -> response.validatedAt(sentAt, age));
     prefix.applyFromPeer(state.update(), peerValidatedAt);
     return state.update().position().era() < prefix.position().era()
-        || prefix.isTooStale(peerValidatedAt);
+        || prefix.isBehind(peerValidatedAt);
   }
 
   private void backOff(Member peer, PeerFault fault, long receivedBytes) {
@@ -280,7 +304,9 @@
       length = doubled.compareTo(MAX_NO_ANSWER_BACKOFF) < 0 ? doubled : MAX_NO_ANSWER_BACKOFF;
     }
     backoffs.put(peer, new PeerBackoff(fault, timing.nanoTime() + length.toNanos(), length));
-    observer.onPeerBackoff(peer, fault, receivedBytes, length);
+    if (fault != PeerFault.BEHIND || previous == null || previous.fault() != PeerFault.BEHIND) {
+      observer.onPeerBackoff(peer, fault, receivedBytes, length);
+    }
     reportRank();
   }
 
