Send a stream to no server on which an attempt is open

While a stream's server and the one that was tried instead were both silent, the next attempt could go to the latter again, which prefilled the prompt twice and cost an attempt. A server is left out from when it is tried beside another one.

SecondStandbyTest failed before.

--- a/node/src/main/java/dev/apricotmill/node/relay/StandbyAttempt.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/StandbyAttempt.java
@@ -112,6 +112,7 @@
       return;
     }
     expected = newExpected;
+    scope.candidates().exclude(server.id());
     attempt = scope.send(server, helpers, expected, response.lastEventId(), this);
     owner.onStandbySent(expected);
   }
