Do not begin a stream again whose events have no identifiers

A caller got the events of a stream twice if its server broke off after an event without an identifier: the stream was sent to another server as a new one. It ends visibly incomplete now, since nothing tells where another server would have to go on.

StreamWithoutEventIdsTest failed before.

--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -158,7 +158,7 @@
 
   private void retryOrRefuse(RelayRefusal refusal) {
     selection.release();
-    if (!route().retryPolicy().allowsRetry(scope.mayHaveRun())) {
+    if (!route().retryPolicy().allowsRetry(scope.mayHaveRun()) || !response.canBeContinued()) {
       endWithFailure(refusal, RelayNode.RETRY_AFTER);
       return;
     }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayResponse.java
@@ -139,6 +139,11 @@
     return streamBegun;
   }
 
+  /** Returns whether another server can go on after what the caller has been sent. */
+  boolean canBeContinued() {
+    return !streamBegun || assembler.lastId().isPresent();
+  }
+
   boolean isOutOfOrder() {
     return assembler.isOutOfOrder();
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/SilenceWatch.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/SilenceWatch.java
@@ -91,7 +91,7 @@
       scope.log().serverSilent(attempt, scope.remaining());
       scope.candidates().onFailure(attempt.server().id(), /* unreachable= */ true);
     }
-    if (scope.limits().canRetry()) {
+    if (scope.limits().canRetry() && response.canBeContinued()) {
       startStandby();
     }
   }
