Give requests whose responses name nothing a connection of their own

Sequences, orders and cancellations go over connections that carry nothing else; so do orders to backend servers; - an exchange that ended while it connected counted as the first on its connection, so that a sound response to the next one, of a service that does not name its calls, was rejected; - a header such as Via with a protocol and a number was taken for a status line; three digits have to follow now. Tabs and lower case, which the library reads too, are taken for one; - a status line was not seen in the extension of a chunk of a response that is skipped: all that is read is scanned now.

GenerationExchangeTest.aResponseLeavesItsConnectionToNoOtherSequence is stricter than the case that it replaces: a stream leaves its connection to no other sequence either.

--- a/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandler.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandler.java
@@ -27,6 +27,11 @@
     return isOpen() && exchanges.tryBegin(exchange.call());
   }
 
+  /** Records that the exchange that was begun last will send nothing. */
+  void cancelBegin() {
+    exchanges.cancelBegin();
+  }
+
   /** Returns whether the current exchange is the only one that the connection has carried. */
   boolean isFirstExchange() {
     return exchanges.isFirst();
--- a/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
@@ -94,7 +94,9 @@
   final void runOn(LeasedConnection leased) {
     connection.set(leased);
     if (phase.get() == Phase.ENDED) {
-      releaseConnection(true);
+      if (connection.compareAndSet(leased, null)) {
+        leased.returnUnused();
+      }
       return;
     }
     leased.execute(this);
--- a/adapters/src/main/java/dev/apricotmill/adapters/ConnectionExchanges.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ConnectionExchanges.java
@@ -23,6 +23,7 @@
 
   private long[] carried = new long[INITIAL_CAPACITY];
   private int count;
+  private long exchanges;
   private int lateResponses;
   private boolean lateResponsesFramed = true;
   private @Nullable String header;
@@ -33,14 +34,26 @@
   synchronized boolean tryBegin(HttpCall call) {
     // The length of a response to HEAD is that of a body that does not follow.
     lateResponsesFramed &= !Method.HEAD.isSame(call.method());
-    boolean accepted = call.exchangeId().map(this::tryBegin).orElse(true);
-    open |= accepted;
-    return accepted;
+    if (!call.exchangeId().map(this::tryBegin).orElse(true)) {
+      return false;
+    }
+    exchanges++;
+    open = true;
+    return true;
+  }
+
+  /** Records that the exchange that was begun last will send nothing. */
+  synchronized void cancelBegin() {
+    exchanges--;
+    if (currentId != null) {
+      count--;
+    }
+    end();
   }
 
   private boolean tryBegin(ExchangeId id) {
     long hash = hash(id.value());
-    if (hasCarried(hash) || isExhausted()) {
+    if (hasCarried(hash) || isExhausted() || (exchanges > 0 && !id.named())) {
       return false;
     }
     if (count == carried.length) {
@@ -59,7 +72,7 @@
 
   /** Returns whether the current exchange is the only one that the connection has carried. */
   synchronized boolean isFirst() {
-    return count == 1;
+    return exchanges == 1;
   }
 
   /** Records that the response to the last exchange is complete. */
--- a/adapters/src/main/java/dev/apricotmill/adapters/ExchangeId.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ExchangeId.java
@@ -21,7 +21,10 @@
     return new ExchangeId(header, value, true);
   }
 
-  /** Returns an identifier that responses do not name, while those to other requests do. */
+  /**
+   * Returns an identifier that responses do not name, while those to other requests may. Such a
+   * request goes over a connection that carries nothing else.
+   */
   public static ExchangeId notNamedIn(String header, String value) {
     return new ExchangeId(header, value, false);
   }
--- a/adapters/src/main/java/dev/apricotmill/adapters/GenerationExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/GenerationExchange.java
@@ -42,7 +42,7 @@
       Runnable cancelOnEngine) {
     super(
         engine,
-        HttpCall.post("/v1/completions", Json.write(EngineMessages.Completion.of(request))));
+        HttpModelEngine.post("/v1/completions", Json.write(EngineMessages.Completion.of(request))));
     this.delivery = new ChunkDelivery(listener, window::readNext);
     this.stream = new CompletionStream(request);
     this.decoder = new ServerSentEventDecoder(MAXIMUM_EVENT_BYTES, this::onEvent);
@@ -101,13 +101,10 @@
     return response != null && response.getCode() == 200;
   }
 
-  /**
-   * A refusal names no sequence: a copy of it that came late would be taken for the refusal of the
-   * next sequence on the connection.
-   */
+  /** The head of a response names no sequence. */
   @Override
   boolean allowsReuse() {
-    return isStream();
+    return false;
   }
 
   private void onEvent(String data) {
--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpModelEngine.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpModelEngine.java
@@ -143,10 +143,10 @@
   }
 
   /**
-   * Returns a call after which its connection is not used again: a second refusal of it would be
-   * taken for the refusal of the next sequence, which the engine runs.
+   * Returns a call on a connection of its own: the second response to another one would be taken
+   * for its response, and a second refusal of it for the refusal of the next sequence.
    */
-  private static HttpCall post(String path, byte[] body) {
+  static HttpCall post(String path, byte[] body) {
     return HttpCall.post(path, body).withExchangeId(ExchangeId.notNamedIn(REQUEST_ID_HEADER, path));
   }
 
--- a/adapters/src/main/java/dev/apricotmill/adapters/LeasedConnection.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/LeasedConnection.java
@@ -113,6 +113,15 @@
     return BoundedClientHandler.of(session).isFirstExchange();
   }
 
+  /** Ends the lease of an exchange that has sent nothing. */
+  void returnUnused() {
+    PoolEntry<HttpHost, IOSession> entry = lease.getAndSet(null);
+    if (entry != null) {
+      BoundedClientHandler.of(session).cancelBegin();
+      pool.release(entry, session.isOpen());
+    }
+  }
+
   /** Ends the lease after a complete exchange; the connection may carry others. */
   void reuse() {
     PoolEntry<HttpHost, IOSession> entry = lease.getAndSet(null);
--- a/adapters/src/main/java/dev/apricotmill/adapters/OwnResponseParser.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/OwnResponseParser.java
@@ -28,7 +28,8 @@
  */
 final class OwnResponseParser implements NHttpMessageParser<HttpResponse> {
 
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9.]+ +[0-9]");
+  private static final Pattern STATUS_LINE =
+      Pattern.compile("HTTP/[0-9.]+[ \t]+[0-9]{3}(?![^ \t])", Pattern.CASE_INSENSITIVE);
 
   private final NHttpMessageParser<HttpResponse> parser;
   private final ConnectionExchanges exchanges;
@@ -114,8 +115,7 @@
         || Arrays.stream(response.getHeaders()).anyMatch(OwnResponseParser::containsStatusLine);
   }
 
-  /** Returns whether a header or trailer contains the begin of a response. */
-  static boolean containsStatusLine(Header header) {
+  private static boolean containsStatusLine(Header header) {
     return isStatusLineIn(header.getName()) || isStatusLineIn(header.getValue());
   }
 
--- a/adapters/src/main/java/dev/apricotmill/adapters/SkippedBody.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/SkippedBody.java
@@ -4,11 +4,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
-import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Optional;
 import org.apache.hc.core5.http.ConnectionClosedException;
-import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HeaderElements;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
@@ -33,17 +30,14 @@
   /** A longer rest is not worth the connection. */
   private static final int MAXIMUM_BYTES = 64 << 10;
 
-  private static final byte[] STATUS_LINE = "HTTP/".getBytes(StandardCharsets.US_ASCII);
   private static final int READ_BYTES = 4 << 10;
 
   private final ContentDecoder decoder;
-  private final SessionInputBuffer buffer;
-  private long consumedBytes;
-  private int matchedBytes;
+  private final StatusLineScanner scanner;
 
-  private SkippedBody(ContentDecoder decoder, SessionInputBuffer buffer) {
+  private SkippedBody(ContentDecoder decoder, StatusLineScanner scanner) {
     this.decoder = decoder;
-    this.buffer = buffer;
+    this.scanner = scanner;
   }
 
   /**
@@ -58,11 +52,12 @@
       return Optional.empty();
     }
     BasicHttpTransportMetrics metrics = new BasicHttpTransportMetrics();
+    StatusLineScanner scanner = new StatusLineScanner(buffer);
     if (encodings == 1) {
       return HeaderElements.CHUNKED_ENCODING.equalsIgnoreCase(
               response.getFirstHeader(HttpHeaders.TRANSFER_ENCODING).getValue())
           ? Optional.of(
-              new SkippedBody(new ChunkDecoder(BufferedOnly.INSTANCE, buffer, metrics), buffer))
+              new SkippedBody(new ChunkDecoder(BufferedOnly.INSTANCE, scanner, metrics), scanner))
           : Optional.empty();
     }
     @Nullable Long length =
@@ -71,20 +66,20 @@
         ? Optional.empty()
         : Optional.of(
             new SkippedBody(
-                new LengthDelimitedDecoder(BufferedOnly.INSTANCE, buffer, metrics, length),
-                buffer));
+                new LengthDelimitedDecoder(BufferedOnly.INSTANCE, scanner, metrics, length),
+                scanner));
   }
 
   /** Drops what is buffered of the body; returns whether that was the end of it. */
   boolean skip(boolean endOfStream) throws IOException, HttpException {
     ByteBuffer dropped = ByteBuffer.allocate(READ_BYTES);
-    int bufferedBefore = buffer.length();
     while (!decoder.isCompleted() && decoder.read(dropped.clear()) > 0) {
-      checkForStatusLine(dropped.flip());
+      // Each pass drops a part of the body.
     }
-    consumedBytes += bufferedBefore - buffer.length();
-    checkForStatusLine(decoder.getTrailers());
-    if (consumedBytes > MAXIMUM_BYTES) {
+    if (scanner.hasFoundStatusLine()) {
+      throw new ProtocolException("a response within a late response");
+    }
+    if (scanner.scannedBytes() > MAXIMUM_BYTES) {
       throw new MessageConstraintException("late response of more than " + MAXIMUM_BYTES);
     }
     if (endOfStream && !decoder.isCompleted()) {
@@ -93,27 +88,6 @@
     return decoder.isCompleted();
   }
 
-  private void checkForStatusLine(ByteBuffer bytes) throws ProtocolException {
-    while (bytes.hasRemaining()) {
-      byte next = bytes.get();
-      if (next == STATUS_LINE[matchedBytes]) {
-        matchedBytes++;
-      } else {
-        matchedBytes = next == STATUS_LINE[0] ? 1 : 0;
-      }
-      if (matchedBytes == STATUS_LINE.length) {
-        throw new ProtocolException("a response within the body of a late response");
-      }
-    }
-  }
-
-  private static void checkForStatusLine(@Nullable List<? extends Header> trailers)
-      throws ProtocolException {
-    if (trailers != null && trailers.stream().anyMatch(OwnResponseParser::containsStatusLine)) {
-      throw new ProtocolException("a response within the trailers of a late response");
-    }
-  }
-
   /** A channel without bytes, since the connection itself reads into the buffer. */
   private enum BufferedOnly implements ReadableByteChannel {
     INSTANCE;
--- a/adapters/src/test/java/dev/apricotmill/adapters/GenerationExchangeTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/GenerationExchangeTest.java
@@ -45,12 +45,12 @@
 
   /** A copy of a refusal that comes late ends the next sequence on the connection as refused. */
   @Test
-  void aRefusalLeavesItsConnectionToNoOtherSequence() {
+  void aResponseLeavesItsConnectionToNoOtherSequence() {
     exchange.onHead(new BasicHttpResponse(503));
     assertThat(exchange.allowsReuse()).isFalse();
 
     exchange.onHead(new BasicHttpResponse(200));
-    assertThat(exchange.allowsReuse()).isTrue();
+    assertThat(exchange.allowsReuse()).isFalse();
   }
 
   @Test
--- a/adapters/src/test/java/dev/apricotmill/adapters/UnnamedResponseTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/UnnamedResponseTest.java
@@ -69,8 +69,7 @@
             + "\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":0}}\n\ndata: [DONE]\n\n";
     String stream = response(events);
     String body = "{\"error\":{\"code\":\"not_serving\"}}";
-    String refusal =
-        "HTTP/1.1 503 Refused\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    String refusal = "HTTP/1.1 503 Refused\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     String failure = "HTTP/1.1 500 Failed\r\nContent-Length: 2\r\n\r\n{}";
     serve(List.of(stream, refusal + failure), failure);
     HttpModelEngine engine = new HttpModelEngine(fixture.clients(), address());
@@ -90,27 +89,25 @@
   void aConnectionOfAnEndedExchangeThatSentNothingCountsAsUnused() throws Exception {
     serve(List.of(response("one"), response("two")), response("one"));
     StreamedExchange ended =
-        fixture
-            .clients()
-            .stream(
-                address(),
-                call("r1"),
-                new StreamedResponseListener() {
-                  @Override
-                  public boolean onHead(HttpResponse head) {
-                    return true;
-                  }
-
-                  @Override
-                  public void onBody(byte[] chunk) {}
-
-                  @Override
-                  public void onComplete() {}
-
-                  @Override
-                  public void onFailure(boolean sent, ExchangeFailure failure) {}
-                },
-                Duration.ofSeconds(10));
+        fixture.clients().stream(
+            address(),
+            call("r1"),
+            new StreamedResponseListener() {
+              @Override
+              public boolean onHead(HttpResponse head) {
+                return true;
+              }
+
+              @Override
+              public void onBody(byte[] chunk) {}
+
+              @Override
+              public void onComplete() {}
+
+              @Override
+              public void onFailure(boolean sent, ExchangeFailure failure) {}
+            },
+            Duration.ofSeconds(10));
     ended.close();
     Thread.sleep(500);
 
@@ -122,12 +119,10 @@
 
   @Test
   void aResponseWhoseViaHeaderNamesAnAddressIsSound() throws Exception {
-    serve(
-        List.of("HTTP/1.1 200 OK\r\nVia: HTTP/1.1 10.0.0.7:80\r\nContent-Length: 0\r\n\r\n"), "");
+    serve(List.of("HTTP/1.1 200 OK\r\nVia: HTTP/1.1 10.0.0.7:80\r\nContent-Length: 0\r\n\r\n"), "");
 
     ExchangeResult result =
-        await(
-            fixture.clients().send(address(), HttpCall.get("/"), 1024, Duration.ofSeconds(10)));
+        await(fixture.clients().send(address(), HttpCall.get("/"), 1024, Duration.ofSeconds(10)));
 
     assertThat(result).isInstanceOf(ExchangeResult.Response.class);
   }
