--- a/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandler.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandler.java
@@ -22,14 +22,18 @@
     return (BoundedClientHandler) session.getHandler();
   }
 
-  /** Records the begin of an exchange; returns false if the connection must not carry it. */
+  /** Records the start of an exchange; returns false if the connection must not carry it. */
   boolean tryBegin(ClientExchange exchange) {
     return isOpen() && exchanges.tryBegin(exchange.call());
   }
 
-  /** Records that the exchange that was begun last will send nothing. */
-  void cancelBegin() {
+  /**
+   * Records that the exchange that was begun last will send nothing; returns whether the connection
+   * may carry others.
+   */
+  boolean cancelExchange() {
     exchanges.cancelBegin();
+    return mayCarryOthers();
   }
 
   /** Returns whether the current exchange is the only one that the connection has carried. */
@@ -40,6 +44,10 @@
   /** Records the end of an exchange; returns whether the connection may carry others. */
   boolean endExchange() {
     exchanges.end();
+    return mayCarryOthers();
+  }
+
+  private boolean mayCarryOthers() {
     return isOpen() && !exchanges.isExhausted() && !parser.hasUnreadBytes();
   }
 }
--- a/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandlerFactory.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandlerFactory.java
@@ -32,6 +32,7 @@
    * Creates a factory.
    *
    * @param maximumHeadBytes the maximum size of a head, and of trailers
+   * @param lateResponses receives the responses that are skipped
    */
   BoundedClientHandlerFactory(
       HttpProcessor processor,
--- a/adapters/src/main/java/dev/apricotmill/adapters/ConnectionExchanges.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ConnectionExchanges.java
@@ -25,15 +25,15 @@
   private int count;
   private long exchanges;
   private int lateResponses;
-  private boolean lateResponsesFramed = true;
+  private boolean lateResponsesTellLength = true;
   private @Nullable String header;
   private boolean open;
   private @Nullable String currentId;
 
-  /** Records the begin of an exchange; returns false if the connection must not carry it. */
+  /** Records the start of an exchange; returns false if the connection must not carry it. */
   synchronized boolean tryBegin(HttpCall call) {
     // The length of a response to HEAD is that of a body that does not follow.
-    lateResponsesFramed &= !Method.HEAD.isSame(call.method());
+    lateResponsesTellLength &= !Method.HEAD.isSame(call.method());
     if (!call.exchangeId().map(this::tryBegin).orElse(true)) {
       return false;
     }
@@ -87,16 +87,16 @@
   }
 
   /**
-   * Returns the identifier that a response names if it is one more response to an exchange that has
-   * ended. No more such responses are recognized than exchanges were carried.
+   * Counts a response that is one more to an exchange that has ended, and returns the identifier
+   * that it names; empty for others. No more are counted than exchanges were carried.
    */
-  synchronized Optional<String> lateResponseId(HttpResponse response) {
+  synchronized Optional<String> takeLateResponse(HttpResponse response) {
     Optional<String> id =
         Optional.ofNullable(header)
             .map(response::getFirstHeader)
             .map(Header::getValue)
             .filter(this::isEnded);
-    if (id.isEmpty() || !lateResponsesFramed || lateResponses == count) {
+    if (id.isEmpty() || !lateResponsesTellLength || lateResponses >= count) {
       return Optional.empty();
     }
     lateResponses++;
--- a/adapters/src/main/java/dev/apricotmill/adapters/LeasedConnection.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/LeasedConnection.java
@@ -117,8 +117,7 @@
   void returnUnused() {
     PoolEntry<HttpHost, IOSession> entry = lease.getAndSet(null);
     if (entry != null) {
-      BoundedClientHandler.of(session).cancelBegin();
-      pool.release(entry, session.isOpen());
+      pool.release(entry, BoundedClientHandler.of(session).cancelExchange());
     }
   }
 
--- a/adapters/src/main/java/dev/apricotmill/adapters/OwnResponseParser.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/OwnResponseParser.java
@@ -19,11 +19,11 @@
  * <ul>
  *   <li>A late response to an exchange that has ended is skipped as a whole. If its end cannot be
  *       found, it is returned and fails the open exchange.
- *   <li>Any other bytes that come while no exchange is open end the connection. The begin of a
+ *   <li>Any other bytes that come while no exchange is open end the connection. The beginning of a
  *       response would otherwise be completed by the response to the next request, which would get
  *       its status.
- *   <li>A head that contains the begin of another one ends the connection too, since such bytes may
- *       still be on their way when the next request is written.
+ *   <li>A head that contains the beginning of another one ends the connection too, since such bytes
+ *       may still be on their way when the next request is written.
  * </ul>
  */
 final class OwnResponseParser implements NHttpMessageParser<HttpResponse> {
@@ -43,6 +43,7 @@
    *
    * @param parser parses each response
    * @param exchanges the exchanges of the connection
+   * @param listener receives the responses that are skipped
    */
   OwnResponseParser(
       NHttpMessageParser<HttpResponse> parser,
@@ -83,7 +84,7 @@
       if (response == null || response.getCode() < HttpStatus.SC_OK) {
         return response;
       }
-      Optional<String> lateId = exchanges.lateResponseId(response);
+      Optional<String> lateId = exchanges.takeLateResponse(response);
       Optional<SkippedBody> body = lateId.flatMap(id -> SkippedBody.of(response, buffer));
       if (body.isEmpty()) {
         return response;
--- a/adapters/src/main/java/dev/apricotmill/adapters/StatusLineScanner.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/StatusLineScanner.java
@@ -8,7 +8,7 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
 
-/** An input buffer that looks for the begin of a response in all that is read of it. */
+/** An input buffer that looks for the beginning of a response in all that is read of it. */
 final class StatusLineScanner implements SessionInputBuffer {
 
   private static final String STATUS_LINE = "http/";
@@ -22,7 +22,7 @@
     this.buffer = buffer;
   }
 
-  /** Returns whether what was read contains the begin of a response. */
+  /** Returns whether what was read contains the beginning of a response. */
   boolean hasFoundStatusLine() {
     return foundStatusLine;
   }
