Wait for the connection, not for the clock, in UnnamedResponseTest

Two cases slept 200 and 500 ms so that the client had released a connection, or had opened one for an exchange that had ended. The first waits until its server sees the end of the connection now; the second ends its exchange before it starts, waits until the client has an idle connection (HttpClients.idleConnections) and checks that the next exchange uses it, which the sleep could not. The input buffer that looks for status lines writes to channels too, in place of two methods that threw.

--- a/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/HttpClients.java
@@ -129,6 +129,11 @@
     return timing;
   }
 
+  /** Returns the number of open connections that no exchange uses. */
+  int idleConnections() {
+    return pool.getTotalStats().getAvailable();
+  }
+
   /** Sends a request and buffers the complete response body, of at most {@code maximumBytes}. */
   public CompletableFuture<ExchangeResult> send(
       PeerAddress peer, HttpCall call, int maximumBytes, Duration timeout) {
--- a/adapters/src/main/java/dev/apricotmill/adapters/StatusLineScanner.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/StatusLineScanner.java
@@ -70,13 +70,19 @@
   }
 
   @Override
-  public int read(WritableByteChannel target, int maximumBytes) {
-    throw new UnsupportedOperationException("bytes that are skipped go to no channel");
+  public int read(WritableByteChannel target, int maximumBytes) throws IOException {
+    ByteBuffer bytes = ByteBuffer.allocate(Math.min(maximumBytes, length()));
+    read(bytes);
+    bytes.flip();
+    while (bytes.hasRemaining()) {
+      target.write(bytes);
+    }
+    return bytes.limit();
   }
 
   @Override
-  public int read(WritableByteChannel target) {
-    throw new UnsupportedOperationException("bytes that are skipped go to no channel");
+  public int read(WritableByteChannel target) throws IOException {
+    return read(target, length());
   }
 
   @Override
--- a/adapters/src/test/java/dev/apricotmill/adapters/UnnamedResponseTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/UnnamedResponseTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static dev.apricotmill.adapters.AdapterFixture.TEST_TIMEOUT;
 import static dev.apricotmill.adapters.AdapterFixture.await;
+import static dev.apricotmill.adapters.AdapterFixture.awaitUntil;
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSortedSet;
@@ -24,8 +25,10 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.http.HttpResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -36,6 +39,8 @@
 
   private final AdapterFixture fixture = new AdapterFixture();
   private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final CompletableFuture<Void> firstConnectionEnded = new CompletableFuture<>();
+  private final AtomicInteger connections = new AtomicInteger();
   private ServerSocket server;
 
   @BeforeEach
@@ -76,7 +81,7 @@
     RecordingListener first = new RecordingListener();
     engine.generate(request("r-1"), first);
     assertThat(await(first.end())).isInstanceOf(GenerationEnd.Finished.class);
-    Thread.sleep(200);
+    await(firstConnectionEnded);
 
     RecordingListener listener = new RecordingListener();
     engine.generate(request("r-2"), listener);
@@ -88,33 +93,16 @@
   @Test
   void aConnectionOfAnEndedExchangeThatSentNothingCountsAsUnused() throws Exception {
     serve(List.of(response("one"), response("two")), response("one"));
-    StreamedExchange ended =
-        fixture.clients().stream(
-            address(),
-            call("r1"),
-            new StreamedResponseListener() {
-              @Override
-              public boolean onHead(HttpResponse head) {
-                return true;
-              }
-
-              @Override
-              public void onBody(byte[] chunk) {}
-
-              @Override
-              public void onComplete() {}
-
-              @Override
-              public void onFailure(boolean sent, ExchangeFailure failure) {}
-            },
-            Duration.ofSeconds(10));
+    StreamedExchange ended = new StreamedExchange(address(), call("r1"), new IgnoringListener());
     ended.close();
-    Thread.sleep(500);
+    fixture.clients().start(ended, TEST_TIMEOUT);
+    awaitUntil(() -> fixture.clients().idleConnections() == 1);
 
     ExchangeResult result =
         await(fixture.clients().send(address(), call("r2"), 1024, Duration.ofSeconds(10)));
 
     assertThat(result).isInstanceOf(ExchangeResult.Response.class);
+    assertThat(connections.get()).isEqualTo(1);
   }
 
   @Test
@@ -152,10 +140,14 @@
     threads.execute(
         () -> {
           try {
-            Socket first = server.accept();
-            threads.execute(() -> serve(first, firstConnection));
+            Socket first = accept();
+            threads.execute(
+                () -> {
+                  serve(first, firstConnection);
+                  firstConnectionEnded.complete(null);
+                });
             while (true) {
-              Socket connection = server.accept();
+              Socket connection = accept();
               threads.execute(() -> serve(connection, List.of(others, others)));
             }
           } catch (IOException e) {
@@ -164,6 +156,12 @@
         });
   }
 
+  private Socket accept() throws IOException {
+    Socket connection = server.accept();
+    connections.incrementAndGet();
+    return connection;
+  }
+
   private static void serve(Socket connection, List<String> responses) {
     try (connection) {
       for (String response : responses) {
@@ -201,4 +199,21 @@
     }
     return (char) next;
   }
+
+  private static final class IgnoringListener implements StreamedResponseListener {
+
+    @Override
+    public boolean onHead(HttpResponse head) {
+      return true;
+    }
+
+    @Override
+    public void onBody(byte[] chunk) {}
+
+    @Override
+    public void onComplete() {}
+
+    @Override
+    public void onFailure(boolean sent, ExchangeFailure failure) {}
+  }
 }
