--- a/adapters/src/test/java/dev/apricotmill/adapters/AdapterFixture.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/AdapterFixture.java
@@ -7,12 +7,14 @@
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.configuration.Replica;
 import dev.apricotmill.core.request.ReplicaId;
+import dev.apricotmill.testhelpers.http.RawServer;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -58,6 +60,18 @@
     closer.register(resource);
   }
 
+  /** Starts a server that responds with these bytes on its first connection only. */
+  PeerAddress serve(List<String> onlyConnection) throws IOException {
+    return serve(onlyConnection, List.of()).address();
+  }
+
+  /** Starts a server that responds with these bytes, one entry for each request. */
+  RawServer serve(List<String> firstConnection, List<String> others) throws IOException {
+    RawServer server = RawServer.start(firstConnection, others);
+    closeAtEnd(server::close);
+    return server;
+  }
+
   static Replica replicaAt(PeerAddress address) {
     return new Replica(new ReplicaId("replica"), new Zone("one"), address, "machine");
   }
--- a/adapters/src/test/java/dev/apricotmill/adapters/BytesOnIdleConnectionTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/BytesOnIdleConnectionTest.java
@@ -71,8 +71,7 @@
     String late =
         HEAD + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(headers.length()) + ";ab";
     PeerAddress server =
-        RawServer.start(
-            fixture,
+        fixture.serve(
             ImmutableList.of(
                 HEAD + "Content-Length: 0\r\n\r\n",
                 late + "HTTP/1.1 500 Failed\r\n" + headers + body));
--- a/adapters/src/test/java/dev/apricotmill/adapters/HttpPlainServiceTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/HttpPlainServiceTest.java
@@ -133,10 +133,11 @@
       for (String second : List.of("", "apricotmill-request-id: r-1\r\n")) {
         calls = 0;
         PeerAddress service =
-            RawServer.start(
-                fixture,
-                ImmutableList.of(rawResponse(first, "one"), rawResponse(second, "late")),
-                ImmutableList.of(rawResponse("", "two")));
+            fixture
+                .serve(
+                    ImmutableList.of(rawResponse(first, "one"), rawResponse(second, "late")),
+                    ImmutableList.of(rawResponse("", "two")))
+                .address();
 
         assertThat(textOf(order(service, TEST_TIMEOUT))).isEqualTo("one");
         assertThat(textOf(order(service, TEST_TIMEOUT))).isNotEqualTo("late");
@@ -147,12 +148,10 @@
   @Test
   void aConnectionOfAServiceThatNamesItsCallsIsUsedAgain() throws Exception {
     PeerAddress service =
-        RawServer.start(
-            fixture,
+        fixture.serve(
             ImmutableList.of(
                 rawResponse("apricotmill-request-id: r-1\r\n", "one"),
-                rawResponse("apricotmill-request-id: r-2\r\n", "two")),
-            ImmutableList.of());
+                rawResponse("apricotmill-request-id: r-2\r\n", "two")));
 
     assertThat(textOf(order(service, TEST_TIMEOUT))).isEqualTo("one");
     assertThat(textOf(order(service, TEST_TIMEOUT))).isEqualTo("two");
--- a/adapters/src/test/java/dev/apricotmill/adapters/LateResponseTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/LateResponseTest.java
@@ -45,10 +45,11 @@
   @Test
   void aRequestIsNotSentAgainOnAConnectionThatHasCarriedIt() throws Exception {
     PeerAddress server =
-        RawServer.start(
-            fixture,
-            ImmutableList.of(response("r1", 500, "failed"), response("r1", 200, "late")),
-            ImmutableList.of(response("r1", 500, "failed again")));
+        fixture
+            .serve(
+                ImmutableList.of(response("r1", 500, "failed"), response("r1", 200, "late")),
+                ImmutableList.of(response("r1", 500, "failed again")))
+            .address();
 
     assertThat(send(server, "GET", "r1")).isEqualTo("500 failed");
     assertThat(send(server, "GET", "r1")).isEqualTo("500 failed again");
@@ -63,8 +64,7 @@
             head("r1", 200) + CHUNKED + "4\r\nlate\r\n0\r\nX-T: t\r\n\r\n",
             response("r1", 200, "x".repeat(60_000)))) {
       PeerAddress server =
-          RawServer.start(
-              fixture,
+          fixture.serve(
               ImmutableList.of(response("r1", 200, "one"), late + response("r2", 201, "two")));
 
       assertThat(send(server, "POST", "r1")).isEqualTo("200 one");
@@ -78,12 +78,13 @@
     String late = response("r1", 200, "late body");
     for (int length = 1; length <= late.length(); length++) {
       PeerAddress server =
-          RawServer.start(
-              fixture,
-              ImmutableList.of(
-                  response("r1", 200, "one") + late.substring(0, length),
-                  late.substring(length) + response("r2", 500, "failed")),
-              ImmutableList.of(response("r2", 500, "failed")));
+          fixture
+              .serve(
+                  ImmutableList.of(
+                      response("r1", 200, "one") + late.substring(0, length),
+                      late.substring(length) + response("r2", 500, "failed")),
+                  ImmutableList.of(response("r2", 500, "failed")))
+              .address();
 
       assertThat(send(server, "GET", "r1")).isEqualTo("200 one");
       assertWithMessage("after %s bytes", length)
@@ -107,8 +108,7 @@
     for (String late : lateResponsesInFull) {
       for (int length = 1; length < late.length(); length++) {
         PeerAddress server =
-            RawServer.start(
-                fixture,
+            fixture.serve(
                 ImmutableList.of(
                     response("r1", 200, "one"),
                     late.substring(0, length)
@@ -127,8 +127,7 @@
   @Test
   void aResponseThatNamesNoRequestOfTheConnectionIsPassedOnAsItIs() throws Exception {
     PeerAddress server =
-        RawServer.start(
-            fixture, ImmutableList.of(response("r1", 200, "one"), response("r0", 200, "other")));
+        fixture.serve(ImmutableList.of(response("r1", 200, "one"), response("r0", 200, "other")));
 
     assertThat(send(server, "GET", "r1")).isEqualTo("200 one");
     assertThat(send(server, "GET", "r2")).isEqualTo("200 other for r0");
@@ -142,9 +141,7 @@
             head("r1", 200) + "\r\nlate",
             response("r1", 200, "x".repeat(70_000)),
             head("r1", 204) + "\r\n" + response("r2", 200, "two"))) {
-      PeerAddress server =
-          RawServer.start(
-              fixture, ImmutableList.of(response("r1", 200, "one"), late), ImmutableList.of());
+      PeerAddress server = fixture.serve(ImmutableList.of(response("r1", 200, "one"), late));
 
       assertThat(send(server, "GET", "r1")).isEqualTo("200 one");
       assertWithMessage(late).that(send(server, "GET", "r2")).contains(" for r1");
@@ -156,8 +153,7 @@
   void nothingIsSkippedOnAConnectionThatHasCarriedAHeadRequest() throws Exception {
     String late = head("r1", 200) + "Content-Length: 100\r\n\r\n";
     PeerAddress server =
-        RawServer.start(
-            fixture, ImmutableList.of(late, late + response("r2", 200, "x".repeat(200))));
+        fixture.serve(ImmutableList.of(late, late + response("r2", 200, "x".repeat(200))));
 
     assertThat(send(server, "HEAD", "r1")).isEqualTo("200 ");
     assertThat(send(server, "GET", "r2")).contains(" for r1");
@@ -168,8 +164,7 @@
   void noMoreResponsesAreSkippedThanRequestsWereSent() throws Exception {
     String late = response("r1", 200, "late");
     PeerAddress server =
-        RawServer.start(
-            fixture,
+        fixture.serve(
             ImmutableList.of(
                 response("r1", 200, "one"), late.repeat(3) + response("r2", 200, "two")));
 
@@ -184,7 +179,7 @@
       first.add(response("r" + request, 200, "first"));
     }
     PeerAddress server =
-        RawServer.start(fixture, first.build(), ImmutableList.of(response("last", 200, "second")));
+        fixture.serve(first.build(), ImmutableList.of(response("last", 200, "second"))).address();
 
     for (int request = 0; request < ConnectionExchanges.MAXIMUM_EXCHANGES; request++) {
       assertThat(send(server, "GET", "r" + request)).isEqualTo("200 first");
--- a/adapters/src/test/java/dev/apricotmill/adapters/LateSecondResponseTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/LateSecondResponseTest.java
@@ -7,7 +7,6 @@
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.coordination.identity.DaemonId;
 import dev.apricotmill.coordination.identity.Incarnation;
-import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.core.engine.EngineRequest;
 import dev.apricotmill.core.engine.GenerationEnd;
 import dev.apricotmill.core.engine.SequenceId;
@@ -16,35 +15,22 @@
 import dev.apricotmill.core.request.ServiceCall;
 import dev.apricotmill.core.request.ServiceName;
 import dev.apricotmill.core.service.CallResult;
+import dev.apricotmill.testhelpers.http.RawServer;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a late second response to one call that is taken for the response to the next. */
 final class LateSecondResponseTest {
 
   private final AdapterFixture fixture = new AdapterFixture();
-  private final ExecutorService threads = Executors.newCachedThreadPool();
-  private ServerSocket server;
-
-  @BeforeEach
-  void listen() throws IOException {
-    server = new ServerSocket(0, /* backlog= */ 8, InetAddress.getLoopbackAddress());
-  }
+  private RawServer server;
 
   @AfterEach
   void close() throws IOException {
-    server.close();
-    threads.shutdownNow();
     fixture.close();
   }
 
@@ -67,7 +53,7 @@
   void aSequenceIsNotTakenForRefusedAfterACancellationThatWas() throws Exception {
     repeatFirstResponse(
         response(503, "{\"error\":{\"code\":\"not_serving\"}}"), response(500, "{}"));
-    HttpModelEngine engine = new HttpModelEngine(fixture.clients(), address());
+    HttpModelEngine engine = new HttpModelEngine(fixture.clients(), server.address());
     await(engine.cancel(sequence("r-1"), TEST_TIMEOUT));
 
     RecordingListener listener = new RecordingListener();
@@ -89,7 +75,7 @@
             fixture.timing().deadlineAfter(TEST_TIMEOUT));
     return await(
         new HttpPlainService(fixture.clients())
-            .call(AdapterFixture.replicaAt(address()), call, TEST_TIMEOUT));
+            .call(AdapterFixture.replicaAt(server.address()), call, TEST_TIMEOUT));
   }
 
   private static String bodyOf(CallResult result) {
@@ -104,10 +90,6 @@
     return new EngineRequest(sequence(id), "prompt", 10, 0, Duration.ofSeconds(10), 0, "");
   }
 
-  private PeerAddress address() {
-    return new PeerAddress("127.0.0.1", server.getLocalPort());
-  }
-
   private static String response(int status, String body) {
     return String.format(
         "HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n%s", status, body.length(), body);
@@ -117,63 +99,7 @@
    * Responds to the first request with {@code first}, and to any other with {@code others}; but the
    * second request on the first connection gets a copy of the first response before its own.
    */
-  private void repeatFirstResponse(String first, String others) {
-    threads.execute(
-        () -> {
-          try {
-            Socket firstConnection = server.accept();
-            threads.execute(() -> serve(firstConnection, first, first + others));
-            while (true) {
-              Socket connection = server.accept();
-              threads.execute(() -> serve(connection, others, others));
-            }
-          } catch (IOException e) {
-            // The test has ended.
-          }
-        });
-  }
-
-  /** Responds to two requests on a connection. */
-  private static void serve(Socket connection, String first, String second) {
-    try (connection) {
-      readRequest(connection.getInputStream());
-      write(connection, first);
-      readRequest(connection.getInputStream());
-      write(connection, second);
-      readRequest(connection.getInputStream());
-    } catch (IOException e) {
-      // The peer has closed the connection, or the test has ended.
-    }
-  }
-
-  private static void write(Socket connection, String bytes) throws IOException {
-    connection.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
-  }
-
-  private static void readRequest(InputStream input) throws IOException {
-    StringBuilder received = new StringBuilder();
-    while (!received.toString().endsWith("\r\n\r\n")) {
-      received.append(readByte(input));
-    }
-    int length = contentLength(received.toString());
-    for (int i = 0; i < length; i++) {
-      readByte(input);
-    }
-  }
-
-  private static int contentLength(String head) {
-    return head.lines()
-        .filter(line -> line.regionMatches(true, 0, "content-length:", 0, 15))
-        .mapToInt(line -> Integer.parseInt(line.substring(15).strip()))
-        .findFirst()
-        .orElse(0);
-  }
-
-  private static char readByte(InputStream input) throws IOException {
-    int next = input.read();
-    if (next < 0) {
-      throw new IOException("the connection has ended");
-    }
-    return (char) next;
+  private void repeatFirstResponse(String first, String others) throws IOException {
+    server = fixture.serve(List.of(first, first + others), List.of(others, others));
   }
 }
