Find status lines without a regular expression

A head of a response was matched against a pattern once a header line. Few header lines contain a slash, so a scan for the slash is enough. Renames the counters of ConnectionExchanges to what they count. No behaviour changes.

--- a/adapters/src/main/java/dev/apricotmill/adapters/ConnectionExchanges.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ConnectionExchanges.java
@@ -3,7 +3,6 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import java.util.Objects;
 import java.util.Optional;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpResponse;
@@ -22,8 +21,8 @@
   private static final int INITIAL_CAPACITY = 8;
 
   private long[] carried = new long[INITIAL_CAPACITY];
-  private int count;
-  private long exchanges;
+  private int carriedCount;
+  private long exchangeCount;
   private int lateResponses;
   private boolean lateResponsesTellLength = true;
   private @Nullable String header;
@@ -37,29 +36,29 @@
     if (!call.exchangeId().map(this::tryBegin).orElse(true)) {
       return false;
     }
-    exchanges++;
+    exchangeCount++;
     open = true;
     return true;
   }
 
   /** Records that the exchange that was begun last will send nothing. */
   synchronized void cancelBegin() {
-    exchanges--;
+    exchangeCount--;
     if (currentId != null) {
-      count--;
+      carriedCount--;
     }
     end();
   }
 
   private boolean tryBegin(ExchangeId id) {
     long hash = hash(id.value());
-    if (hasCarried(hash) || isExhausted() || (exchanges > 0 && !id.named())) {
+    if (hasCarried(hash) || isExhausted() || (exchangeCount > 0 && !id.named())) {
       return false;
     }
-    if (count == carried.length) {
-      carried = Arrays.copyOf(carried, 2 * count);
+    if (carriedCount == carried.length) {
+      carried = Arrays.copyOf(carried, 2 * carriedCount);
     }
-    carried[count++] = hash;
+    carried[carriedCount++] = hash;
     currentId = id.value();
     header = id.header();
     return true;
@@ -72,7 +71,7 @@
 
   /** Returns whether the current exchange is the only one that the connection has carried. */
   synchronized boolean isFirst() {
-    return exchanges == 1;
+    return exchangeCount == 1;
   }
 
   /** Records that the response to the last exchange is complete. */
@@ -83,7 +82,7 @@
 
   /** Returns whether the connection must not carry further exchanges. */
   synchronized boolean isExhausted() {
-    return count == MAXIMUM_EXCHANGES;
+    return carriedCount == MAXIMUM_EXCHANGES;
   }
 
   /**
@@ -91,24 +90,26 @@
    * that it names; empty for others. No more are counted than exchanges were carried.
    */
   synchronized Optional<String> takeLateResponse(HttpResponse response) {
-    Optional<String> id =
-        Optional.ofNullable(header)
-            .map(response::getFirstHeader)
-            .map(Header::getValue)
-            .filter(this::isEnded);
-    if (id.isEmpty() || !lateResponsesTellLength || lateResponses >= count) {
+    Header named = header == null ? null : response.getFirstHeader(header);
+    String id = named == null ? null : named.getValue();
+    if (id == null
+        || id.equals(currentId)
+        || !hasCarried(hash(id))
+        || !lateResponsesTellLength
+        || lateResponses >= carriedCount) {
       return Optional.empty();
     }
     lateResponses++;
-    return id;
-  }
-
-  private boolean isEnded(String id) {
-    return !Objects.equals(id, currentId) && hasCarried(hash(id));
+    return Optional.of(id);
   }
 
   private boolean hasCarried(long hash) {
-    return Arrays.stream(carried, 0, count).anyMatch(other -> other == hash);
+    for (int i = 0; i < carriedCount; i++) {
+      if (carried[i] == hash) {
+        return true;
+      }
+    }
+    return false;
   }
 
   private static long hash(String id) {
--- a/adapters/src/main/java/dev/apricotmill/adapters/OwnResponseParser.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/OwnResponseParser.java
@@ -1,9 +1,7 @@
 package dev.apricotmill.adapters;
 
 import java.io.IOException;
-import java.util.Arrays;
 import java.util.Optional;
-import java.util.regex.Pattern;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
@@ -28,9 +26,6 @@
  */
 final class OwnResponseParser implements NHttpMessageParser<HttpResponse> {
 
-  private static final Pattern STATUS_LINE =
-      Pattern.compile("HTTP/[0-9.]+[ \t]+[0-9]{3}(?![^ \t])", Pattern.CASE_INSENSITIVE);
-
   private final NHttpMessageParser<HttpResponse> parser;
   private final ConnectionExchanges exchanges;
   private final LateResponseListener listener;
@@ -112,16 +107,16 @@
   }
 
   private static boolean containsStatusLine(HttpResponse response) {
-    return isStatusLineIn(response.getReasonPhrase())
-        || Arrays.stream(response.getHeaders()).anyMatch(OwnResponseParser::containsStatusLine);
-  }
-
-  private static boolean containsStatusLine(Header header) {
-    return isStatusLineIn(header.getName()) || isStatusLineIn(header.getValue());
-  }
-
-  private static boolean isStatusLineIn(@Nullable String text) {
-    return text != null && STATUS_LINE.matcher(text).find();
+    if (StatusLines.isStatusLineIn(response.getReasonPhrase())) {
+      return true;
+    }
+    for (Header header : response.getHeaders()) {
+      if (StatusLines.isStatusLineIn(header.getName())
+          || StatusLines.isStatusLineIn(header.getValue())) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns whether the next byte belongs to the head of a response. */
