--- a/daemon/src/main/java/dev/apricotmill/daemon/process/SettingsWatcher.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/SettingsWatcher.java
@@ -1,8 +1,7 @@
-package dev.apricotmill.platform;
+package dev.apricotmill.daemon.process;
 
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.coordination.time.Timing;
-import dev.apricotmill.daemon.process.SighupHandler;
 import dev.apricotmill.node.relay.EventLog;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -16,22 +15,32 @@
  * <p>A node uses the settings that it read at its start. A changed file is validated and logged; it
  * takes effect at the next start.
  */
-final class SettingsWatcher {
+public final class SettingsWatcher {
 
   /** Reading the file is cheap: it is small and held in memory. */
   private static final Duration CHECK_PERIOD = Duration.ofSeconds(5);
 
+  /** Checks a settings file. */
+  @FunctionalInterface
+  public interface SettingsFileCheck {
+    /** Throws if the file cannot be read or lacks a required field. */
+    void check(Path file) throws IOException;
+  }
+
   private final Path file;
+  private final SettingsFileCheck fileCheck;
   private final EventLog log;
   private byte[] lastContent = {};
 
-  private SettingsWatcher(Path file, EventLog log) {
+  private SettingsWatcher(Path file, SettingsFileCheck fileCheck, EventLog log) {
     this.file = file;
+    this.fileCheck = fileCheck;
     this.log = log;
   }
 
-  static void start(Path file, Timing timing, EventLog log) {
-    SettingsWatcher watcher = new SettingsWatcher(file, log);
+  /** Starts to watch {@code file}. */
+  public static void start(Path file, SettingsFileCheck fileCheck, Timing timing, EventLog log) {
+    SettingsWatcher watcher = new SettingsWatcher(file, fileCheck, log);
     watcher.check(false);
     SighupHandler.register(() -> timing.scheduler().execute(() -> watcher.check(true)));
     timing.scheduleRepeatedly(CHECK_PERIOD, () -> watcher.check(false));
@@ -43,7 +52,7 @@
       boolean changed = lastContent.length > 0 && !Arrays.equals(lastContent, content);
       lastContent = content;
       if (changed || signalled) {
-        NodeSettings.read(file, NodeSettings.DEFAULT_METRICS_PORT);
+        fileCheck.check(file);
         log.write("settings.reloaded", ImmutableMap.of("signalled", signalled, "changed", changed));
       }
     } catch (IOException | IllegalArgumentException e) {
--- a/daemon/src/main/java/dev/apricotmill/daemon/process/StopDriver.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/StopDriver.java
@@ -1,4 +1,4 @@
-package dev.apricotmill.platform;
+package dev.apricotmill.daemon.process;
 
 import dev.apricotmill.daemon.http.HttpListener;
 import dev.apricotmill.node.relay.PlannedStop;
@@ -8,7 +8,7 @@
 import java.util.concurrent.locks.LockSupport;
 
 /** Drives a planned stop of the relay until it is over. */
-final class StopDriver {
+public final class StopDriver {
 
   /** A new connection sends its request within this time. */
   private static final Duration IDLE_TIMEOUT = Duration.ofMillis(300);
@@ -22,7 +22,7 @@
    *
    * <p>Returns when all requests have ended, or shortly before {@code grace} ends.
    */
-  static void run(RelayNode relay, HttpListener callers, Duration grace) {
+  public static void run(RelayNode relay, HttpListener callers, Duration grace) {
     relay.beginStop(grace);
     while (relay.advanceStop(callers.openResponses()) != PlannedStop.Phase.OVER) {
       // A request that arrives later on an idle connection could exceed the grace period.
