Let the nodes of the largest VMs dispatch

At 81 VMs rendezvous hashing named a dispatcher of 0.36 of a core. Entries of nodes now state the processor time of their VM, and those with the most go first; on VMs of one size the order stays the hash alone.

--- a/coordination/src/main/java/dev/apricotmill/coordination/directory/NodeDirectory.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/directory/NodeDirectory.java
@@ -165,6 +165,7 @@
             .put("address", self.address().toString())
             .put("zone", self.zone().name())
             .put("incarnation", self.incarnation().number())
+            .put("capacity", self.capacity())
             .toString()
             .getBytes(StandardCharsets.UTF_8);
     long expected = versions.getOrDefault(ownKey(), 0L);
@@ -212,7 +213,8 @@
               new Incarnation(new DaemonId(name), json.path("incarnation").asLong()),
               new Zone(json.path("zone").asText()),
               PeerAddress.parse(json.path("address").asText()),
-              MemberState.ALIVE));
+              MemberState.ALIVE,
+              json.path("capacity").asInt()));
     } catch (IOException | IllegalArgumentException e) {
       // A malformed entry is ignored.
       return Optional.empty();
--- a/coordination/src/main/java/dev/apricotmill/coordination/membership/Member.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/membership/Member.java
@@ -10,12 +10,19 @@
  * @param zone the daemon's availability zone
  * @param address where it accepts requests from peers
  * @param state the state of that incarnation
+ * @param capacity the processor time that its VM may spend, in hundredths of a core; 0 if unknown
  */
-public record Member(Incarnation incarnation, Zone zone, PeerAddress address, MemberState state) {
+public record Member(
+    Incarnation incarnation, Zone zone, PeerAddress address, MemberState state, int capacity) {
+
+  /** Creates a member of unknown capacity. */
+  public Member(Incarnation incarnation, Zone zone, PeerAddress address, MemberState state) {
+    this(incarnation, zone, address, state, 0);
+  }
 
   /** Returns a copy with another state. */
   public Member withState(MemberState newState) {
-    return new Member(incarnation, zone, address, newState);
+    return new Member(incarnation, zone, address, newState, capacity);
   }
 
   /**
--- a/coordination/src/main/java/dev/apricotmill/coordination/membership/MemberTable.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/membership/MemberTable.java
@@ -56,7 +56,7 @@
     MemberState state =
         self.state() == MemberState.LEAVING ? MemberState.LEAVING : MemberState.ALIVE;
     Incarnation next = new Incarnation(self.incarnation().daemon(), number + 1);
-    self = new Member(next, self.zone(), self.address(), state);
+    self = new Member(next, self.zone(), self.address(), state, self.capacity());
     suspectSince.clear();
     deadSince.keySet().forEach(members::remove);
     deadSince.clear();
--- a/coordination/src/main/java/dev/apricotmill/coordination/membership/RendezvousHash.java
+++ b/coordination/src/main/java/dev/apricotmill/coordination/membership/RendezvousHash.java
@@ -28,6 +28,14 @@
     return weighted(members, key).sorted(Comparator.reverseOrder()).map(Weighted::member);
   }
 
+  /**
+   * Returns the members in the order in which they would own {@code key} if members of more
+   * capacity go first; members of equal capacity are in the order of {@link #ranked}.
+   */
+  public static Stream<Member> rankedByCapacity(Collection<Member> members, String key) {
+    return ranked(members, key).sorted(Comparator.comparingInt(Member::capacity).reversed());
+  }
+
   /** Computes each weight once, since the hash costs far more than a comparison. */
   private static Stream<Weighted> weighted(Collection<Member> members, String key) {
     return members.stream().map(member -> new Weighted(weight(member, key), member));
--- a/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
+++ b/coordination/src/test/java/dev/apricotmill/coordination/directory/NodeDirectoryTest.java
@@ -47,6 +47,9 @@
           Duration.ofMillis(10),
           Duration.ofSeconds(24));
 
+  /** Entries carry it: nodes that read another capacity would choose another dispatcher. */
+  private static final int CAPACITY = 36;
+
   private final VirtualTime time = new VirtualTime();
   private final FakePlatform store = new FakePlatform(time);
   private final Map<String, ImmutableList<Member>> seenMembers = new HashMap<>();
@@ -144,7 +147,7 @@
   void theEntryOfANodeThatIsNotRunningStaysRemoved() {
     start("n1", 1);
     byte[] entry =
-        "{\"address\":\"10.0.0.1:9000\",\"zone\":\"a\",\"incarnation\":1}"
+        "{\"address\":\"10.0.0.1:9000\",\"zone\":\"a\",\"incarnation\":1,\"capacity\":36}"
             .getBytes(StandardCharsets.UTF_8);
     store
         .clientFor("operator", new Zone("a"), time.newScheduler())
@@ -232,6 +235,7 @@
         new Incarnation(new DaemonId(name), incarnation),
         new Zone("a"),
         new PeerAddress("10.0.0.1", 9000),
-        MemberState.ALIVE);
+        MemberState.ALIVE,
+        CAPACITY);
   }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
@@ -300,12 +300,17 @@
     return dispatcher;
   }
 
-  /** Returns the nodes in the order in which they take over as the dispatcher of a pool. */
+  /**
+   * Returns the nodes in the order in which they take over as the dispatcher of a pool. Those of
+   * the largest VMs go first: a dispatcher handles all requests of its pool, and on the smallest
+   * VMs of an uneven fleet it falls silent at 200 requests a second.
+   */
   private ImmutableList<Member> ranking(ServiceName service) {
     return rankings.computeIfAbsent(
         service,
         name ->
-            RendezvousHash.ranked(members, name.value()).collect(ImmutableList.toImmutableList()));
+            RendezvousHash.rankedByCapacity(members, name.value())
+                .collect(ImmutableList.toImmutableList()));
   }
 
   private void onDispatcherChanged(ServiceName service, Member previous, Member dispatcher) {
--- a/node/src/test/java/dev/apricotmill/node/relay/DispatcherPlacerTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/DispatcherPlacerTest.java
@@ -61,6 +61,35 @@
     assertThat(decisions).containsExactly(granted("pool2"));
   }
 
+  /** A dispatcher on a small VM falls silent under load, and nodes then ask different ones. */
+  @Test
+  void theNodeOfTheLargestVmDispatchesWhateverItsRank() {
+    Member largest = withCapacity(ranked.get(1), 150);
+    placer.updateMembers(
+        ImmutableList.of(
+            withCapacity(ranked.get(0), 36), largest, withCapacity(ranked.get(2), 36)));
+
+    placer.place(placementRequest("r1"), decisions::add);
+
+    assertThat(dispatchers.asked).containsExactly(largest.address());
+  }
+
+  @Test
+  void theNextOfEqualCapacityReplacesASilentDispatcher() {
+    placer.updateMembers(
+        ImmutableList.of(
+            withCapacity(ranked.get(0), 36),
+            withCapacity(ranked.get(1), 150),
+            withCapacity(ranked.get(2), 150)));
+    placer.place(placementRequest("r1"), decisions::add);
+    dispatchers.answer(Optional.empty());
+    dispatchers.asked.clear();
+
+    placer.place(placementRequest("r2"), decisions::add);
+
+    assertThat(dispatchers.asked).doesNotContain(ranked.get(0).address());
+  }
+
   @Test
   void aNodePreconnectsOnceToABoundedNumberOfDispatchers() {
     ImmutableList.Builder<Member> many = ImmutableList.<Member>builder().addAll(ranked);
@@ -272,6 +301,11 @@
         MemberState.ALIVE);
   }
 
+  private static Member withCapacity(Member member, int capacity) {
+    return new Member(
+        member.incarnation(), member.zone(), member.address(), member.state(), capacity);
+  }
+
   private final class ScriptedDispatchers implements DispatcherClient {
 
     private final List<PeerAddress> asked = new ArrayList<>();
