Send no request to the servers of an evacuated zone

Cause: an object `evacuations/ZONE` asks that no request be sent to the servers of that zone, and nothing read it.

Change: where the settings name `bounds.evacuate_ms`, each node follows the kind as it follows servers. EvacuatedZones keeps the zones, ServingState lists their servers as accepting no requests, so that the balancer, the placer, retries, resumed streams, standby attempts and new reservations respect it. Before the first read the view has no servers: the node is not ready and sends nothing. A request that a dispatcher without this knowledge placed in the zone is placed again without all servers of evacuated zones; one by one it would run out of attempts.

--- a/node/src/main/java/dev/apricotmill/node/relay/CandidateServers.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CandidateServers.java
@@ -95,6 +95,19 @@
     failed.add(server);
   }
 
+  /**
+   * Excludes a server that was granted and accepts no requests. If its zone is evacuated, the
+   * dispatcher does not know yet, so all servers of such zones are excluded: one by one, the
+   * request would run out of attempts.
+   */
+  void excludeUnusable(ReplicaId server) {
+    failed.add(server);
+    ImmutableSet<ReplicaId> evacuated = node.view().evacuatedServers(service);
+    if (evacuated.contains(server)) {
+      failed.addAll(evacuated);
+    }
+  }
+
   /** Excludes the helper that a refusal names as its cause, or else the refusing server. */
   void onRefusal(BackendServer refusing, Optional<String> faultyServer) {
     ReplicaId faulty =
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
@@ -42,6 +42,11 @@
     Gauge.builder("apricotmill.relay.buffered_bytes", bufferedBytes).register(registry);
   }
 
+  /** Adds the gauge of evacuated zones, where evacuations are in force. */
+  void registerEvacuatedZones(Supplier<Number> count) {
+    Gauge.builder("apricotmill.relay.evacuated_zones", count).register(registry);
+  }
+
   private Timer timer(String name) {
     return Timer.builder(name)
         .serviceLevelObjectives(
--- a/node/src/main/java/dev/apricotmill/node/relay/ServerSelection.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServerSelection.java
@@ -99,7 +99,7 @@
 
   @Override
   public void onUnusable(Optional<ReplicaId> server, RelayRefusal reason) {
-    server.ifPresent(scope.candidates()::exclude);
+    server.ifPresent(scope.candidates()::excludeUnusable);
     callback.onUnusable(reason);
   }
 
--- a/node/src/main/java/dev/apricotmill/node/relay/ServingState.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServingState.java
@@ -23,30 +23,51 @@
 
   private final RelayNode relay;
   private final LeavingServers leavingServers;
+  private final EvacuatedZones evacuatedZones;
+  private final EvacuationEffects evacuationEffects;
   private final EventLog log;
   private final Consumer<ServingView> onChange;
   private final Set<String> unavailableSources = new HashSet<>();
   private final RestoredServerList restoredServers = new RestoredServerList();
   private ImmutableMap<ReplicaId, BackendServer> storedServers = ImmutableMap.of();
+  private boolean serversKnown;
   private boolean newestUnreadable;
   private boolean storedOutdated;
 
+  /** Creates the state of a node in whose deployment evacuations are not in force. */
+  public ServingState(
+      RelayNode relay,
+      LeavingServers leavingServers,
+      EventLog log,
+      Consumer<ServingView> onChange) {
+    this(relay, leavingServers, EvacuatedZones.notFollowed(relay.timing()), log, onChange);
+  }
+
   /**
    * Creates the state of a node.
    *
    * @param leavingServers the servers that are leaving whatever the list says
+   * @param evacuatedZones the zones whose servers get no requests; until they are known, the view
+   *     has no servers, so that the node is not ready and sends nothing
    * @param onChange called after each change of the configuration or the servers
    */
   public ServingState(
       RelayNode relay,
       LeavingServers leavingServers,
+      EvacuatedZones evacuatedZones,
       EventLog log,
       Consumer<ServingView> onChange) {
     this.relay = relay;
     this.leavingServers = leavingServers;
+    this.evacuatedZones = evacuatedZones;
     this.log = log;
     this.onChange = onChange;
+    evacuationEffects = new EvacuationEffects(log);
     leavingServers.addListener(new LeavingServersObserver());
+    evacuatedZones.setListener(this::republish);
+    if (evacuatedZones.isFollowed()) {
+      relay.metrics().registerEvacuatedZones(evacuatedZones::count);
+    }
   }
 
   /** Applies a configuration if it is newer than the current one. */
@@ -130,10 +151,29 @@
 
   private void applyServers(ImmutableMap<ReplicaId, BackendServer> servers) {
     markAvailable("servers");
-    ImmutableMap<ReplicaId, BackendServer> usable = leavingServers.update(servers);
-    long ready = usable.values().stream().filter(BackendServer::ready).count();
+    serversKnown = true;
+    ImmutableMap<ReplicaId, BackendServer> staying = leavingServers.update(servers);
+    long ready =
+        evacuatedZones.apply(staying).values().stream().filter(BackendServer::ready).count();
     log.write("servers.taken", ImmutableMap.of("servers", servers.size(), "ready", ready));
-    onChange.accept(relay.update(view -> view.withServers(usable)));
+    publish(staying);
+  }
+
+  private void republish() {
+    if (serversKnown) {
+      publish(leavingServers.servers());
+    }
+  }
+
+  /** Updates the view with the servers of the list, to which the marks of leaving ones apply. */
+  private void publish(ImmutableMap<ReplicaId, BackendServer> servers) {
+    if (!evacuatedZones.isKnown()) {
+      return;
+    }
+    evacuationEffects.check(servers.values(), evacuatedZones.zones());
+    ImmutableMap<ReplicaId, BackendServer> usable = evacuatedZones.apply(servers);
+    onChange.accept(
+        relay.update(view -> view.withServers(usable).withEvacuatedZones(evacuatedZones.zones())));
   }
 
   /** Applies changes of the marks to the servers of the view. */
@@ -142,17 +182,12 @@
     @Override
     public void onLeaving(LeavingServers.Instance instance, LeavingServers.Source source) {
       relay.metrics().recordLeavingServer(source);
-      relay.view().servers().ifPresent(table -> apply(table.serversById()));
+      republish();
     }
 
     @Override
     public void onAcceptingAgain() {
-      onChange.accept(relay.update(view -> view.withServers(leavingServers.servers())));
-    }
-
-    private void apply(ImmutableMap<ReplicaId, BackendServer> servers) {
-      ImmutableMap<ReplicaId, BackendServer> usable = leavingServers.apply(servers);
-      onChange.accept(relay.update(view -> view.withServers(usable)));
+      republish();
     }
   }
 
