--- a/node/src/test/java/dev/apricotmill/node/relay/ServingFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServingFixture.java
@@ -29,6 +29,7 @@
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /**
  * A node in virtual time with a list of servers, whose placements and reservations can be held back
@@ -48,6 +49,8 @@
   private final List<ReplicaId> reserved = new ArrayList<>();
   private final List<ReplicaId> released = new ArrayList<>();
   private final List<Runnable> held = new ArrayList<>();
+  private final List<String> log = new ArrayList<>();
+  private final EvacuatedZones evacuatedZones;
   private final RelayNode node;
   private final ServingState state;
   private final PlacementEndpoint endpoint;
@@ -56,6 +59,16 @@
   private int requests;
 
   ServingFixture() {
+    this(/* evacuationsFollowed= */ false);
+  }
+
+  /** Creates a node; if it follows evacuations, it has not read any yet. */
+  ServingFixture(boolean evacuationsFollowed) {
+    EventLog evacuationLog = (event, fields) -> log.add(event + " " + fields);
+    evacuatedZones =
+        evacuationsFollowed
+            ? EvacuatedZones.followed(timing, evacuationLog)
+            : EvacuatedZones.notFollowed(timing);
     node =
         new RelayNode(
             timing,
@@ -73,7 +86,8 @@
             backendLimits,
             EventLog.NONE,
             meters);
-    state = new ServingState(node, leavingServers, EventLog.NONE, localPlacer::update);
+    state =
+        new ServingState(node, leavingServers, evacuatedZones, evacuationLog, localPlacer::update);
     endpoint =
         new PlacementEndpoint(
             timing,
@@ -86,7 +100,7 @@
   }
 
   /** The pool prefills slowly, so that prompts are worth splitting. */
-  private static ServingConfiguration configuration() {
+  static ServingConfiguration configuration() {
     ServingConfiguration base = RelayFixture.configuration(1);
     return new ServingConfiguration(
         base.version(),
@@ -214,6 +228,22 @@
     state.serversRead(Maps.uniqueIndex(ImmutableList.copyOf(servers), BackendServer::id));
   }
 
+  /** Lets the store hold the evacuations of these zones and no others. */
+  void evacuate(String... zones) {
+    evacuatedZones.update(
+        ImmutableList.copyOf(zones).stream().map(Zone::new).collect(Collectors.toSet()));
+    time.runDue();
+  }
+
+  /** Returns the lines about evacuations so far. */
+  List<String> evacuationLog() {
+    return log.stream().filter(line -> line.startsWith("evacuation.")).toList();
+  }
+
+  RelayNode node() {
+    return node;
+  }
+
   /** Reports that a server has said in a response that it is leaving. */
   void leave(BackendServer server) {
     leavingServers.onNotice(server, new ServerNotice(true, Optional.empty()));
@@ -261,11 +291,15 @@
   }
 
   static BackendServer server(ServiceName service, int number, long startedMillis) {
+    return server(service, number, "a", startedMillis);
+  }
+
+  static BackendServer server(ServiceName service, int number, String zone, long startedMillis) {
     return new BackendServer(
         new ReplicaId(service.value() + number),
         service,
         new PeerAddress("10.0.0." + (number + 1), 80),
-        new Zone("a"),
+        new Zone(zone),
         4,
         true,
         startedMillis);
@@ -303,6 +337,10 @@
     return released;
   }
 
+  double gauge(String name) {
+    return meters.get(name).gauge().value();
+  }
+
   double counter(String name) {
     return meters.get(name).counter().count();
   }
