Keep engines free of long parts for the short prompts that arrive

Cause: the cost of a long plan counted what decoding responses lose, and not the short prompts that arrive while its parts are read.

Change, only where an engine holds fewer than 16 prompts of mean length (EngineCostModel.promptsCompete): - ArrivalRate, ShortPromptLoad, EngineShare: as many engines as the short prompts need are kept free of long parts and packed first; a part there is bounded by the first event and gap of short prompts, or costs those that arrive meanwhile. - EngineState.firstEventBudgetMillis: a part may not make an awaited first event late. - PrefillDemand: engine time has a price when long prompts need more than 0.7 of the other engines. A prompt that needs reservations is placed if its plan loses less than a refusal; late is preferred to refused. A refusal says when the price will have fallen.

Tests: dev.apricotmill.core.pool, 49 passed.

--- a/core/src/main/java/dev/apricotmill/core/pool/EngineOption.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/EngineOption.java
@@ -14,6 +14,7 @@
  * @param budgetMillis the longest part that makes none of its responses late
  * @param valueAtRisk what its responses lose together when a part makes them late
  * @param lateCostMillis {@code valueAtRisk} as a delay that can be compared with a wait
+ * @param arrivingValuePerMilli the value of the short prompts that arrive there each millisecond
  * @param costMillis what a part costs there that makes no response late
  */
 record EngineOption(
@@ -23,18 +24,26 @@
     double budgetMillis,
     double valueAtRisk,
     double lateCostMillis,
+    double arrivingValuePerMilli,
     double costMillis) {
 
+  /** The wait in milliseconds that is as bad as the loss of a value of 1. */
+  static final double MILLIS_PER_VALUE = 2_000;
+
   double finishMillis(double partMillis) {
     return startMillis + partMillis;
   }
 
   double lateValue(double partMillis) {
-    return partMillis > budgetMillis ? valueAtRisk : 0;
+    return partMillis > budgetMillis
+        ? valueAtRisk + arrivingValuePerMilli * finishMillis(partMillis)
+        : 0;
   }
 
   private double cost(double partMillis) {
-    return (partMillis > budgetMillis ? lateCostMillis : 0) + costMillis;
+    double arrivingValue = arrivingValuePerMilli * finishMillis(partMillis);
+    return (partMillis > budgetMillis ? lateCostMillis + MILLIS_PER_VALUE * arrivingValue : 0)
+        + costMillis;
   }
 
   /** Returns the cheapest engines for a part, the cheapest first; equal ones keep their order. */
--- a/core/src/main/java/dev/apricotmill/core/pool/EngineState.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/EngineState.java
@@ -4,7 +4,9 @@
 import dev.apricotmill.core.relay.EngineCostModel;
 import dev.apricotmill.core.request.RequestId;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** The requests that were placed on one engine and have not ended, as a dispatcher knows them. */
@@ -16,9 +18,11 @@
   private final EngineCostModel costModel;
   private final Map<RequestId, Part> parts = new HashMap<>();
   private BackendServer server;
+  private int position;
   private int generationCount;
   private int prefillingParts;
   private long usedTokens;
+  private final List<Double> awaitedDueMillis = new ArrayList<>();
   private double onTimeValue;
   private double tightestGapMillis = Double.MAX_VALUE;
   private double prefillEndMillis;
@@ -36,6 +40,7 @@
    * @param prefilling whether the prompt is still being prefilled
    * @param tokens KV memory of the part in tokens
    * @param eventGapTarget the longest gap between events of the response that is on time
+   * @param dueMillis when the first event is due
    * @param value the request's value, see {@link EngineCostModel#relativeValue}
    * @param late whether a prefill that was placed here later has made the response late
    */
@@ -44,18 +49,28 @@
       boolean prefilling,
       long tokens,
       Duration eventGapTarget,
+      double dueMillis,
       double value,
       boolean late) {
 
     Part afterPrefill() {
-      return new Part(generates, false, tokens, eventGapTarget, value, late);
+      return new Part(generates, false, tokens, eventGapTarget, dueMillis, value, late);
     }
 
     Part asLate() {
-      return new Part(generates, prefilling, tokens, eventGapTarget, value, true);
+      return new Part(generates, prefilling, tokens, eventGapTarget, dueMillis, value, true);
     }
   }
 
+  /** Returns the place of the engine in the order of the pool. */
+  int position() {
+    return position;
+  }
+
+  void moveTo(int newPosition) {
+    position = newPosition;
+  }
+
   BackendServer server() {
     return server;
   }
@@ -70,12 +85,13 @@
       double prefillMillis,
       long tokens,
       Duration eventGapTarget,
+      double dueMillis,
       double nowMillis) {
     if (prefillMillis > prefillBudgetMillis(nowMillis)) {
       parts.replaceAll((id, part) -> part.asLate());
     }
     double value = costModel.relativeValue(generates ? tokens : 0);
-    parts.put(request, new Part(generates, true, tokens, eventGapTarget, value, false));
+    parts.put(request, new Part(generates, true, tokens, eventGapTarget, dueMillis, value, false));
     recomputeTotals();
     prefillEndMillis = Math.max(prefillEndMillis, nowMillis) + prefillMillis;
   }
@@ -135,6 +151,22 @@
     return tightestGapMillis - decodeIterationMillis() - pendingPrefillMillis(nowMillis);
   }
 
+  /**
+   * Returns the prefill time that may be added before a first event here is late. A part that is
+   * read for another engine comes before the prompts that wait here, and any part lengthens the
+   * iteration in which they are read.
+   */
+  double firstEventBudgetMillis(double nowMillis) {
+    double readyMillis = nowMillis + pendingPrefillMillis(nowMillis) + 2 * decodeIterationMillis();
+    double budgetMillis = Double.MAX_VALUE;
+    for (double dueMillis : awaitedDueMillis) {
+      if (dueMillis > readyMillis) {
+        budgetMillis = Math.min(budgetMillis, dueMillis - readyMillis);
+      }
+    }
+    return budgetMillis;
+  }
+
   private void updatePrefillEnd(double nowMillis) {
     recomputeTotals();
     if (prefillingParts == 0) {
@@ -148,11 +180,15 @@
     prefillingParts = 0;
     usedTokens = 0;
     onTimeValue = 0;
+    awaitedDueMillis.clear();
     tightestGapMillis = Double.MAX_VALUE;
     for (Part part : parts.values()) {
       generationCount += part.generates() ? 1 : 0;
       prefillingParts += part.prefilling() ? 1 : 0;
       usedTokens += part.tokens();
+      if (part.generates() && part.prefilling()) {
+        awaitedDueMillis.add(part.dueMillis());
+      }
       if (part.generates() && !part.late()) {
         onTimeValue += part.value();
         tightestGapMillis = Math.min(tightestGapMillis, (double) part.eventGapTarget().toMillis());
--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementPlanner.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementPlanner.java
@@ -43,15 +43,18 @@
    */
   private static final double COST_PER_DECODING_REQUEST = 0.002;
 
+  /**
+   * The same fraction where prompts compete for engines. An early first event gains nothing there,
+   * and each further engine that reads a part is one that short prompts would use.
+   */
+  private static final double LATENCY_VALUE_LOSS_IN_COMPETITION = 0.05;
+
   /** The fraction of its value that a response loses when it misses its latency target. */
   private static final double LATE_VALUE_LOSS = 0.75;
 
   /** The fraction of its value that a response loses if it uses all of its usable target. */
   private static final double LATENCY_VALUE_LOSS = 0.2;
 
-  /** The wait in milliseconds that is as bad as the loss of a value of 1. */
-  private static final double MILLIS_PER_VALUE = 2_000;
-
   /** The wait in milliseconds that a long prompt accepts to avoid one more decoding request. */
   private static final double DECODING_REQUEST_COST_MILLIS = 20;
 
@@ -73,6 +76,8 @@
   private final EngineCostModel costModel;
   private final ImmutableList<EngineState> usable;
   private final PlacementRequest request;
+  private final EngineShare share;
+  private final int shareEnd;
   private final double nowMillis;
   private final double prefillMillis;
   private final long requiredTokens;
@@ -81,15 +86,39 @@
       EngineCostModel costModel,
       ImmutableList<EngineState> usable,
       PlacementRequest request,
+      EngineShare share,
       double nowMillis) {
     this.costModel = costModel;
+    this.nowMillis = nowMillis;
     this.usable = usable;
     this.request = request;
-    this.nowMillis = nowMillis;
+    this.share = share;
+    shareEnd = shareEnd();
     prefillMillis = costModel.prefillMillis(request.size().promptTokens());
     requiredTokens = request.size().promptTokens() + request.size().maximumOutputTokens();
   }
 
+  /** Returns whether a prompt with this prefill time is placed on one engine, unsplit. */
+  static boolean isShort(double prefillMillis) {
+    return prefillMillis <= MAXIMUM_UNSPLIT_PREFILL_MILLIS;
+  }
+
+  /** Returns the position after the last engine of the share; engines in cool-down are no part. */
+  private int shareEnd() {
+    int left = share.engineCount();
+    for (EngineState engine : usable) {
+      if (left == 0) {
+        return engine.position();
+      }
+      left -= engine.hasCooledDown(nowMillis) ? 1 : 0;
+    }
+    return share.isInForce() ? Integer.MAX_VALUE : 0;
+  }
+
+  private boolean isInShare(EngineState engine) {
+    return engine.position() < shareEnd;
+  }
+
   Placement choose() {
     ImmutableList<EngineState> free =
         usable.stream()
@@ -99,7 +128,7 @@
     if (free.isEmpty()) {
       return placeWithReservations();
     }
-    return prefillMillis <= MAXIMUM_UNSPLIT_PREFILL_MILLIS ? placeShort(free) : placeLong(free);
+    return isShort(prefillMillis) ? placeShort(free) : placeLong(free);
   }
 
   private Placement placeShort(ImmutableList<EngineState> free) {
@@ -111,8 +140,10 @@
                 engine ->
                     firstEventMillis(engine)
                         <= request.firstEventTarget().toMillis() * USABLE_TARGET_SHARE)
-            .filter(engine -> engine.prefillBudgetMillis(nowMillis) >= prefillMillis)
-            .max(Comparator.comparingInt(EngineState::generationCount));
+            .filter(engine -> budgetMillis(engine) >= prefillMillis)
+            .max(
+                Comparator.comparing(this::isInShare)
+                    .thenComparingInt(EngineState::generationCount));
     EngineState chosen =
         packed.orElseGet(
             () -> Collections.min(free, Comparator.comparingDouble(this::firstEventMillis)));
@@ -156,15 +187,45 @@
         continue;
       }
       Plan plan = plan(parts, generationOptions, helperOptions);
-      if (delaysNoResponse(plan, parts) && (best == null || plan.cost() < best.cost())) {
+      if (isWorthwhile(plan, parts) && (best == null || plan.cost() < best.cost())) {
         best = plan;
       }
     }
     return best == null
-        ? new Placement.Full(FULL_POOL_RETRY_AFTER)
+        ? new Placement.Full(retryAfter())
         : grant(best.engines(), best.finishMillis(), reservedTokens(best.engines().size()));
   }
 
+  /**
+   * Returns whether a plan may be used. Where prompts compete for engines, it may make responses
+   * late, also its own, if it loses less value than a refusal, with the engine time that others
+   * need counted at its price.
+   */
+  private boolean isWorthwhile(Plan plan, int parts) {
+    if (!share.isInForce()) {
+      return delaysNoResponse(plan, parts);
+    }
+    return plan.finishMillis() <= request.remainingTime().toMillis() * USABLE_TARGET_SHARE
+        && plan.cost() + share.pricePerMilli() * prefillMillis < ownValue();
+  }
+
+  /** Returns the time until the prompt may be worth its engine time, even if it is late then. */
+  private Duration retryAfter() {
+    double margin = ownValue() * (1 - LATE_VALUE_LOSS);
+    double waitMillis =
+        PrefillDemand.millisUntilPrice(share.pricePerMilli(), margin / prefillMillis);
+    return waitMillis > FULL_POOL_RETRY_AFTER.toMillis()
+        ? Duration.ofMillis((long) Math.min(waitMillis, request.remainingTime().toMillis() / 2.0))
+        : FULL_POOL_RETRY_AFTER;
+  }
+
+  /** Returns the value of the request; a prompt that no engine can hold is worth no more. */
+  private double ownValue() {
+    long tokens = request.size().promptTokens();
+    return costModel.relativeValue(
+        share.isInForce() ? Math.min(tokens, costModel.memoryTokens()) : tokens);
+  }
+
   /**
    * Returns whether a plan makes no response late, its own included. Prefill time grows with the
    * square of the prompt length. The largest prompts therefore have the lowest value for the time
@@ -240,14 +301,16 @@
       costValue +=
           option.lateValue(partMillis) + COST_PER_DECODING_REQUEST * option.generationCount();
     }
-    double ownValue = costModel.relativeValue(request.size().promptTokens());
+    double ownValue = ownValue();
+    double latencyValueLoss =
+        share.isInForce() ? LATENCY_VALUE_LOSS_IN_COMPETITION : LATENCY_VALUE_LOSS;
     double targetMillis = Math.max(1, request.firstEventTarget().toMillis() * USABLE_TARGET_SHARE);
     if (lastFinishMillis > targetMillis) {
       costValue += ownValue * LATE_VALUE_LOSS;
     }
     double targetFraction = lastFinishMillis / targetMillis;
     costValue +=
-        ownValue * LATENCY_VALUE_LOSS * targetFraction * targetFraction + COST_PER_PART * parts;
+        ownValue * latencyValueLoss * targetFraction * targetFraction + COST_PER_PART * parts;
     return new Plan(engines.build(), lastFinishMillis, costValue);
   }
 
@@ -261,17 +324,31 @@
     return options.build();
   }
 
+  /** Returns the longest part that makes no response of an engine late. */
+  private double budgetMillis(EngineState engine) {
+    double gapBudgetMillis = engine.prefillBudgetMillis(nowMillis);
+    return share.isInForce()
+        ? Math.min(gapBudgetMillis, engine.firstEventBudgetMillis(nowMillis))
+        : gapBudgetMillis;
+  }
+
   private EngineOption option(EngineState engine) {
     double pendingMillis = engine.pendingPrefillMillis(nowMillis);
     double iterationMillis = engine.decodeIterationMillis();
     double valueAtRisk = LATE_VALUE_LOSS * engine.onTimeValue();
+    double budgetMillis = budgetMillis(engine);
+    boolean inShare = isInShare(engine);
+    if (inShare) {
+      budgetMillis = Math.min(budgetMillis, share.budgetMillis(pendingMillis, iterationMillis));
+    }
     return new EngineOption(
         engine,
         engine.generationCount(),
         pendingMillis + iterationMillis,
-        engine.prefillBudgetMillis(nowMillis),
+        budgetMillis,
         valueAtRisk,
-        valueAtRisk * MILLIS_PER_VALUE,
+        valueAtRisk * EngineOption.MILLIS_PER_VALUE,
+        inShare ? LATE_VALUE_LOSS * share.arrivingValuePerMilli() : 0,
         pendingMillis
             + DECODING_REQUEST_COST_MILLIS * engine.generationCount()
             + coolDownCostMillis(engine));
--- a/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
@@ -47,34 +47,59 @@
   private final Map<Zone, Map<ReplicaId, Double>> unreachableAtMillis = new HashMap<>();
   private final Map<RequestId, PlacedRequest> placements = new HashMap<>();
   private double earliestExpiryMillis = Double.POSITIVE_INFINITY;
+  private final boolean considersArrivals;
+  private final PrefillDemand longPrompts = new PrefillDemand();
+  private final ShortPromptLoad shortPrompts = new ShortPromptLoad();
   private EngineCostModel costModel;
 
   /** Creates a scheduler of an empty pool. */
   public PoolScheduler(EngineCostModel costModel) {
+    this(costModel, true);
+  }
+
+  /**
+   * Creates a scheduler of an empty pool.
+   *
+   * @param considersArrivals whether engines are kept free for short prompts where prompts compete
+   *     for engines
+   */
+  PoolScheduler(EngineCostModel costModel, boolean considersArrivals) {
     this.costModel = costModel;
+    this.considersArrivals = considersArrivals;
   }
 
   /**
    * Where a request was placed.
    *
    * @param granted the placement
+   * @param shortSinceMillis when it was placed if its prompt is short, else infinite
    * @param expiresMillis the request's deadline, after which the placement is dropped
    * @param promptParts the parts of its prompt, until they are cleared
    * @param firstEventMillis when the response began; infinite if it has not
    */
   private record PlacedRequest(
       Placement.Granted granted,
+      double shortSinceMillis,
       double expiresMillis,
       PromptParts promptParts,
       double firstEventMillis) {
 
     PlacedRequest withFirstEventAt(double atMillis) {
       return new PlacedRequest(
-          granted, expiresMillis, promptParts, Math.min(firstEventMillis, atMillis));
+          granted,
+          shortSinceMillis,
+          expiresMillis,
+          promptParts,
+          Math.min(firstEventMillis, atMillis));
     }
 
     PlacedRequest withClearedParts() {
-      return new PlacedRequest(granted, expiresMillis, PromptParts.NONE, firstEventMillis);
+      return new PlacedRequest(
+          granted, shortSinceMillis, expiresMillis, PromptParts.NONE, firstEventMillis);
+    }
+
+    boolean isShort() {
+      return Double.isFinite(shortSinceMillis);
     }
 
     double clearedMillis() {
@@ -90,6 +115,10 @@
     servers.stream()
         .sorted((first, second) -> first.id().compareTo(second.id()))
         .forEach(server -> engines.put(server.id(), carryOver(previous.get(server.id()), server)));
+    int position = 0;
+    for (EngineState engine : engines.values()) {
+      engine.moveTo(position++);
+    }
   }
 
   private EngineState carryOver(
@@ -110,13 +139,36 @@
             .filter(engine -> engine.server().ready())
             .filter(engine -> !request.excludedServers().contains(engine.server().id()))
             .collect(ImmutableList.toImmutableList());
-    Placement placement = new PlacementPlanner(costModel, usable, request, nowMillis).choose();
+    EngineShare share = share(request, usable.size(), nowMillis);
+    Placement placement =
+        new PlacementPlanner(costModel, usable, request, share, nowMillis).choose();
     if (placement instanceof Placement.Granted granted) {
       recordPlacement(request, granted, nowNanos);
     }
     return placement;
   }
 
+  /** Returns the engines that are kept free of long parts, with the request counted. */
+  private EngineShare share(PlacementRequest request, int usableCount, double nowMillis) {
+    if (!considersArrivals || !costModel.promptsCompete()) {
+      return EngineShare.NONE;
+    }
+    double prefillMillis = costModel.prefillMillis(request.size().promptTokens());
+    if (isShort(request)) {
+      shortPrompts.recordArrival(request, prefillMillis, nowMillis);
+    } else {
+      long tokens = Math.min(request.size().promptTokens(), costModel.memoryTokens());
+      longPrompts.record(prefillMillis, costModel.relativeValue(tokens), nowMillis);
+    }
+    EngineShare share = shortPrompts.share(costModel, usableCount, nowMillis);
+    int left = usableCount - share.engineCount();
+    return share.withPricePerMilli(longPrompts.pricePerMilli(left, nowMillis));
+  }
+
+  private boolean isShort(PlacementRequest request) {
+    return PlacementPlanner.isShort(costModel.prefillMillis(request.size().promptTokens()));
+  }
+
   /** Records a placement, also one that another dispatcher made. */
   public void recordPlacement(PlacementRequest request, Placement.Granted granted, long nowNanos) {
     double nowMillis = millis(nowNanos);
@@ -130,7 +182,13 @@
               + request.size().maximumOutputTokens()
               - granted.reservedTokens() * granted.helpers().size();
       generatingEngine.add(
-          request.requestId(), true, partMillis, tokens, request.eventGapTarget(), nowMillis);
+          request.requestId(),
+          true,
+          partMillis,
+          tokens,
+          request.eventGapTarget(),
+          nowMillis + request.firstEventTarget().toMillis(),
+          nowMillis);
     }
     for (ReplicaId helper : granted.helpers()) {
       EngineState helperEngine = engines.get(helper);
@@ -141,6 +199,7 @@
             partMillis,
             granted.reservedTokens(),
             request.eventGapTarget(),
+            nowMillis + request.firstEventTarget().toMillis(),
             nowMillis);
       }
     }
@@ -148,7 +207,12 @@
     earliestExpiryMillis = Math.min(earliestExpiryMillis, expiresMillis);
     placements.put(
         request.requestId(),
-        new PlacedRequest(granted, expiresMillis, request.promptParts(), Double.POSITIVE_INFINITY));
+        new PlacedRequest(
+            granted,
+            isShort(request) ? nowMillis : Double.POSITIVE_INFINITY,
+            expiresMillis,
+            request.promptParts(),
+            Double.POSITIVE_INFINITY));
   }
 
   /** Records that the first event of a response has arrived, so that its prefill is complete. */
@@ -159,6 +223,10 @@
 
   /** Records that a request no longer uses its engines. */
   public void onEnd(RequestId request, long nowNanos) {
+    PlacedRequest placed = placements.get(request);
+    if (placed != null && placed.isShort() && placed.firstEventMillis() < millis(nowNanos)) {
+      shortPrompts.recordEnd(millis(nowNanos) - placed.shortSinceMillis());
+    }
     clearIfWriting(request, millis(nowNanos));
     remove(request, millis(nowNanos));
   }
--- a/core/src/main/java/dev/apricotmill/core/relay/EngineCostModel.java
+++ b/core/src/main/java/dev/apricotmill/core/relay/EngineCostModel.java
@@ -31,6 +31,17 @@
   /** The part of a request's value that does not grow with its prompt length. */
   private static final double FIXED_VALUE = 0.3;
 
+  /**
+   * Below this number of prompts of mean length in the memory of an engine, the longest prompts
+   * need several engines as a rule, and compete for them with the short ones.
+   */
+  private static final long PROMPTS_WITHOUT_COMPETITION = 16;
+
+  /** Returns whether long and short prompts compete for the engines of a pool. */
+  public boolean promptsCompete() {
+    return memoryTokens < PROMPTS_WITHOUT_COMPETITION * meanPromptTokens;
+  }
+
   /** Returns the time of a prefill on an otherwise idle engine, in milliseconds. */
   public double prefillMillis(long promptTokens) {
     double pairs = 0.5 * promptTokens * promptTokens;
