--- a/node/src/test/java/dev/apricotmill/node/relay/EvacuationRelayTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/EvacuationRelayTest.java
@@ -295,41 +295,6 @@
     }
   }
 
-  @Test
-  void aServiceThatIsLeftWithoutServersIsLoggedOnceForEachEvacuation() {
-    start();
-    serving.evacuate("a");
-    serving.evacuate("a", "b");
-    list();
-    serving.accept("/order/1", SHORT);
-    list();
-    assertThat(linesOf("evacuation.service_without_server")).hasSize(2);
-
-    serving.evacuate("a");
-    serving.evacuate("a", "b");
-
-    assertThat(linesOf("evacuation.service_without_server")).hasSize(4);
-  }
-
-  @Test
-  void aZoneWithoutServersIsLoggedOnce() {
-    start();
-    serving.evacuate("nowhere");
-    list();
-    serving.evacuate("nowhere", "a");
-    list();
-
-    acceptMany();
-
-    assertThat(linesOf("evacuation.zone_without_servers"))
-        .containsExactly("evacuation.zone_without_servers {zone=nowhere}");
-    assertThat(zonesOfSends()).containsExactly("b");
-  }
-
-  private List<String> linesOf(String event) {
-    return serving.evacuationLog().stream().filter(line -> line.startsWith(event + " ")).toList();
-  }
-
   private void start() {
     serving.evacuate();
     list();
