Choose plain servers by how they answer where their health is unreliable

Change: where the settings list "health" under "contracts", the dispatcher of the service grants each request (PlainServiceScheduler, AnswerRecord). It counts the open requests of all nodes and a decaying record of answers. Placement requests and reports are the existing ones. Elsewhere the choice is unchanged.

--- a/node/src/main/java/dev/apricotmill/node/relay/CallScope.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CallScope.java
@@ -112,6 +112,30 @@
         .withId(placementId);
   }
 
+  /** Returns whether a dispatcher chooses the server by how each has answered. */
+  boolean weighsAnswers() {
+    return node.settings().weighsAnswers() && !isGeneration();
+  }
+
+  /** Returns the request for any server of a service without engines. */
+  PlacementRequest toWeighedRequest(RequestId placementId) {
+    return request
+        .toWeighedRequest(
+            route(),
+            service(),
+            Duration.ofNanos(elapsedNanos()),
+            remaining(),
+            candidates.excluded())
+        .withId(placementId);
+  }
+
+  /** Reports a complete response that is an error of the server. */
+  void onServerError(BackendAttempt attempt) {
+    if (weighsAnswers()) {
+      node.placer().failed(service(), attempt.server().id(), /* unreachable= */ false);
+    }
+  }
+
   /** Returns the request for one of the servers that have limits. */
   PlacementRequest toLimitRequest(RequestId placementId) {
     return candidates.toLimitRequest(request, route(), remaining()).withId(placementId);
--- a/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
@@ -5,6 +5,7 @@
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementRequest;
+import dev.apricotmill.core.pool.PlainServiceScheduler;
 import dev.apricotmill.core.pool.PoolScheduler;
 import dev.apricotmill.core.pool.WorkReport;
 import dev.apricotmill.core.prompt.PromptParts;
@@ -19,7 +20,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 
 /** Places requests by the state that this node alone has. Runs on the relay's executor. */
 public final class LocalPlacer implements RequestPlacer {
@@ -31,6 +34,10 @@
   private final Map<ServiceName, PoolScheduler> poolSchedulers = new HashMap<>();
   private ServingView view = ServingView.EMPTY;
   private GrantShare grantShare = service -> GrantShare.WHOLE;
+  private final Map<ServiceName, PlainServiceScheduler> plainSchedulers = new HashMap<>();
+  private Optional<RandomGenerator> plainRandom = Optional.empty();
+  private BiConsumer<ServiceName, PlainServiceScheduler.WeightChange> weightListener =
+      (service, change) -> {};
   private int rotation;
 
   /** Creates a placer without pools. */
@@ -39,6 +46,20 @@
     this.limits = limits;
   }
 
+  /**
+   * Places requests of services without engines by how their servers answer, instead of on each
+   * server in turn.
+   *
+   * @param random chooses among equal servers
+   * @param listener learns of servers that begin to fail, and of their recovery
+   */
+  public void weighAnswers(
+      RandomGenerator random,
+      BiConsumer<ServiceName, PlainServiceScheduler.WeightChange> listener) {
+    plainRandom = Optional.of(random);
+    weightListener = listener;
+  }
+
   /** Sets the share of servers' limits that this node grants from. */
   void setGrantShare(GrantShare newGrantShare) {
     grantShare = newGrantShare;
@@ -59,6 +80,20 @@
           .computeIfAbsent(profile.name(), name -> new PoolScheduler(costModel.get()))
           .updateServers(view.serversOf(profile.name()), costModel.get());
     }
+    if (costModel.isEmpty() && view.servers().isPresent()) {
+      plainScheduler(profile.name())
+          .ifPresent(
+              scheduler ->
+                  scheduler.retainServers(
+                      view.serversOf(profile.name()).stream().map(BackendServer::id).toList()));
+    }
+  }
+
+  /** Returns the scheduler of a service without engines; empty if answers are not weighed. */
+  private Optional<PlainServiceScheduler> plainScheduler(ServiceName service) {
+    return plainRandom.map(
+        random ->
+            plainSchedulers.computeIfAbsent(service, name -> new PlainServiceScheduler(random)));
   }
 
   /** Returns the known pools. */
@@ -164,13 +199,19 @@
     return pool.place(request.excluding(limited), now);
   }
 
-  /** Places a request on a server of a service without engines, on each in turn. */
+  /**
+   * Places a request on a server of a service without engines: by how they answer, or on each in
+   * turn if answers are not weighed.
+   */
   private Placement placeOnServer(PlacementRequest request) {
     ImmutableList<BackendServer> candidates = candidates(request);
     if (candidates.isEmpty()) {
       return new Placement.Full(DEFAULT_RETRY_AFTER);
     }
-    BackendServer chosen = candidates.get(Math.floorMod(rotation++, candidates.size()));
+    BackendServer chosen =
+        plainScheduler(request.service())
+            .flatMap(scheduler -> scheduler.place(request, candidates, timing.nanoTime()))
+            .orElseGet(() -> candidates.get(Math.floorMod(rotation++, candidates.size())));
     return new Placement.Granted(
         chosen.id(), ImmutableList.of(), request.firstEventTarget(), /* reservedTokens= */ 0);
   }
@@ -188,7 +229,14 @@
 
   /** Records a report on a request that this or another node has placed. */
   public void recordReport(WorkReport report) {
-    poolScheduler(report.service()).ifPresent(pool -> report.applyTo(pool, timing.nanoTime()));
+    Optional<PoolScheduler> pool = poolScheduler(report.service());
+    if (pool.isPresent()) {
+      report.applyTo(pool.get(), timing.nanoTime());
+    } else if (plainRandom.isPresent()) {
+      plainScheduler(report.service())
+          .flatMap(scheduler -> scheduler.record(report, timing.nanoTime()))
+          .ifPresent(change -> weightListener.accept(report.service(), change));
+    }
   }
 
   @Override
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -324,6 +324,9 @@
     }
     currentAttempt = null;
     scope.close(attempt);
+    if (response.isServerError()) {
+      scope.onServerError(attempt);
+    }
     if (response.isServerError() && route().retryPolicy().allowsRetry(true)) {
       Optional<StandbyAttempt> standby = silenceWatch.endExceptFirstSent();
       if (standby.isPresent() || limits.tryTakeRetry()) {
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
@@ -25,6 +25,7 @@
   private final Counter pauses;
   private final Counter cappedPauses;
   private final Counter namedLimits;
+  private final Counter failingServers;
 
   RelayMetrics(
       MeterRegistry registry, AtomicInteger openRequestCount, Supplier<Number> bufferedBytes) {
@@ -37,6 +38,7 @@
     pauses = registry.counter("apricotmill.relay.server_pauses");
     cappedPauses = registry.counter("apricotmill.relay.server_pauses_capped");
     namedLimits = registry.counter("apricotmill.relay.limits_named");
+    failingServers = registry.counter("apricotmill.relay.server_weights_lowered");
     Gauge.builder("apricotmill.relay.open", openRequestCount, AtomicInteger::get)
         .register(registry);
     Gauge.builder("apricotmill.relay.buffered_bytes", bufferedBytes).register(registry);
@@ -101,4 +103,9 @@
   void recordNamedLimit() {
     namedLimits.increment();
   }
+
+  /** Counts a server that gets few requests because of how it answers. */
+  void recordFailingServer() {
+    failingServers.increment();
+  }
 }
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -5,6 +5,7 @@
 import dev.apricotmill.coordination.memory.BufferBudget;
 import dev.apricotmill.coordination.retry.RetryBudget;
 import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.pool.PlainServiceScheduler;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.RelayRefusal;
 import dev.apricotmill.core.relay.ServerNotice;
@@ -231,6 +232,16 @@
     openRequestCount.decrementAndGet();
   }
 
+  /** Logs and counts that a server without engines gets few requests, or its full share again. */
+  public void onWeightChanged(ServiceName service, PlainServiceScheduler.WeightChange change) {
+    if (change.failing()) {
+      metrics.recordFailingServer();
+    }
+    log.write(
+        change.failing() ? "server.weight_lowered" : "server.weight_restored",
+        ImmutableMap.of("server", change.server().value(), "service", service.value()));
+  }
+
   /** Returns the retry budget of a service; a node has its share of the reserve of all nodes. */
   RetryBudget retryBudget(ServiceName service) {
     int nodeCount = view.get().nodeCount();
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayRequest.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayRequest.java
@@ -74,6 +74,30 @@
         excluded);
   }
 
+  /**
+   * Returns the request for any server of a service without engines.
+   *
+   * @param waited the time since it arrived
+   * @param remaining the time until its deadline
+   * @param excluded the servers to which it must not go
+   */
+  PlacementRequest toWeighedRequest(
+      Route route,
+      ServiceName service,
+      Duration waited,
+      Duration remaining,
+      ImmutableSet<ReplicaId> excluded) {
+    return new PlacementRequest(
+        id,
+        service,
+        size.orElse(NO_GENERATION),
+        promptParts,
+        route.latencyTarget().minus(waited),
+        route.timeout(),
+        remaining,
+        excluded);
+  }
+
   /**
    * Returns the request for one of the servers that have limits, of a service without engines.
    *
--- a/node/src/main/java/dev/apricotmill/node/relay/RelaySettings.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelaySettings.java
@@ -15,6 +15,8 @@
  * @param retryReserve retries that all nodes together may save up for a service
  * @param maximumBufferedBytes the maximum total size of what is buffered of the responses of all
  *     servers
+ * @param weighsAnswers whether servers of services without engines are granted by the dispatcher,
+ *     which weighs how they answer; otherwise each node chooses by its own open requests
  */
 public record RelaySettings(
     Duration maxConfigurationStaleness,
@@ -22,4 +24,24 @@
     Duration defaultTimeout,
     int retriesPerThousandRequests,
     int retryReserve,
-    long maximumBufferedBytes) {}
+    long maximumBufferedBytes,
+    boolean weighsAnswers) {
+
+  /** Creates limits of a relay that chooses servers without engines by open requests only. */
+  public RelaySettings(
+      Duration maxConfigurationStaleness,
+      Duration configurationBound,
+      Duration defaultTimeout,
+      int retriesPerThousandRequests,
+      int retryReserve,
+      long maximumBufferedBytes) {
+    this(
+        maxConfigurationStaleness,
+        configurationBound,
+        defaultTimeout,
+        retriesPerThousandRequests,
+        retryReserve,
+        maximumBufferedBytes,
+        /* weighsAnswers= */ false);
+  }
+}
--- a/node/src/main/java/dev/apricotmill/node/relay/ServerSelection.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServerSelection.java
@@ -65,6 +65,8 @@
     Optional<BackendServer> server = candidates.choose();
     if (server.isEmpty()) {
       callback.onNoServer(candidates.absenceReason(), candidates.retryAfter());
+    } else if (scope.weighsAnswers()) {
+      allocation.allocate(scope.toWeighedRequest(placementId));
     } else if (scope.node().backendLimits().isLimited(server.get())) {
       allocation.allocate(scope.toLimitRequest(placementId));
     } else {
@@ -94,7 +96,9 @@
   @Override
   public void onAllocated(
       BackendServer server, ImmutableList<BackendClient.Helper> helpers, Duration expected) {
-    callback.onSelected(server, helpers, expected);
+    // The target of a plain request says nothing of how long a sound server may be silent.
+    callback.onSelected(
+        server, helpers, scope.weighsAnswers() ? scope.route().timeout() : expected);
   }
 
   @Override
@@ -105,7 +109,7 @@
 
   @Override
   public void onFull(Duration retryAfter) {
-    if (scope.isGeneration()) {
+    if (scope.isGeneration() || scope.weighsAnswers()) {
       callback.onNoServer(RelayRefusal.OVERLOADED, retryAfter);
       return;
     }
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -56,6 +56,11 @@
   private final RelayNode node;
 
   RelayFixture(int retryReserve) {
+    this(retryReserve, /* weighsAnswers= */ false);
+  }
+
+  /** Creates a relay that is its own dispatcher. */
+  RelayFixture(int retryReserve, boolean weighsAnswers) {
     node =
         new RelayNode(
             timing,
@@ -66,13 +71,17 @@
                 Duration.ofSeconds(10),
                 0,
                 retryReserve,
-                MAX_BUFFERED_BYTES),
+                MAX_BUFFERED_BYTES,
+                weighsAnswers),
             new ScriptedBackends(),
             placer,
             new BlockedParts(timing, (event, fields) -> log.add(event + " " + fields)),
             backendLimits,
             (event, fields) -> log.add(event + " " + fields),
             new SimpleMeterRegistry());
+    if (weighsAnswers) {
+      placer.weighAnswers(new SplittableRandom(1), node::onWeightChanged);
+    }
     node.update(view -> view.withConfiguration(configuration(1), Optional.of(validatedNow())));
     setServers(ScriptedServers.ofServices(3, POOL, DESK));
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/ScriptedRoutes.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ScriptedRoutes.java
@@ -13,6 +13,8 @@
 /** The routes of {@link RelayFixture}, named after the first part of their paths. */
 final class ScriptedRoutes {
 
+  static final Duration LATENCY_TARGET = Duration.ofMillis(300);
+
   private ScriptedRoutes() {}
 
   static RouteTable table() {
@@ -44,7 +46,7 @@
         kind,
         repeats,
         Duration.ofSeconds(3),
-        Duration.ofMillis(300),
+        LATENCY_TARGET,
         Optional.of(Duration.ofMillis(200)),
         1,
         maximumAttempts,
