--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -6,14 +6,10 @@
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.BackendServer;
-import dev.apricotmill.core.relay.CallerLimits;
-import dev.apricotmill.core.relay.EngineCostModel;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.relay.RelayRefusal;
 import dev.apricotmill.core.relay.ServerNotice;
-import dev.apricotmill.core.relay.ServiceProfile;
 import dev.apricotmill.core.relay.ServingConfiguration;
-import dev.apricotmill.core.request.CustomerId;
 import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.RequestId;
 import dev.apricotmill.core.request.ServiceName;
@@ -209,21 +205,7 @@
   }
 
   static ServingConfiguration configuration(long version) {
-    return new ServingConfiguration(
-        version,
-        ScriptedRoutes.table(),
-        ImmutableMap.of(
-            POOL,
-            new ServiceProfile(
-                POOL,
-                100,
-                Optional.of(
-                    new EngineCostModel(4, 450_000, 1, 0.01, 0.003, 100_000, 0.0001, 46, 13_000))),
-            DESK,
-            new ServiceProfile(DESK, 100, Optional.empty())),
-        ImmutableMap.of("key", new CustomerId("customer")),
-        true,
-        new CallerLimits(16 << 10, 4 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
+    return ScriptedRoutes.configuration(version);
   }
 
   /** An attempt whose response the test controls. */
