Bound what callers hold by one memory budget, and stop reading full pipelines

Cause: pipelined requests were read without a bound, unfinished heads and unread responses were in no budget, each listener had a budget of bodies of its own, and each connection held three buffers of 8 KB.

Change: CallerMemory, shared by the listeners of a process, is reserved for connections (16 KB each, half of the budget at most), heads, requests that were read, bodies and unread responses. A connection with four unanswered requests is read no further until one is answered. Unfinished heads end with their connection after the read timeout. At the limit of connections, the one that has been without a complete request for longest is replaced. Unfinished bodies and unread responses give way, largest first. Bodies are kept in segments, and one write takes 64 KB at most, since the runtime copies it to direct memory. Buffers of a connection have 2 KB. ClientLimitReporter counts refused or closed clients and logs each limit once a second.

--- a/daemon/src/main/java/dev/apricotmill/daemon/http/EarlyRefusal.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/EarlyRefusal.java
@@ -1,5 +1,7 @@
 package dev.apricotmill.daemon.http;
 
+import java.util.Optional;
+
 /** Why the HTTP server refuses a request before the handler sees it. */
 public enum EarlyRefusal {
   /** The header exceeds its size limit. */
@@ -33,6 +35,17 @@
     return detail;
   }
 
+  /** Returns the limit that the client has reached, if it is one. */
+  Optional<ClientLimit> limit() {
+    return switch (this) {
+      case HEADER_TOO_LARGE, BODY_TOO_LARGE -> Optional.of(ClientLimit.SIZE);
+      case TOO_SLOW -> Optional.of(ClientLimit.BODY_TIMEOUT);
+      case NO_BUFFER -> Optional.of(ClientLimit.MEMORY);
+      case TOO_MANY_CONNECTIONS -> Optional.of(ClientLimit.CONNECTIONS);
+      case NOT_HTTP -> Optional.empty();
+    };
+  }
+
   /** Returns whether the same request can succeed later. */
   public boolean retryable() {
     return status == 503;
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ExchangeEnvironment.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ExchangeEnvironment.java
@@ -10,7 +10,8 @@
  * @param limits the limits of the server
  * @param handler handles the requests
  * @param workers runs the handler
- * @param budget bounds the memory for request bodies
+ * @param budget bounds the memory for request bodies of this server
+ * @param memory bounds the memory for all clients of the process
  * @param connections the open connections
  * @param timing runs the timeouts
  */
@@ -19,5 +20,6 @@
     RequestHandler handler,
     Executor workers,
     BufferBudget budget,
+    CallerMemory memory,
     ConnectionTable connections,
     Timing timing) {}
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/HttpListener.java
@@ -1,7 +1,9 @@
 package dev.apricotmill.daemon.http;
 
+import com.google.common.collect.Comparators;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import dev.apricotmill.adapters.BoundedChunkDecoder;
+import dev.apricotmill.adapters.BoundedFillSession;
 import dev.apricotmill.adapters.CompleteHeadParser;
 import dev.apricotmill.coordination.memory.BufferBudget;
 import dev.apricotmill.coordination.time.Timing;
@@ -12,6 +14,8 @@
 import java.net.SocketAddress;
 import java.nio.channels.ReadableByteChannel;
 import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -27,7 +31,6 @@
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.ContentDecoder;
@@ -51,7 +54,7 @@
 public final class HttpListener implements AutoCloseable {
 
   private static final Logger LOGGER = System.getLogger(HttpListener.class.getName());
-  private static final int SWEEPS_PER_IDLE_TIMEOUT = 2;
+  private static final int SWEEPS_PER_TIMEOUT = 2;
   private static final int MAX_HEADER_COUNT = 100;
   private static final int INITIAL_WINDOW_BYTES = 64 << 10;
 
@@ -69,19 +72,39 @@
   private final Future<?> idleSweep;
   private final ExecutorService workers;
   private final ExchangeEnvironment environment;
+  private final Set<Thread> ioThreads = ConcurrentHashMap.newKeySet();
   private final HttpAsyncServer server;
   private final InetSocketAddress address;
 
+  /**
+   * Starts a server whose clients have a memory budget of their own.
+   *
+   * @param name prefix of the thread names
+   * @throws IOException if the address cannot be bound
+   */
+  public HttpListener(
+      String name,
+      InetSocketAddress address,
+      ServerLimits limits,
+      RequestHandler handler,
+      Timing timing,
+      int threads)
+      throws IOException {
+    this(name, address, limits, CallerMemory.of(limits), handler, timing, threads);
+  }
+
   /**
    * Starts a server.
    *
    * @param name prefix of the thread names
+   * @param memory the memory for the clients of all servers of the process
    * @throws IOException if the address cannot be bound
    */
   public HttpListener(
       String name,
       InetSocketAddress address,
       ServerLimits limits,
+      CallerMemory memory,
       RequestHandler handler,
       Timing timing,
       int threads)
@@ -92,17 +115,20 @@
             new DefaultHttpRequestParserFactory(config),
             HEAD_BYTES_PER_HEADER_BYTE * limits.maximumHeaderBytes());
     budget = new BufferBudget(limits.maximumBufferedBytes());
-    connections = new ConnectionTable(limits, timing);
+    connections = new ConnectionTable(limits, memory, timing);
     workers =
         Executors.newFixedThreadPool(
             threads,
             new ThreadFactoryBuilder().setNameFormat(name + "-%d").setDaemon(true).build());
-    environment = new ExchangeEnvironment(limits, handler, workers, budget, connections, timing);
+    environment =
+        new ExchangeEnvironment(limits, handler, workers, budget, memory, connections, timing);
     server = newServer(name, threads);
     this.address = listen(address);
     idleSweep =
         timing.scheduleRepeatedly(
-            limits.idleTimeout().dividedBy(SWEEPS_PER_IDLE_TIMEOUT), connections::closeIdle);
+            Comparators.min(limits.idleTimeout(), limits.readTimeout())
+                .dividedBy(SWEEPS_PER_TIMEOUT),
+            connections::closeOverdue);
   }
 
   /** Returns the bound address. */
@@ -120,6 +146,17 @@
     return connections.openResponses();
   }
 
+  /**
+   * Returns whether the threads that accept connections and serve them are alive. The library ends
+   * them without further notice when accepting fails or an error is thrown.
+   */
+  public boolean isServing() {
+    Set<ListenerEndpoint> endpoints = server.getEndpoints();
+    return !endpoints.isEmpty()
+        && endpoints.stream().noneMatch(ListenerEndpoint::isClosed)
+        && ioThreads.stream().allMatch(Thread::isAlive);
+  }
+
   /** Closes connections without a request for {@code idleTime}; used before a planned stop. */
   public void closeIdle(Duration idleTime) {
     connections.closeIdleFor(idleTime);
@@ -178,13 +215,17 @@
   }
 
   private IOEventHandler newConnection(ProtocolIOSession session) {
-    return new ServerHttp1IOEventHandler(new BoundedDuplexer(session));
+    ClientConnectionObserver observer =
+        new ClientConnectionObserver(connections, session.getRemoteAddress(), environment.timing());
+    ioThreads.add(Thread.currentThread());
+    return new BackpressureEventHandler(
+        new BoundedDuplexer(new BoundedFillSession(session), observer), observer);
   }
 
   /** A connection that reads trailers of bounded size. */
   private final class BoundedDuplexer extends ServerHttp1StreamDuplexer {
 
-    BoundedDuplexer(ProtocolIOSession session) {
+    BoundedDuplexer(ProtocolIOSession session, TolerantRequestParser.Observer observer) {
       super(
           session,
           processor,
@@ -193,8 +234,7 @@
           config,
           CharCodingConfig.DEFAULT,
           DefaultConnectionReuseStrategy.INSTANCE,
-          new TolerantRequestParser(
-              parserFactory.create(), () -> connections.onEndOfInput(session.getRemoteAddress())),
+          new TolerantRequestParser(parserFactory.create(), observer),
           DefaultHttpResponseWriterFactory.INSTANCE.create(),
           DefaultContentLengthStrategy.INSTANCE,
           DefaultContentLengthStrategy.INSTANCE,
@@ -221,6 +261,7 @@
     return Http1Config.custom()
         .setMaxLineLength(limits.maximumHeaderBytes())
         .setMaxHeaderCount(MAX_HEADER_COUNT)
+        .setBufferSize(CallerMemory.CONNECTION_BUFFER_BYTES)
         .setInitialWindowSize(INITIAL_WINDOW_BYTES)
         .build();
   }
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/OutgoingChunks.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/OutgoingChunks.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.daemon.http;
 
 import com.google.errorprone.annotations.concurrent.GuardedBy;
+import dev.apricotmill.coordination.memory.BufferBudget;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -10,6 +11,14 @@
 /** Queue of the response chunks that are not written to the socket yet. Thread-safe. */
 final class OutgoingChunks {
 
+  /**
+   * Bytes of one write. The runtime copies what it writes to direct memory, which it keeps for each
+   * thread at the largest size that was written.
+   */
+  private static final int MAX_WRITE_BYTES = 64 << 10;
+
+  private final BufferBudget.Account account;
+
   @GuardedBy("this")
   private final ArrayDeque<ByteBuffer> chunks = new ArrayDeque<>();
 
@@ -22,14 +31,29 @@
   @GuardedBy("this")
   private boolean endWritten;
 
-  /** Queues a chunk and requests output on the channel. */
-  void add(byte[] chunk) {
+  /**
+   * Creates an empty queue.
+   *
+   * @param account the memory of the queue, which its owner closes
+   */
+  OutgoingChunks(BufferBudget.Account account) {
+    this.account = account;
+  }
+
+  /**
+   * Queues a chunk and requests output on the channel; returns false if there is no memory for it.
+   */
+  boolean add(byte[] chunk) {
+    if (!account.reserve(chunk.length)) {
+      return false;
+    }
     DataStreamChannel output;
     synchronized (this) {
       chunks.add(ByteBuffer.wrap(chunk));
       output = channel;
     }
     requestOutput(output);
+    return true;
   }
 
   /** Marks the end; no chunk follows. */
@@ -56,11 +80,11 @@
     int finished = 0;
     while (!chunks.isEmpty()) {
       ByteBuffer chunk = chunks.element();
-      output.write(chunk);
-      if (chunk.hasRemaining()) {
+      if (!writeWhole(chunk, output)) {
         return finished;
       }
       chunks.remove();
+      account.release(chunk.capacity());
       finished++;
     }
     if (ended && !endWritten) {
@@ -70,6 +94,19 @@
     return finished;
   }
 
+  private static boolean writeWhole(ByteBuffer chunk, DataStreamChannel output) throws IOException {
+    while (chunk.hasRemaining()) {
+      ByteBuffer piece = chunk.slice();
+      piece.limit(Math.min(MAX_WRITE_BYTES, piece.remaining()));
+      output.write(piece);
+      chunk.position(chunk.position() + piece.position());
+      if (piece.hasRemaining()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Returns whether the complete response is queued or written. */
   synchronized boolean ended() {
     return ended;
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/RequestHeadCheck.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/RequestHeadCheck.java
@@ -28,6 +28,11 @@
     return Optional.empty();
   }
 
+  /** Returns the memory that a request takes without its body. */
+  static long memoryOf(HttpRequest head) {
+    return CallerMemory.EXCHANGE_BYTES + CallerMemory.MEMORY_PER_HEAD_BYTE * sizeOf(head);
+  }
+
   private static long sizeOf(HttpRequest head) {
     long bytes = (long) head.getMethod().length() + head.getPath().length();
     for (Header header : head.getHeaders()) {
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
@@ -2,6 +2,7 @@
 
 import com.google.common.base.Ascii;
 import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.memory.BufferBudget;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -40,7 +41,9 @@
   private final ExchangeEnvironment environment;
   private final SocketAddress remote;
   private final RequestBody body;
-  private final OutgoingChunks chunks = new OutgoingChunks();
+  private final BufferBudget.Account headAccount;
+  private final BufferBudget.Account responseAccount;
+  private final OutgoingChunks chunks;
   private final AtomicBoolean responseStarted = new AtomicBoolean();
   private final AtomicBoolean disconnectNotified = new AtomicBoolean();
   private @Nullable HttpRequest request;
@@ -54,7 +57,16 @@
   ServerExchange(ExchangeEnvironment environment, SocketAddress remote) {
     this.environment = environment;
     this.remote = remote;
-    body = new RequestBody(environment.limits().maximumBodyBytes(), environment.budget());
+    BufferBudget processBudget = environment.memory().budget();
+    body =
+        new RequestBody(
+            environment.limits().maximumBodyBytes(),
+            environment.budget(),
+            processBudget,
+            () -> refuse(EarlyRefusal.NO_BUFFER));
+    headAccount = processBudget.open();
+    responseAccount = processBudget.openRevocable(this::closeForMemory);
+    chunks = new OutgoingChunks(responseAccount);
   }
 
   @Override
@@ -72,6 +84,9 @@
       return;
     }
     Optional<EarlyRefusal> refusal = RequestHeadCheck.check(head, entity, environment.limits());
+    if (refusal.isEmpty() && !headAccount.reserve(RequestHeadCheck.memoryOf(head))) {
+      refusal = Optional.of(EarlyRefusal.NO_BUFFER);
+    }
     if (refusal.isPresent()) {
       refuse(refusal.get());
     } else if (entity == null) {
@@ -124,6 +139,7 @@
     }
     body.release();
     stopTimer();
+    refusal.limit().ifPresent(environment.memory()::report);
     send(environment.handler().refuse(refusal).withHeader(CONNECTION, CLOSE));
   }
 
@@ -140,7 +156,10 @@
     if (!responseStarted.compareAndSet(false, true)) {
       return;
     }
-    chunks.add(complete.body());
+    if (complete.body().length > 0 && !chunks.add(complete.body())) {
+      closeForMemory();
+      return;
+    }
     end();
     sendHead(
         complete.status(),
@@ -158,12 +177,22 @@
 
   @Override
   public void write(byte[] chunk) {
-    chunks.add(chunk);
+    if (!chunks.add(chunk)) {
+      closeForMemory();
+    }
+  }
+
+  /** Closes the connection, which states nothing about whether the request ran. */
+  private void closeForMemory() {
+    if (!disconnected) {
+      environment.memory().report(ClientLimit.MEMORY);
+      abort();
+    }
   }
 
   @Override
   public void end() {
-    startTimer(() -> environment.connections().abort(remote));
+    startTimer(this::closeUnread);
     if (disconnected) {
       // Another connection may have the address by the time the timer fires.
       stopTimer();
@@ -171,6 +200,11 @@
     chunks.end();
   }
 
+  private void closeUnread() {
+    environment.memory().report(ClientLimit.UNREAD_RESPONSE);
+    abort();
+  }
+
   @Override
   public void abort() {
     environment.connections().abort(remote);
@@ -200,6 +234,8 @@
   public void releaseResources() {
     stopTimer();
     body.release();
+    headAccount.close();
+    responseAccount.close();
     environment.connections().endRequest(remote, this);
     if (!chunks.endWritten()) {
       notifyDisconnected();
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/TolerantRequestParser.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/TolerantRequestParser.java
@@ -13,18 +13,27 @@
 final class TolerantRequestParser implements NHttpMessageParser<HttpRequest> {
 
   private final NHttpMessageParser<HttpRequest> parser;
-  private final Runnable onEndOfInput;
+  private final Observer observer;
+  private long headBytes;
   private boolean failed;
 
-  /**
-   * Creates the parser of one connection.
-   *
-   * @param onEndOfInput called when the caller has closed its side; the library reports this only
-   *     to the parser
-   */
-  TolerantRequestParser(NHttpMessageParser<HttpRequest> parser, Runnable onEndOfInput) {
+  /** What a connection learns from its parser. */
+  interface Observer {
+
+    /** Returns whether no request may be read before an earlier one is answered. */
+    boolean isPipelineFull();
+
+    /** Called with the size of the head that is not complete yet; false if it may not be held. */
+    boolean onUnfinishedHead(long bytes);
+
+    /** Called when the caller has closed its side; the library reports this only to the parser. */
+    void onEndOfInput();
+  }
+
+  /** Creates the parser of one connection. */
+  TolerantRequestParser(NHttpMessageParser<HttpRequest> parser, Observer observer) {
     this.parser = parser;
-    this.onEndOfInput = onEndOfInput;
+    this.observer = observer;
   }
 
   @Override
@@ -36,13 +45,19 @@
   public @Nullable HttpRequest parse(SessionInputBuffer input, boolean endOfStream)
       throws IOException {
     if (endOfStream) {
-      onEndOfInput.run();
+      observer.onEndOfInput();
     }
-    if (failed) {
+    if (failed || observer.isPipelineFull()) {
       return null;
     }
     try {
-      return parser.parse(input, endOfStream);
+      int bufferedBefore = input.length();
+      HttpRequest head = parser.parse(input, endOfStream);
+      headBytes = head == null ? headBytes + bufferedBefore - input.length() : 0;
+      if (!observer.onUnfinishedHead(head == null ? headBytes + input.length() : 0)) {
+        return unparsable(EarlyRefusal.NO_BUFFER);
+      }
+      return head;
     } catch (MessageConstraintException | RequestHeaderFieldsTooLargeException e) {
       return unparsable(EarlyRefusal.HEADER_TOO_LARGE);
     } catch (HttpException e) {
