--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementPlanner.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementPlanner.java
@@ -43,18 +43,18 @@
    */
   private static final double COST_PER_DECODING_REQUEST = 0.002;
 
-  /**
-   * The same fraction where prompts compete for engines. An early first event gains nothing there,
-   * and each further engine that reads a part is one that short prompts would use.
-   */
-  private static final double LATENCY_VALUE_LOSS_IN_COMPETITION = 0.05;
-
   /** The fraction of its value that a response loses when it misses its latency target. */
   private static final double LATE_VALUE_LOSS = 0.75;
 
   /** The fraction of its value that a response loses if it uses all of its usable target. */
   private static final double LATENCY_VALUE_LOSS = 0.2;
 
+  /**
+   * The same fraction where prompts compete for engines. An early first event gains nothing there,
+   * and each further engine that reads a part is one that short prompts would use.
+   */
+  private static final double LATENCY_VALUE_LOSS_IN_COMPETITION = 0.05;
+
   /** The wait in milliseconds that a long prompt accepts to avoid one more decoding request. */
   private static final double DECODING_REQUEST_COST_MILLIS = 20;
 
--- a/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
@@ -48,6 +48,7 @@
   private final Map<RequestId, PlacedRequest> placements = new HashMap<>();
   private double earliestExpiryMillis = Double.POSITIVE_INFINITY;
   private final boolean considersArrivals;
+  private EngineShare share = EngineShare.NONE;
   private final PrefillDemand longPrompts = new PrefillDemand();
   private final ShortPromptLoad shortPrompts = new ShortPromptLoad();
   private EngineCostModel costModel;
@@ -139,7 +140,7 @@
             .filter(engine -> engine.server().ready())
             .filter(engine -> !request.excludedServers().contains(engine.server().id()))
             .collect(ImmutableList.toImmutableList());
-    EngineShare share = share(request, usable.size(), nowMillis);
+    share = share(request, usable.size(), nowMillis);
     Placement placement =
         new PlacementPlanner(costModel, usable, request, share, nowMillis).choose();
     if (placement instanceof Placement.Granted granted) {
@@ -160,9 +161,17 @@
       long tokens = Math.min(request.size().promptTokens(), costModel.memoryTokens());
       longPrompts.record(prefillMillis, costModel.relativeValue(tokens), nowMillis);
     }
-    EngineShare share = shortPrompts.share(costModel, usableCount, nowMillis);
-    int left = usableCount - share.engineCount();
-    return share.withPricePerMilli(longPrompts.pricePerMilli(left, nowMillis));
+    EngineShare kept = shortPrompts.share(costModel, usableCount, nowMillis);
+    int left = usableCount - kept.engineCount();
+    return kept.withPricePerMilli(longPrompts.pricePerMilli(left, nowMillis));
+  }
+
+  /**
+   * Returns the engines that were kept free of long parts in the last placement; 0 where prompts do
+   * not compete for engines.
+   */
+  public int enginesKeptFree() {
+    return share.engineCount();
   }
 
   private boolean isShort(PlacementRequest request) {
--- a/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
@@ -164,7 +164,7 @@
                 toHelpers(helpers, Optional.of(newReservations.reservationName())),
                 granted.expectedFirstEvent());
           } else {
-            callback.onUnusable(Optional.empty(), RelayRefusal.OVERLOADED);
+            callback.onUnusable(newReservations.refusingServer(), RelayRefusal.OVERLOADED);
           }
         });
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/HelperReservations.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/HelperReservations.java
@@ -4,8 +4,10 @@
 import com.google.common.collect.ImmutableMap;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.relay.BackendServer;
+import dev.apricotmill.core.request.ReplicaId;
 import dev.apricotmill.core.request.RequestId;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -68,6 +70,7 @@
   private boolean released;
   private boolean outcomeUnknown;
   private @Nullable Future<?> renewalTask;
+  private @Nullable ReplicaId refusingServer;
 
   /**
    * Creates reservations that are not made yet.
@@ -111,6 +114,11 @@
     return name;
   }
 
+  /** Returns the helper that has refused to reserve the memory; empty if none has. */
+  Optional<ReplicaId> refusingServer() {
+    return Optional.ofNullable(refusingServer);
+  }
+
   private void onReserved(
       BackendServer helper, BackendClient.ReserveResult result, Consumer<Boolean> callback) {
     outcomeUnknown |= result == BackendClient.ReserveResult.UNKNOWN;
@@ -118,6 +126,9 @@
       return;
     }
     if (result != BackendClient.ReserveResult.RESERVED) {
+      if (result == BackendClient.ReserveResult.REFUSED) {
+        refusingServer = helper.id();
+      }
       log.write(
           "reservation.failed",
           ImmutableMap.of(
--- a/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
@@ -20,6 +20,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 
 /** Places requests by the state that this node alone has. Runs on the relay's executor. */
 public final class LocalPlacer implements RequestPlacer {
@@ -31,6 +32,7 @@
   private final Map<ServiceName, PoolScheduler> poolSchedulers = new HashMap<>();
   private ServingView view = ServingView.EMPTY;
   private GrantShare grantShare = service -> GrantShare.WHOLE;
+  private @Nullable CompetitionMonitor competitionMonitor;
   private int rotation;
 
   /** Creates a placer without pools. */
@@ -44,6 +46,11 @@
     grantShare = newGrantShare;
   }
 
+  /** Sets what is told of placements where prompts compete for engines. */
+  public void setCompetitionMonitor(CompetitionMonitor monitor) {
+    competitionMonitor = monitor;
+  }
+
   /** Updates the pools and their servers. */
   public void update(ServingView newView) {
     view = newView;
@@ -151,6 +158,10 @@
   private Placement placeOnEngines(PoolScheduler pool, PlacementRequest request) {
     long now = timing.nanoTime();
     Placement placement = pool.place(request, now);
+    CompetitionMonitor monitor = competitionMonitor;
+    if (monitor != null) {
+      monitor.onPlaced(request.service(), placement, pool.enginesKeptFree());
+    }
     if (limits.isEmpty()
         || !(placement instanceof Placement.Granted granted)
         || granted.reservedTokens() == 0) {
--- a/node/src/test/java/dev/apricotmill/node/relay/HelperReservationsTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/HelperReservationsTest.java
@@ -92,6 +92,19 @@
     assertThat(reservedAndNotReleased()).isEqualTo(0);
   }
 
+  /** An engine without memory was chosen again, and the other helpers reserved for nothing. */
+  @Test
+  void aHelperThatHasRefusedIsNotAskedAgainForTheSameRequest() {
+    relay.setReserveResult(BackendClient.ReserveResult.REFUSED);
+    relay.accept("/stream/1");
+
+    List<String> firstRefusals =
+        relay.reservationCalls().stream().filter(call -> call.startsWith("reserve")).toList();
+
+    assertThat(firstRefusals).isNotEmpty();
+    assertThat(firstRefusals.subList(1, firstRefusals.size())).doesNotContain(firstRefusals.get(0));
+  }
+
   @Test
   void aReservationThatMayStillBeMadeLateIsReleasedRepeatedly() {
     relay.setReserveResult(BackendClient.ReserveResult.UNKNOWN);
