--- a/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
@@ -23,6 +23,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
 
 /** Places requests by the state that this node alone has. Runs on the relay's executor. */
 public final class LocalPlacer implements RequestPlacer {
@@ -38,6 +39,7 @@
   private Optional<RandomGenerator> plainRandom = Optional.empty();
   private BiConsumer<ServiceName, PlainServiceScheduler.WeightChange> weightListener =
       (service, change) -> {};
+  private @Nullable CompetitionMonitor competitionMonitor;
   private int rotation;
 
   /** Creates a placer without pools. */
@@ -65,6 +67,11 @@
     grantShare = newGrantShare;
   }
 
+  /** Sets what is told of placements where prompts compete for engines. */
+  public void setCompetitionMonitor(CompetitionMonitor monitor) {
+    competitionMonitor = monitor;
+  }
+
   /** Updates the pools and their servers. */
   public void update(ServingView newView) {
     view = newView;
@@ -186,6 +193,10 @@
   private Placement placeOnEngines(PoolScheduler pool, PlacementRequest request) {
     long now = timing.nanoTime();
     Placement placement = pool.place(request, now);
+    CompetitionMonitor monitor = competitionMonitor;
+    if (monitor != null) {
+      monitor.onPlaced(request.service(), placement, pool.enginesKeptFree());
+    }
     if (limits.isEmpty()
         || !(placement instanceof Placement.Granted granted)
         || granted.reservedTokens() == 0) {
