--- a/node/src/test/java/dev/apricotmill/node/relay/EvacuationBackends.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/EvacuationBackends.java
@@ -31,6 +31,9 @@
   public Exchange send(BackendRequest request, ResponseListener listener) {
     String zone = request.server().zone().name();
     fleet.recordSend(node, zone, "a request");
+    for (Helper helper : request.helpers()) {
+      fleet.recordSend(node, fleet.zoneAt(helper.address()), "a part of a prompt");
+    }
     if (!fleet.isLinked(node.member().zone().name(), zone)) {
       later(CONNECT_TIMEOUT, () -> listener.onFailure(false, BackendFailure.CONNECTION_LOST));
     } else {
--- a/node/src/test/java/dev/apricotmill/node/relay/EvacuationFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/EvacuationFleet.java
@@ -110,6 +110,16 @@
     return servers;
   }
 
+  /** Returns the zone of the servers at an address. */
+  String zoneAt(PeerAddress address) {
+    return servers.values().stream()
+        .filter(server -> server.address().equals(address))
+        .findFirst()
+        .orElseThrow()
+        .zone()
+        .name();
+  }
+
   int nextPort() {
     return ports++;
   }
