--- a/daemon/src/main/java/dev/apricotmill/daemon/ApricotmillDaemon.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/ApricotmillDaemon.java
@@ -8,6 +8,7 @@
 import dev.apricotmill.adapters.HttpPlatform;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.daemon.process.DaemonProcess;
+import dev.apricotmill.daemon.process.EssentialThreads;
 import dev.apricotmill.daemon.process.ExternalDependencies;
 import dev.apricotmill.daemon.process.Logs;
 import dev.apricotmill.daemon.process.SystemTiming;
@@ -35,6 +36,7 @@
   /** Runs the daemon until the process receives a termination signal. */
   public static void main(String[] arguments) throws InterruptedException {
     Logs.install();
+    EssentialThreads.endProcessOnUncaughtErrors();
     SettingsResult result =
         SettingsReader.read(ImmutableList.copyOf(arguments), ImmutableMap.copyOf(System.getenv()));
     if (result instanceof SettingsResult.Valid valid) {
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ServerExchange.java
@@ -270,7 +270,8 @@
   private void handle(IncomingRequest incoming) {
     try {
       environment.handler().handle(incoming, this);
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError e) {
+      // The content of one request may not end the process, which other errors of a thread do.
       LOGGER.log(
           Level.ERROR,
           "http: request handler failed; responding with 500 if no response has started",
--- a/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/process/DaemonProcess.java
@@ -8,6 +8,8 @@
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.daemon.callers.CallerHandler;
 import dev.apricotmill.daemon.callers.RequestIds;
+import dev.apricotmill.daemon.http.CallerMemory;
+import dev.apricotmill.daemon.http.ClientLimitReporter;
 import dev.apricotmill.daemon.http.HttpListener;
 import dev.apricotmill.daemon.http.ServerLimits;
 import dev.apricotmill.daemon.inner.InnerEndpoint;
@@ -21,6 +23,7 @@
 import dev.apricotmill.node.NodeDependencies;
 import dev.apricotmill.node.NodeSettings;
 import dev.apricotmill.node.api.NodeStatus;
+import dev.apricotmill.node.relay.EventLog;
 import dev.apricotmill.protocol.InnerClient;
 import dev.apricotmill.protocol.InnerServer;
 import dev.apricotmill.protocol.MutualTls;
@@ -108,8 +111,10 @@
                 meters,
                 tracing.tracer()));
     closer.register(node::close);
-    publicListener = publicListener();
-    operatorsListener = operatorsListener(meters);
+    CallerMemory memory =
+        CallerMemory.ofHeap(new ClientLimitReporter(timing, EventLog.NONE, meters));
+    publicListener = publicListener(memory);
+    operatorsListener = operatorsListener(memory, meters);
   }
 
   /**
@@ -225,7 +230,7 @@
     return tls;
   }
 
-  private HttpListener publicListener() throws IOException {
+  private HttpListener publicListener(CallerMemory memory) throws IOException {
     CallerLimits limits = settings.limits();
     CallerHandler handler =
         new CallerHandler(
@@ -244,6 +249,7 @@
                 limits.maximumConnections(),
                 limits.readTimeout(),
                 limits.readTimeout()),
+            memory,
             handler,
             timing,
             IO_THREADS);
@@ -251,12 +257,14 @@
     return listener;
   }
 
-  private HttpListener operatorsListener(PrometheusMeterRegistry meters) throws IOException {
+  private HttpListener operatorsListener(CallerMemory memory, PrometheusMeterRegistry meters)
+      throws IOException {
     HttpListener listener =
         new HttpListener(
             "operators",
             settings.operatorsAddress(),
             OPERATORS_LIMITS,
+            memory,
             new OperatorsHandler(node, meters, new OperatorsToken(settings.operatorTokenHash())),
             timing,
             1);
