Judge each attempt at a plain server by the whole target

Cause: the target of a placement request was the time left of the call's target, so that a server that answered at once after another one could not be reached was recorded as late.

Change: the dispatcher gets the route's whole target for each attempt.

Measured: aServerIsNotBlamedForTheTimeThatAnotherTookBeforeIt failed before the change and passes.

--- a/node/src/main/java/dev/apricotmill/node/relay/CallScope.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CallScope.java
@@ -120,12 +120,7 @@
   /** Returns the request for any server of a service without engines. */
   PlacementRequest toWeighedRequest(RequestId placementId) {
     return request
-        .toWeighedRequest(
-            route(),
-            service(),
-            Duration.ofNanos(elapsedNanos()),
-            remaining(),
-            candidates.excluded())
+        .toWeighedRequest(route(), service(), remaining(), candidates.excluded())
         .withId(placementId);
   }
 
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayRequest.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayRequest.java
@@ -75,24 +75,20 @@
   }
 
   /**
-   * Returns the request for any server of a service without engines.
+   * Returns the request for any server of a service without engines. Its target is that of an
+   * attempt, so that a server is not blamed for the time that others took before it.
    *
-   * @param waited the time since it arrived
    * @param remaining the time until its deadline
    * @param excluded the servers to which it must not go
    */
   PlacementRequest toWeighedRequest(
-      Route route,
-      ServiceName service,
-      Duration waited,
-      Duration remaining,
-      ImmutableSet<ReplicaId> excluded) {
+      Route route, ServiceName service, Duration remaining, ImmutableSet<ReplicaId> excluded) {
     return new PlacementRequest(
         id,
         service,
         size.orElse(NO_GENERATION),
         promptParts,
-        route.latencyTarget().minus(waited),
+        route.latencyTarget(),
         route.timeout(),
         remaining,
         excluded);
--- a/node/src/test/java/dev/apricotmill/node/relay/WeighedPlainServiceTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/WeighedPlainServiceTest.java
@@ -88,6 +88,21 @@
     assertThat(countRequestsTo(server(late), 10)).isEqualTo(0);
   }
 
+  /** A first server that could not be reached may take longer than the whole target. */
+  @Test
+  void aServerIsNotBlamedForTheTimeThatAnotherTookBeforeIt() {
+    SentExchange unreachable = send("/order/1");
+    relay.time().advance(ScriptedRoutes.LATENCY_TARGET.plusMillis(100));
+    unreachable.fail(false);
+    SentExchange second = relay.last();
+    assertThat(server(second)).isNotEqualTo(server(unreachable));
+    respond(second, 200);
+
+    assertThat(relay.logOfServers())
+        .containsExactly(
+            "server.weight_lowered {server=" + server(unreachable) + ", service=desk}");
+  }
+
   @Test
   void anErrorOfTheCallerIsNoFaultOfTheServer() {
     for (int i = 0; i < 6; i++) {
