Test broken and invalid responses of plain services at the daemon

A caller of the product's own interface must not get a part of a response that was reset during a long upload or cut in its chunks, or a response with an invalid status; the same for sequences of engines with an invalid status.

--- a/adapters/src/test/java/dev/apricotmill/adapters/InvalidStatusTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/InvalidStatusTest.java
@@ -4,7 +4,12 @@
 import static dev.apricotmill.adapters.AdapterFixture.await;
 
 import com.google.common.collect.ImmutableMap;
+import dev.apricotmill.coordination.identity.DaemonId;
+import dev.apricotmill.coordination.identity.Incarnation;
 import dev.apricotmill.coordination.time.Deadline;
+import dev.apricotmill.core.engine.EngineRequest;
+import dev.apricotmill.core.engine.GenerationEnd;
+import dev.apricotmill.core.engine.SequenceId;
 import dev.apricotmill.core.request.CustomerId;
 import dev.apricotmill.core.request.RequestId;
 import dev.apricotmill.core.request.ServiceCall;
@@ -122,6 +127,31 @@
     }
   }
 
+  /** No status but 200 begins a stream, and a refusal as not run needs a valid status. */
+  @Test
+  void aSequenceWhoseResponseHasAnInvalidStatusIsBroken() throws Exception {
+    EngineRequest request =
+        new EngineRequest(
+            new SequenceId(new Incarnation(new DaemonId("daemon"), 1), new RequestId(ID), 1),
+            "prompt",
+            10,
+            0,
+            Duration.ofSeconds(10),
+            0,
+            "");
+    for (String status : INVALID) {
+      for (Ending ending : Ending.values()) {
+        RecordingListener listener = new RecordingListener();
+        ScriptedConnectionServer server = serve(response("HTTP/1.1", status, true), ending);
+        new HttpModelEngine(fixture.clients(), server.address()).generate(request, listener);
+
+        assertWithMessage("%s %s", status, ending)
+            .that(await(listener.end()))
+            .isInstanceOf(GenerationEnd.Broken.class);
+      }
+    }
+  }
+
   @Test
   void anInterimResponseIsNoFinalOne() throws Exception {
     for (String status : List.of("100", "102", "103", "199")) {
--- a/daemon/src/test/java/dev/apricotmill/daemon/client/DaemonWithBackends.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/client/DaemonWithBackends.java
@@ -13,6 +13,7 @@
 import dev.apricotmill.coordination.configuration.ConfigurationChange;
 import dev.apricotmill.coordination.configuration.ConfigurationStore;
 import dev.apricotmill.coordination.configuration.PartContent;
+import dev.apricotmill.coordination.membership.PeerAddress;
 import dev.apricotmill.coordination.platform.Platform;
 import dev.apricotmill.coordination.platform.WriterSettings;
 import dev.apricotmill.coordination.time.Timing;
@@ -35,6 +36,7 @@
 import dev.apricotmill.testhelpers.service.ServiceServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.UUID;
 
@@ -80,7 +82,7 @@
   private final ServiceServer service;
   private final DaemonProcess daemon;
 
-  private DaemonWithBackends() throws Exception {
+  private DaemonWithBackends(Optional<PeerAddress> otherService) throws Exception {
     Timing timing = SystemTiming.start();
     closer.register(timing.scheduler()::shutdownNow);
     PlatformServer platformServer = new PlatformServer(PlatformSettings.DEFAULTS, 0, timing);
@@ -93,7 +95,7 @@
     HttpClients clients = HttpClients.start(timing);
     closer.register(clients::close);
     Platform platform = new HttpPlatform(clients, platformServer.address());
-    applyConfiguration(timing, platform);
+    applyConfiguration(timing, platform, otherService.orElse(service.address()));
     ExternalDependencies outer =
         new ExternalDependencies(
             platform, new HttpEngineConnector(clients), new HttpPlainService(clients));
@@ -105,7 +107,12 @@
 
   /** Starts everything; the daemon may not be ready yet. */
   static DaemonWithBackends start() throws Exception {
-    return new DaemonWithBackends();
+    return new DaemonWithBackends(Optional.empty());
+  }
+
+  /** Starts everything, and calls the plain service at another address than that of its own. */
+  static DaemonWithBackends startWithService(PeerAddress address) throws Exception {
+    return new DaemonWithBackends(Optional.of(address));
   }
 
   /** Returns a UUID version 7 (RFC 9562) with the current time. */
@@ -114,8 +121,9 @@
     return new UUID(high, 0x8000_0000_0000_0001L).toString();
   }
 
-  private void applyConfiguration(Timing timing, Platform platform) throws Exception {
-    String text = CONFIGURATION.formatted(CUSTOMER_KEY, engine.address(), service.address());
+  private void applyConfiguration(Timing timing, Platform platform, PeerAddress serviceAddress)
+      throws Exception {
+    String text = CONFIGURATION.formatted(CUSTOMER_KEY, engine.address(), serviceAddress);
     CheckResult check = ConfigurationFile.check(text.getBytes(UTF_8), ImmutableList.of());
     if (!(check instanceof CheckResult.Valid valid)) {
       throw new IllegalStateException("the test configuration is invalid: " + check);
