Count reserved memory as used until its request ends

A part that is read no longer counts as one of the engine's prefills. Elsewhere placements stay as they are; the same fault holds there.

The replay now has the memory of engines: a placement whose memory is not free is tried up to three times.

--- a/core/src/main/java/dev/apricotmill/core/pool/EngineState.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/EngineState.java
@@ -16,11 +16,13 @@
   private static final double OVERDUE_PREFILL_MILLIS = 10;
 
   private final EngineCostModel costModel;
+  private final boolean keepsReservedMemory;
   private final Map<RequestId, Part> parts = new HashMap<>();
   private BackendServer server;
   private int position;
   private int generationCount;
   private int prefillingParts;
+  private int prefillOnlyCount;
   private long usedTokens;
   private final List<Double> awaitedDueMillis = new ArrayList<>();
   private double onTimeValue;
@@ -28,9 +30,16 @@
   private double prefillEndMillis;
   private double coolDownUntilMillis;
 
-  EngineState(BackendServer server, EngineCostModel costModel) {
+  /**
+   * Creates the state of an engine without work.
+   *
+   * @param keepsReservedMemory whether reserved memory counts as used until its request ends, as it
+   *     is at the engine; otherwise only until the first event
+   */
+  EngineState(BackendServer server, EngineCostModel costModel, boolean keepsReservedMemory) {
     this.server = server;
     this.costModel = costModel;
+    this.keepsReservedMemory = keepsReservedMemory;
   }
 
   /**
@@ -98,7 +107,12 @@
 
   /** Records the end of a request's prefill. */
   void endPrefill(RequestId request, double nowMillis) {
-    parts.computeIfPresent(request, (id, part) -> part.generates() ? part.afterPrefill() : null);
+    parts.computeIfPresent(
+        request,
+        (id, part) ->
+            part.generates() || (keepsReservedMemory && part.tokens() > 0)
+                ? part.afterPrefill()
+                : null);
     updatePrefillEnd(nowMillis);
   }
 
@@ -129,7 +143,7 @@
 
   /** Returns the number of requests that only prefill a part here. */
   int prefillOnlyCount() {
-    return parts.size() - generationCount;
+    return prefillOnlyCount;
   }
 
   long usedTokens() {
@@ -178,6 +192,7 @@
   private void recomputeTotals() {
     generationCount = 0;
     prefillingParts = 0;
+    prefillOnlyCount = 0;
     usedTokens = 0;
     onTimeValue = 0;
     awaitedDueMillis.clear();
@@ -185,6 +200,7 @@
     for (Part part : parts.values()) {
       generationCount += part.generates() ? 1 : 0;
       prefillingParts += part.prefilling() ? 1 : 0;
+      prefillOnlyCount += part.prefilling() && !part.generates() ? 1 : 0;
       usedTokens += part.tokens();
       if (part.generates() && part.prefilling()) {
         awaitedDueMillis.add(part.dueMillis());
--- a/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
@@ -125,7 +125,7 @@
   private EngineState carryOver(
       @org.jspecify.annotations.Nullable EngineState previous, BackendServer server) {
     if (previous == null || previous.server().startedMillis() != server.startedMillis()) {
-      return new EngineState(server, costModel);
+      return new EngineState(server, costModel, promptsCompete());
     }
     previous.update(server);
     return previous;
@@ -151,7 +151,7 @@
 
   /** Returns the engines that are kept free of long parts, with the request counted. */
   private EngineShare share(PlacementRequest request, int usableCount, double nowMillis) {
-    if (!considersArrivals || !costModel.promptsCompete()) {
+    if (!promptsCompete()) {
       return EngineShare.NONE;
     }
     double prefillMillis = costModel.prefillMillis(request.size().promptTokens());
@@ -174,6 +174,10 @@
     return share.engineCount();
   }
 
+  private boolean promptsCompete() {
+    return considersArrivals && costModel.promptsCompete();
+  }
+
   private boolean isShort(PlacementRequest request) {
     return PlacementPlanner.isShort(costModel.prefillMillis(request.size().promptTokens()));
   }
--- a/core/src/test/java/dev/apricotmill/core/pool/CompetingPromptsTest.java
+++ b/core/src/test/java/dev/apricotmill/core/pool/CompetingPromptsTest.java
@@ -60,6 +60,15 @@
     assertThat(PromptReplay.share(now)).isAtLeast(HUDUD_GOAL);
   }
 
+  /** Memory of a reservation was taken for free from its first event on, and reserved again. */
+  @Test
+  void memoryIsReservedOnlyWhereItIsFree() {
+    Map<Size, Result> now = replay(Deployment.HUDUD, true);
+
+    assertThat(now.get(Size.LONG).reserved()).isGreaterThan(0);
+    assertThat(now.get(Size.LONG).unused()).isEqualTo(0);
+  }
+
   private static Map<Size, Result> giants(Deployment deployment, boolean competing) {
     return new PromptReplay(deployment, 5, competing)
         .withTurnsOfTheMix(2)
--- a/core/src/test/java/dev/apricotmill/core/pool/PromptReplay.java
+++ b/core/src/test/java/dev/apricotmill/core/pool/PromptReplay.java
@@ -29,6 +29,7 @@
   private static final ServiceName POOL = new ServiceName("pool");
   private static final double REPORT_DELAY_MILLIS = 5;
   private static final int EVENTS = 31;
+  private static final int MAXIMUM_ATTEMPTS = 3;
   private static final int OUTPUT_TOKENS = EVENTS * 48;
   private static final double PHASE_MILLIS = 9_500;
 
@@ -108,24 +109,31 @@
 
   /** What became of the requests of one class. */
   record Result(
-      int sent, int onTime, int late, int refused, int reserved, double earned, double possible) {
+      int sent,
+      int onTime,
+      int late,
+      int refused,
+      int reserved,
+      int unused,
+      double earned,
+      double possible) {
 
-    private static final Result NONE = new Result(0, 0, 0, 0, 0, 0, 0);
+    private static final Result NONE = new Result(0, 0, 0, 0, 0, 0, 0, 0);
 
     private static Result ofSent(double value) {
-      return new Result(1, 0, 0, 0, 0, 0, value);
+      return new Result(1, 0, 0, 0, 0, 0, 0, value);
     }
 
     private static Result ofRefused() {
-      return new Result(0, 0, 0, 1, 0, 0, 0);
+      return new Result(0, 0, 0, 1, 0, 0, 0, 0);
     }
 
-    private static Result ofReserved() {
-      return new Result(0, 0, 0, 0, 1, 0, 0);
+    private static Result ofReservations(int reserved, int unused) {
+      return new Result(0, 0, 0, 0, reserved, unused, 0, 0);
     }
 
     private static Result ofEnded(boolean late, double earned) {
-      return new Result(0, late ? 0 : 1, late ? 1 : 0, 0, 0, earned, 0);
+      return new Result(0, late ? 0 : 1, late ? 1 : 0, 0, 0, 0, earned, 0);
     }
 
     Result plus(Result other) {
@@ -135,6 +143,7 @@
           late + other.late,
           refused + other.refused,
           reserved + other.reserved,
+          unused + other.unused,
           earned + other.earned,
           possible + other.possible);
     }
@@ -226,6 +235,8 @@
     private boolean repeated;
     private boolean late;
     private int partsLeft;
+    private int attempts;
+    private Map<ReplicaId, Long> memory = Map.of();
     private int events;
     private double lastEventMillis = startMillis;
 
@@ -254,7 +265,13 @@
               ImmutableSet.of());
       Placement placement = scheduler.place(request, clock.nowNanos());
       if (placement instanceof Placement.Granted granted) {
-        read(granted);
+        if (tryTakeMemory(granted)) {
+          read(granted);
+        } else if (++attempts < MAXIMUM_ATTEMPTS) {
+          send();
+        } else {
+          add(Result.ofRefused());
+        }
       } else if (placement instanceof Placement.Full full && !repeated) {
         repeated = true;
         clock.after((double) full.retryAfter().toMillis(), this::send);
@@ -263,13 +280,36 @@
       }
     }
 
+    /** Takes the memory of a placement on all of its engines or on none. */
+    private boolean tryTakeMemory(Placement.Granted granted) {
+      long reserved = granted.reservedTokens();
+      long own = tokens + OUTPUT_TOKENS - reserved * granted.helpers().size();
+      Map<ReplicaId, Long> taken = new HashMap<>();
+      if (engines.get(granted.server()).tryTake(own)) {
+        taken.put(granted.server(), own);
+      }
+      for (ReplicaId helper : granted.helpers()) {
+        if (reserved > 0 && engines.get(helper).tryTake(reserved)) {
+          taken.put(helper, reserved);
+        }
+      }
+      int needed = 1 + (reserved > 0 ? granted.helpers().size() : 0);
+      int reservations = taken.size() - (taken.containsKey(granted.server()) ? 1 : 0);
+      if (taken.size() < needed) {
+        add(Result.ofReservations(reservations, reservations));
+        taken.forEach((engine, held) -> engines.get(engine).release(held));
+        scheduler.onEnd(id, clock.nowNanos());
+        return false;
+      }
+      add(Result.ofReservations(reservations, 0));
+      memory = taken;
+      return true;
+    }
+
     private void read(Placement.Granted granted) {
       List<ReplicaId> readers =
           Stream.concat(Stream.of(granted.server()), granted.helpers().stream()).toList();
       partsLeft = readers.size();
-      if (granted.reservedTokens() > 0) {
-        add(Result.ofReserved());
-      }
       double partTokens = (double) tokens / partsLeft;
       double partMillis = deployment.costModel().prefillMillis(tokens) / partsLeft;
       readers.forEach(
@@ -304,6 +344,7 @@
     }
 
     private void end(double nowMillis) {
+      memory.forEach((engine, held) -> engines.get(engine).release(held));
       clock.after(REPORT_DELAY_MILLIS, () -> scheduler.onEnd(id, clock.nowNanos()));
       boolean lost = nowMillis - startMillis > load.timeoutMillis();
       add(Result.ofEnded(late, lost ? 0 : late ? load.lateValue() : load.value()));
--- a/core/src/test/java/dev/apricotmill/core/pool/ReplayedEngine.java
+++ b/core/src/test/java/dev/apricotmill/core/pool/ReplayedEngine.java
@@ -21,6 +21,7 @@
   private final Deque<Read> helperReads = new ArrayDeque<>();
   private final Deque<Read> ownReads = new ArrayDeque<>();
   private final List<Decoding> decoding = new ArrayList<>();
+  private long usedTokens;
   private boolean running;
 
   ReplayedEngine(EngineCostModel costModel, ReplayClock clock) {
@@ -54,6 +55,19 @@
     }
   }
 
+  /** Takes memory until it is released; returns false if the engine has not enough. */
+  boolean tryTake(long tokens) {
+    if (usedTokens + tokens > costModel.memoryTokens()) {
+      return false;
+    }
+    usedTokens += tokens;
+    return true;
+  }
+
+  void release(long tokens) {
+    usedTokens -= tokens;
+  }
+
   /** Reads a part; {@code helper} tells that another engine generates the response. */
   void read(double tokens, double millis, boolean helper, Runnable onRead) {
     (helper ? helperReads : ownReads).add(new Read(tokens, millis, onRead));
