--- a/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
@@ -47,6 +47,7 @@
   private final Map<Zone, Map<ReplicaId, Double>> unreachableAtMillis = new HashMap<>();
   private final Map<RequestId, PlacedRequest> placements = new HashMap<>();
   private EngineCostModel costModel;
+  private Duration failureCoolDown = FAILURE_COOL_DOWN;
 
   /** Creates a scheduler of an empty pool. */
   public PoolScheduler(EngineCostModel costModel) {
@@ -81,6 +82,11 @@
     }
   }
 
+  /** Sets whether a failed server has a cool-down; it needs none where it has a ramp. */
+  public void setFailureCoolDown(boolean enabled) {
+    failureCoolDown = enabled ? FAILURE_COOL_DOWN : Duration.ZERO;
+  }
+
   /** Replaces the servers of the pool; work on removed servers is dropped. */
   public void updateServers(Collection<BackendServer> servers, EngineCostModel newCostModel) {
     costModel = newCostModel;
@@ -227,7 +233,7 @@
       return;
     }
     double nowMillis = millis(nowNanos);
-    engine.startCoolDown(nowMillis + FAILURE_COOL_DOWN.toMillis());
+    engine.startCoolDown(nowMillis + failureCoolDown.toMillis());
     if (!unreachable) {
       return;
     }
