Grant and send cold servers no more than their bound, and ramp up others

Cause: nothing kept the requests of all nodes together below what a cold server tolerates, and engines that start or recover got all load at once. Change: ServerRamps keeps which servers are cold and which start slowly. LocalPlacer grants by it; a cold engine helps with no prompt. ServerSelection checks the node's own share of the bound when a request is about to leave, so that lost or duplicate dispatchers and frozen nodes cannot break it. With no share left a request is refused at once with the time to come back.

--- a/node/src/main/java/dev/apricotmill/node/relay/BackendLimits.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendLimits.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.node.relay;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import dev.apricotmill.coordination.time.Timing;
@@ -30,6 +31,7 @@
   private final Timing timing;
   private final EventLog log;
   private final LimitedServers servers = new LimitedServers();
+  private final ServerRamps ramps;
 
   /** The servers whose limits this node knows from a dispatcher alone. */
   private final Set<LimitedServers.Instance> heard = new HashSet<>();
@@ -40,6 +42,12 @@
   public BackendLimits(Timing timing, EventLog log) {
     this.timing = timing;
     this.log = log;
+    ramps = new ServerRamps(timing, log);
+  }
+
+  /** Returns which servers are cold or start slowly. */
+  public ServerRamps ramps() {
+    return ramps;
   }
 
   /** Sets who learns of each response that names a limit, and of each limit's end. */
@@ -49,6 +57,7 @@
 
   @Override
   public void onNotice(BackendServer server, ServerNotice notice) {
+    notice.cold().ifPresent(left -> timing.scheduler().execute(() -> ramps.onCold(server, left)));
     if (notice.requestsPerSecond().isPresent()) {
       timing.scheduler().execute(() -> onNamed(server, notice.requestsPerSecond()));
     }
@@ -152,9 +161,9 @@
     }
   }
 
-  /** Returns whether no server has a limit. */
+  /** Returns whether each server may get any request. */
   boolean isEmpty() {
-    return servers.isEmpty();
+    return servers.isEmpty() && ramps.isEmpty();
   }
 
   /** Returns whether a server has a limit. */
@@ -190,18 +199,41 @@
         .collect(ImmutableSet.toImmutableSet());
   }
 
-  /** Returns those of some servers that may get no request now. */
-  ImmutableSet<ReplicaId> notFree(Collection<BackendServer> candidates) {
-    long now = timing.nanoTime();
+  /**
+   * Returns those of some servers that may get no request now.
+   *
+   * @param share the share of their limits that this node grants from; without one it grants no
+   *     server with a limit
+   */
+  ImmutableSet<ReplicaId> notFree(Collection<BackendServer> candidates, double share) {
     return candidates.stream()
-        .filter(server -> servers.timeUntilFree(server, now).compareTo(Duration.ZERO) > 0)
+        .filter(
+            server ->
+                (share <= GrantShare.NONE && isLimited(server))
+                    || timeUntilFree(server).compareTo(Duration.ZERO) > 0)
         .map(BackendServer::id)
         .collect(ImmutableSet.toImmutableSet());
   }
 
+  private Duration timeUntilFree(BackendServer server) {
+    return Comparators.max(
+        servers.timeUntilFree(server, timing.nanoTime()), ramps.timeUntilFree(server));
+  }
+
   /** Returns the shortest time until one of some servers may get a request. */
   Optional<Duration> timeUntilAnyIsFree(Collection<BackendServer> candidates) {
-    return servers.timeUntilAnyIsFree(candidates, timing.nanoTime());
+    return candidates.stream().map(this::timeUntilFree).min(Duration::compareTo);
+  }
+
+  /**
+   * Returns those of some servers that may not help with a prompt: the cold ones, and those with a
+   * limit if memory must be reserved, since a reservation is a request.
+   */
+  ImmutableSet<ReplicaId> notHelping(Collection<BackendServer> candidates, boolean reserved) {
+    return candidates.stream()
+        .filter(server -> ramps.isCold(server) || (reserved && isLimited(server)))
+        .map(BackendServer::id)
+        .collect(ImmutableSet.toImmutableSet());
   }
 
   /**
--- a/node/src/main/java/dev/apricotmill/node/relay/CandidateServers.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CandidateServers.java
@@ -28,11 +28,13 @@
 
   /** Returns the servers to which the request must not go now. */
   ImmutableSet<ReplicaId> excluded() {
+    ImmutableSet<ReplicaId> cold = node.backendLimits().ramps().notAcceptingSend(ready());
     if (node.pauses().isEmpty()) {
-      return ImmutableSet.copyOf(failed);
+      return ImmutableSet.<ReplicaId>builder().addAll(failed).addAll(cold).build();
     }
     return ImmutableSet.<ReplicaId>builder()
         .addAll(failed)
+        .addAll(cold)
         .addAll(node.pauses().notAccepting(ready()))
         .build();
   }
@@ -86,6 +88,11 @@
     return node.pauses().isEmpty() ? Optional.empty() : node.pauses().timeUntilAnyAccepts(ready());
   }
 
+  /** Returns when one of the servers may get a request of this node, if all are cold. */
+  Optional<Duration> timeUntilColdServerIsFree() {
+    return node.backendLimits().ramps().timeUntilAnyAcceptsSend(ready());
+  }
+
   private ImmutableList<BackendServer> ready() {
     return node.view().readyServers(service);
   }
--- a/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/DispatcherPlacer.java
@@ -98,6 +98,7 @@
   /** Updates the nodes that may dispatch. */
   public void updateMembers(ImmutableList<Member> newMembers) {
     members = newMembers;
+    limits.ramps().updateMembers(newMembers, self);
     rankings.clear();
     suspects.retainAll(newMembers);
     preconnected.retainAll(newMembers);
--- a/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
@@ -120,6 +120,7 @@
             .filter(Objects::nonNull)
             .filter(BackendServer::ready)
             .filter(node.pauses()::accepts)
+            .filter(helper -> !ramps().isCold(helper))
             .collect(ImmutableList.toImmutableList());
     if (granted.reservedTokens() == 0) {
       callback.onAllocated(
@@ -143,6 +144,7 @@
             helpers,
             granted.reservedTokens());
     reservations = newReservations;
+    helpers.forEach(ramps()::tryTakeSend);
     newReservations.reserve(
         allReserved -> {
           if (closed) {
@@ -150,7 +152,7 @@
           }
           Optional<ReplicaId> unusable =
               Stream.concat(Stream.of(server), helpers.stream())
-                  .filter(engine -> !isStillReady(engine))
+                  .filter(engine -> !isStillReady(engine) || isColdHelper(engine, server))
                   .map(BackendServer::id)
                   .findFirst();
           if (unusable.isPresent()) {
@@ -177,6 +179,15 @@
                 ready.id().equals(server.id()) && ready.startedMillis() == server.startedMillis());
   }
 
+  /** A part of a prompt is a request to its helper, and a cold server would prefill it slowly. */
+  private boolean isColdHelper(BackendServer engine, BackendServer generating) {
+    return !engine.id().equals(generating.id()) && ramps().isCold(engine);
+  }
+
+  private ServerRamps ramps() {
+    return node.backendLimits().ramps();
+  }
+
   private static Optional<ReplicaId> firstUnusableHelper(
       Placement.Granted granted, ImmutableList<BackendServer> usable) {
     return granted.helpers().stream()
--- a/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
@@ -1,7 +1,9 @@
 package dev.apricotmill.node.relay;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementRequest;
@@ -26,6 +28,12 @@
 
   private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
 
+  /** A report of a first event takes some milliseconds to arrive, also across zones. */
+  private static final Duration MIN_FIRST_EVENT_TIME = Duration.ofMillis(100);
+
+  /** A response whose target has passed or is tight is late after so many expected times. */
+  private static final int EXPECTED_TIMES_UNTIL_LATE = 2;
+
   private final Timing timing;
   private final BackendLimits limits;
   private final Map<ServiceName, PoolScheduler> poolSchedulers = new HashMap<>();
@@ -48,6 +56,7 @@
   public void update(ServingView newView) {
     view = newView;
     view.servers().ifPresent(table -> limits.update(table.serversById().values()));
+    limits.ramps().update(view);
     view.configuration()
         .ifPresent(configuration -> configuration.services().values().forEach(this::update));
   }
@@ -55,9 +64,11 @@
   private void update(ServiceProfile profile) {
     Optional<EngineCostModel> costModel = profile.engine();
     if (costModel.isPresent() && view.servers().isPresent()) {
-      poolSchedulers
-          .computeIfAbsent(profile.name(), name -> new PoolScheduler(costModel.get()))
-          .updateServers(view.serversOf(profile.name()), costModel.get());
+      PoolScheduler pool =
+          poolSchedulers.computeIfAbsent(
+              profile.name(), name -> new PoolScheduler(costModel.get()));
+      pool.setFailureCoolDown(!limits.ramps().isEnabled(profile.name()));
+      pool.updateServers(view.serversOf(profile.name()), costModel.get());
     }
   }
 
@@ -122,10 +133,10 @@
       return placeOnFree(request);
     }
     ImmutableList<BackendServer> candidates = candidates(request);
-    ImmutableSet<ReplicaId> unavailable =
-        share > GrantShare.NONE ? limits.notFree(candidates) : limits.limited(candidates);
+    ImmutableSet<ReplicaId> unavailable = limits.notFree(candidates, share);
     Placement placement = placeOnFree(request.excluding(unavailable));
     if (placement instanceof Placement.Granted granted) {
+      recordAtRamp(request, granted);
       return takeFromLimit(granted, share);
     }
     boolean isLimitTheCause = unavailable.size() == candidates.size() && !candidates.isEmpty();
@@ -147,21 +158,30 @@
         .orElseGet(() -> placeOnServer(request));
   }
 
-  /** Places a request on engines; reservations are requests, and none go to limited servers. */
+  /** Places a request on engines, of which some may generate a response but not help with one. */
   private Placement placeOnEngines(PoolScheduler pool, PlacementRequest request) {
     long now = timing.nanoTime();
     Placement placement = pool.place(request, now);
     if (limits.isEmpty()
         || !(placement instanceof Placement.Granted granted)
-        || granted.reservedTokens() == 0) {
+        || granted.helpers().isEmpty()) {
       return placement;
     }
-    ImmutableSet<ReplicaId> limited = limits.limited(candidates(request));
-    if (granted.helpers().stream().noneMatch(limited::contains)) {
+    ImmutableSet<ReplicaId> notHelping =
+        limits.notHelping(candidates(request), granted.reservedTokens() > 0);
+    if (granted.helpers().stream().noneMatch(notHelping::contains)) {
       return placement;
     }
     pool.onEnd(request.requestId(), now);
-    return pool.place(request.excluding(limited), now);
+    Placement withoutThem = pool.place(request.excluding(notHelping), now);
+    if (withoutThem instanceof Placement.Granted || !notHelping.contains(granted.server())) {
+      return withoutThem;
+    }
+    // The only one of them that is left cannot help itself.
+    return pool.place(
+        request.excluding(
+            Sets.difference(notHelping, ImmutableSet.of(granted.server())).immutableCopy()),
+        now);
   }
 
   /** Places a request on a server of a service without engines, on each in turn. */
@@ -175,7 +195,20 @@
         chosen.id(), ImmutableList.of(), request.firstEventTarget(), /* reservedTokens= */ 0);
   }
 
+  /** Records a placed request at the ramp of its server. */
+  private void recordAtRamp(PlacementRequest request, Placement.Granted granted) {
+    Duration allowed =
+        Comparators.max(
+            request.firstEventTarget(),
+            Comparators.max(
+                MIN_FIRST_EVENT_TIME,
+                granted.expectedFirstEvent().multipliedBy(EXPECTED_TIMES_UNTIL_LATE)));
+    server(granted.server())
+        .ifPresent(server -> limits.ramps().onGranted(server, request.requestId(), allowed));
+  }
+
   private Placement takeFromLimit(Placement.Granted granted, double share) {
+    server(granted.server()).ifPresent(server -> limits.ramps().takeFromColdRate(server, share));
     return server(granted.server())
         .filter(limits::isLimited)
         .map(
@@ -189,6 +222,10 @@
   /** Records a report on a request that this or another node has placed. */
   public void recordReport(WorkReport report) {
     poolScheduler(report.service()).ifPresent(pool -> report.applyTo(pool, timing.nanoTime()));
+    limits.ramps().onReport(report);
+    if (report instanceof WorkReport.Running running && running.prefilling()) {
+      recordAtRamp(running.request(), running.placement());
+    }
   }
 
   @Override
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
@@ -42,6 +42,14 @@
     Gauge.builder("apricotmill.relay.buffered_bytes", bufferedBytes).register(registry);
   }
 
+  /** Registers how many servers are cold, and how many start slowly. */
+  void registerRamps(ServerRamps ramps) {
+    Gauge.builder("apricotmill.relay.servers_cold", ramps, ServerRamps::coldCount)
+        .register(registry);
+    Gauge.builder("apricotmill.relay.servers_ramping", ramps, ServerRamps::rampCount)
+        .register(registry);
+  }
+
   private Timer timer(String name) {
     return Timer.builder(name)
         .serviceLevelObjectives(
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayNode.java
@@ -76,6 +76,7 @@
     this.log = log;
     responseBuffers = new BufferBudget(settings.maximumBufferedBytes());
     metrics = new RelayMetrics(registry, openRequestCount, responseBuffers::heldBytes);
+    metrics.registerRamps(backendLimits.ramps());
     pauses = new ServerPauses(timing, log, metrics, balancer);
     authorizer =
         new RequestAuthorizer(settings.maxConfigurationStaleness(), settings.configurationBound());
@@ -257,7 +258,7 @@
   }
 
   private HelperReservations.Renewal renewalAt(BackendServer server) {
-    if (pauses.isPaused(server)) {
+    if (pauses.isPaused(server) || !backendLimits.ramps().tryTakeSend(server)) {
       return HelperReservations.Renewal.NEVER;
     }
     return backendLimits.isLimited(server)
--- a/node/src/main/java/dev/apricotmill/node/relay/ServerSelection.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServerSelection.java
@@ -49,10 +49,13 @@
     RelayNode node = scope.node();
     Optional<String> blockedPart = node.blockedParts().blockedPartOf(scope.request().promptParts());
     Optional<Duration> pause = scope.candidates().shortestPause();
+    Optional<Duration> coldWait = scope.candidates().timeUntilColdServerIsFree();
     if (blockedPart.isPresent()) {
       onBlocked(blockedPart.get());
     } else if (pause.isPresent()) {
       callback.onNoServer(RelayRefusal.SERVERS_PAUSED, pause.get());
+    } else if (coldWait.isPresent()) {
+      callback.onNoServer(RelayRefusal.OVERLOADED, coldWait.get());
     } else if (scope.isGeneration()) {
       allocation.allocate(scope.toPlacementRequest(placementId));
     } else {
@@ -68,7 +71,17 @@
     } else if (scope.node().backendLimits().isLimited(server.get())) {
       allocation.allocate(scope.toLimitRequest(placementId));
     } else {
-      callback.onSelected(server.get(), ImmutableList.of(), scope.route().timeout());
+      selected(server.get(), ImmutableList.of(), scope.route().timeout());
+    }
+  }
+
+  /** Checks a cold server's bound again, since requests may have been held back until now. */
+  private void selected(
+      BackendServer server, ImmutableList<BackendClient.Helper> helpers, Duration expected) {
+    if (scope.node().backendLimits().ramps().tryTakeSend(server)) {
+      callback.onSelected(server, helpers, expected);
+    } else {
+      callback.onUnusable(RelayRefusal.OVERLOADED);
     }
   }
 
@@ -94,7 +107,7 @@
   @Override
   public void onAllocated(
       BackendServer server, ImmutableList<BackendClient.Helper> helpers, Duration expected) {
-    callback.onSelected(server, helpers, expected);
+    selected(server, helpers, expected);
   }
 
   @Override
--- a/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
@@ -69,6 +69,8 @@
   private final Map<String, Integer> attempts = new HashMap<>();
   private final List<Duration> crashes = new ArrayList<>();
   private final ServerNoticeRecord record = new ServerNoticeRecord();
+  private final ColdRecord colds = new ColdRecord();
+  private Duration coldTime = Duration.ZERO;
   private boolean noticesSent = true;
   private double errorShare;
   private int started;
@@ -126,6 +128,29 @@
     return record;
   }
 
+  /** Returns what cold servers received. */
+  ColdRecord colds() {
+    return colds;
+  }
+
+  /** From now on servers are cold for a time after their start. */
+  void setColdTime(Duration newColdTime) {
+    coldTime = newColdTime;
+  }
+
+  void turnCold(FleetServer server) {
+    server.turnCold(now().plus(coldTime));
+    colds.turnedCold(server.instance(), now(), now().plus(coldTime));
+  }
+
+  /** Returns what the entries of cold servers say. */
+  ImmutableList<FleetServer.ColdEntry> coldEntries() {
+    return servers.values().stream()
+        .filter(server -> server.entry().isPresent())
+        .flatMap(server -> server.coldEntry(now()).stream())
+        .collect(ImmutableList.toImmutableList());
+  }
+
   void addServers(ServiceName service, int count) {
     for (int i = 0; i < count; i++) {
       start(service);
@@ -219,6 +244,7 @@
     // The name of a reservation is the request's identifier and the number of the attempt.
     RequestId request = new RequestId(reservation.substring(0, reservation.indexOf('.')));
     record.arrived(request, link(connections, server), now(), renewed);
+    colds.arrived(connections.node(), server.instance(), now());
     boolean refused = !renewed && server.isPausedFor(connections.node(), now());
     ServerNotice notice = refused ? refusalNotice(server, connections.node()) : runNotice(server);
     if (!refused) {
@@ -258,6 +284,7 @@
     EngineConnections connections = run.connections();
     RequestId request = run.request().request().id();
     record.arrived(request, link(connections, server), now(), false);
+    colds.arrived(connections.node(), server.instance(), now());
     if (server.isPausedFor(connections.node(), now())) {
       run.refuse(server, refusalNotice(server, connections.node()), Optional.empty());
       return;
@@ -312,6 +339,9 @@
                 SLOTS,
                 true,
                 timing.clock().millis())));
+    if (!coldTime.isZero()) {
+      turnCold(servers.get(id));
+    }
   }
 
   private void begin(FleetServer server, EngineRun run) {
--- a/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
@@ -22,6 +22,8 @@
 import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.pool.WorkReport;
 import dev.apricotmill.core.relay.BackendServer;
+import dev.apricotmill.core.relay.ColdStart;
+import dev.apricotmill.core.relay.ColdTolerance;
 import dev.apricotmill.core.relay.ServerNotice;
 import dev.apricotmill.core.request.ReplicaId;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -107,12 +109,20 @@
   }
 
   /** Creates a node that knows no other nodes. */
-  FleetNode(int number, VirtualTime time, FakePlatform store, EngineFleet engines, Peers peers) {
+  FleetNode(
+      int number,
+      VirtualTime time,
+      FakePlatform store,
+      EngineFleet engines,
+      Peers peers,
+      Optional<ColdStart> coldStart,
+      Optional<ColdTolerance> tolerance) {
     network = time.newTiming();
     scheduler = time.newScheduler();
     timing = time.timingOf(scheduler);
     EventLog log = (event, fields) -> {};
     backendLimits = new BackendLimits(timing, log);
+    backendLimits.ramps().setTolerance(tolerance);
     localPlacer = new LocalPlacer(timing, backendLimits);
     this.engines = engines;
     this.peers = peers;
@@ -157,10 +167,10 @@
     relay.update(
         view ->
             view.withConfiguration(
-                RelayFixture.configuration(1),
+                RelayFixture.configuration(1, coldStart),
                 Optional.of(new ReadTimestamp(timing.nanoTime(), timing.clock().millis()))));
     state = new ServingState(relay, leavingServers, log, localPlacer::update);
-    state.serversRead(engines.entries());
+    readServers(engines.entries(), engines.coldEntries());
   }
 
   private void followBlockedParts(Platform storeClient) {
@@ -227,12 +237,38 @@
   }
 
   void applyServers() {
-    ImmutableMap<ReplicaId, BackendServer> entries = engines.entries();
     if (!disturbances.contains(Disturbance.WITHOUT_LIST)) {
-      timing.scheduler().execute(() -> state.serversRead(entries));
+      readServers();
+    }
+  }
+
+  void applyServersIfAlive() {
+    if (!killed) {
+      applyServers();
     }
   }
 
+  private void readServers() {
+    ImmutableMap<ReplicaId, BackendServer> entries = engines.entries();
+    ImmutableList<FleetServer.ColdEntry> coldEntries = engines.coldEntries();
+    timing.scheduler().execute(() -> readServers(entries, coldEntries));
+  }
+
+  private void readServers(
+      ImmutableMap<ReplicaId, BackendServer> entries,
+      ImmutableList<FleetServer.ColdEntry> coldEntries) {
+    coldEntries.forEach(this::readColdEntry);
+    state.serversRead(entries);
+  }
+
+  private void readColdEntry(FleetServer.ColdEntry entry) {
+    backendLimits
+        .ramps()
+        .onEntry(
+            entry.server().id(), entry.server().startedMillis(), entry.version(), entry.left());
+    engines.colds().read(number(), entry.server(), Duration.ofNanos(timing.nanoTime()));
+  }
+
   private void onNotice(BackendServer server, ServerNotice notice) {
     leavingServers.onNotice(server, notice);
     relay.onNotice(server, notice);
--- a/node/src/test/java/dev/apricotmill/node/relay/FleetServer.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/FleetServer.java
@@ -24,6 +24,8 @@
   private Duration pausedUntil = Duration.ZERO;
   private IntPredicate pausedNodes = node -> false;
   private OptionalDouble requestsPerSecond = OptionalDouble.empty();
+  private Duration coldUntil = Duration.ZERO;
+  private long entryVersion;
 
   FleetServer(BackendServer server) {
     this.server = server;
@@ -79,6 +81,22 @@
     }
   }
 
+  /** What the entry of a cold server says. */
+  record ColdEntry(Instance server, long version, Duration left) {}
+
+  /** Makes the server cold, and has its entry say so. */
+  void turnCold(Duration until) {
+    coldUntil = until;
+    entryVersion++;
+  }
+
+  /** Returns what the entry says of the warm-up, unless it is over. */
+  Optional<ColdEntry> coldEntry(Duration now) {
+    return now.compareTo(coldUntil) < 0
+        ? Optional.of(new ColdEntry(instance(), entryVersion, coldUntil.minus(now)))
+        : Optional.empty();
+  }
+
   Instance instance() {
     return new Instance(server.id(), server.startedMillis());
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
@@ -10,6 +10,8 @@
 import dev.apricotmill.coordination.testing.VirtualTime;
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.prompt.PromptParts;
+import dev.apricotmill.core.relay.ColdStart;
+import dev.apricotmill.core.relay.ColdTolerance;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.request.RequestId;
 import dev.apricotmill.core.request.ServiceName;
@@ -27,14 +29,34 @@
   private final Timing network = time.newTiming();
   private final FakePlatform store = new FakePlatform(time);
   private final Random random;
+  private final Optional<ColdStart> coldStart;
+  private final Optional<ColdTolerance> tolerance;
   private final EngineFleet engines;
   private final List<FleetNode> nodes = new ArrayList<>();
   private int started;
   private int requests;
 
   RelayFleet(int nodeCount, int engineCount, long seed) {
+    this(nodeCount, engineCount, seed, Optional.empty(), Optional.empty());
+  }
+
+  /** Creates a fleet whose servers are cold after their start. */
+  RelayFleet(
+      int nodeCount, int engineCount, long seed, ColdStart coldStart, ColdTolerance tolerance) {
+    this(nodeCount, engineCount, seed, Optional.of(coldStart), Optional.of(tolerance));
+  }
+
+  private RelayFleet(
+      int nodeCount,
+      int engineCount,
+      long seed,
+      Optional<ColdStart> coldStart,
+      Optional<ColdTolerance> tolerance) {
     random = new Random(seed);
+    this.coldStart = coldStart;
+    this.tolerance = tolerance;
     engines = new EngineFleet(network, random, engineCount, this::applyServers);
+    coldStart.ifPresent(cold -> engines.setColdTime(cold.duration()));
     for (int i = 0; i < nodeCount; i++) {
       nodes.add(newNode());
     }
@@ -146,6 +168,14 @@
     nodes.get(node).disturb(FleetNode.Disturbance.FROZEN, duration);
   }
 
+  /** Lets servers turn cold; nodes read so within 400 ms, each at its own time. */
+  void turnCold(ImmutableList<FleetServer> servers) {
+    servers.forEach(engines::turnCold);
+    nodes.forEach(
+        node ->
+            network.schedule(Duration.ofMillis(random.nextInt(400)), node::applyServersIfAlive));
+  }
+
   /** Keeps the platform's list from a node for a while. */
   void cutFromList(int node, Duration duration) {
     nodes.get(node).disturb(FleetNode.Disturbance.WITHOUT_LIST, duration);
@@ -178,7 +208,7 @@
   }
 
   private FleetNode newNode() {
-    return new FleetNode(started++, time, store, engines, this::find);
+    return new FleetNode(started++, time, store, engines, this::find, coldStart, tolerance);
   }
 
   private Optional<FleetNode> find(PeerAddress address) {
