--- a/node/src/test/java/dev/apricotmill/node/relay/ColdRecord.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ColdRecord.java
@@ -20,6 +20,7 @@
   private final List<Arrival> arrivals = new ArrayList<>();
   private final Map<FleetServer.Instance, List<ColdTime>> coldTimes = new HashMap<>();
   private final Map<FleetServer.Instance, Map<Integer, Duration>> readAt = new HashMap<>();
+  private Duration coldTime = Duration.ZERO;
 
   private record Arrival(FleetServer.Instance server, int node, Duration at) {}
 
@@ -30,9 +31,24 @@
     }
   }
 
-  void turnedCold(FleetServer.Instance server, Duration from, Duration end) {
-    coldTimes.computeIfAbsent(server, id -> new ArrayList<>()).add(new ColdTime(from, end));
-    readAt.remove(server);
+  /** From now on servers are cold for a time after their start. */
+  void setColdTime(Duration newColdTime) {
+    coldTime = newColdTime;
+  }
+
+  void onStart(FleetServer server, Duration at) {
+    if (!coldTime.isZero()) {
+      turnCold(server, at);
+    }
+  }
+
+  /** Makes a server cold, and has its entry say so. */
+  void turnCold(FleetServer server, Duration at) {
+    server.turnCold(at.plus(coldTime));
+    coldTimes
+        .computeIfAbsent(server.instance(), id -> new ArrayList<>())
+        .add(new ColdTime(at, at.plus(coldTime)));
+    readAt.remove(server.instance());
   }
 
   /** Records that a node has read that a server is cold. */
--- a/node/src/test/java/dev/apricotmill/node/relay/ColdServerBoundTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ColdServerBoundTest.java
@@ -126,9 +126,9 @@
         load.play(fleet, random, STEP, 15.0 * serverCount);
       }
       assertWithMessage("seed %s, %s", seed, events)
-          .that(fleet.engines().colds().mostInOneSecond())
+          .that(fleet.engines().record().colds().mostInOneSecond())
           .isAtMost(TOLERANCE.bound(new ColdStart(Duration.ofSeconds(3), perSecond)));
-      received += fleet.engines().colds().arrivals();
+      received += fleet.engines().record().colds().arrivals();
     }
     assertWithMessage("requests at cold servers").that(received).isAtLeast(10 * schedules);
   }
--- a/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
@@ -69,8 +69,6 @@
   private final Map<String, Integer> attempts = new HashMap<>();
   private final List<Duration> crashes = new ArrayList<>();
   private final ServerNoticeRecord record = new ServerNoticeRecord();
-  private final ColdRecord colds = new ColdRecord();
-  private Duration coldTime = Duration.ZERO;
   private boolean noticesSent = true;
   private double errorShare;
   private int started;
@@ -128,29 +126,6 @@
     return record;
   }
 
-  /** Returns what cold servers received. */
-  ColdRecord colds() {
-    return colds;
-  }
-
-  /** From now on servers are cold for a time after their start. */
-  void setColdTime(Duration newColdTime) {
-    coldTime = newColdTime;
-  }
-
-  void turnCold(FleetServer server) {
-    server.turnCold(now().plus(coldTime));
-    colds.turnedCold(server.instance(), now(), now().plus(coldTime));
-  }
-
-  /** Returns what the entries of cold servers say. */
-  ImmutableList<FleetServer.ColdEntry> coldEntries() {
-    return servers.values().stream()
-        .filter(server -> server.entry().isPresent())
-        .flatMap(server -> server.coldEntry(now()).stream())
-        .collect(ImmutableList.toImmutableList());
-  }
-
   void addServers(ServiceName service, int count) {
     for (int i = 0; i < count; i++) {
       start(service);
@@ -244,7 +219,6 @@
     // The name of a reservation is the request's identifier and the number of the attempt.
     RequestId request = new RequestId(reservation.substring(0, reservation.indexOf('.')));
     record.arrived(request, link(connections, server), now(), renewed);
-    colds.arrived(connections.node(), server.instance(), now());
     boolean refused = !renewed && server.isPausedFor(connections.node(), now());
     ServerNotice notice = refused ? refusalNotice(server, connections.node()) : runNotice(server);
     if (!refused) {
@@ -284,7 +258,6 @@
     EngineConnections connections = run.connections();
     RequestId request = run.request().request().id();
     record.arrived(request, link(connections, server), now(), false);
-    colds.arrived(connections.node(), server.instance(), now());
     if (server.isPausedFor(connections.node(), now())) {
       run.refuse(server, refusalNotice(server, connections.node()), Optional.empty());
       return;
@@ -339,9 +312,7 @@
                 SLOTS,
                 true,
                 timing.clock().millis())));
-    if (!coldTime.isZero()) {
-      turnCold(servers.get(id));
-    }
+    record.colds().onStart(servers.get(id), now());
   }
 
   private void begin(FleetServer server, EngineRun run) {
--- a/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/FleetNode.java
@@ -31,6 +31,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /** One node and what other nodes reach of it. */
 final class FleetNode implements DispatcherClient {
@@ -167,10 +168,10 @@
     relay.update(
         view ->
             view.withConfiguration(
-                RelayFixture.configuration(1, coldStart),
+                ColdConfiguration.of(coldStart),
                 Optional.of(new ReadTimestamp(timing.nanoTime(), timing.clock().millis()))));
     state = new ServingState(relay, leavingServers, log, localPlacer::update);
-    readServers(engines.entries(), engines.coldEntries());
+    readServers(engines.entries(), coldEntries());
   }
 
   private void followBlockedParts(Platform storeClient) {
@@ -250,7 +251,7 @@
 
   private void readServers() {
     ImmutableMap<ReplicaId, BackendServer> entries = engines.entries();
-    ImmutableList<FleetServer.ColdEntry> coldEntries = engines.coldEntries();
+    ImmutableList<FleetServer.ColdEntry> coldEntries = coldEntries();
     timing.scheduler().execute(() -> readServers(entries, coldEntries));
   }
 
@@ -261,12 +262,19 @@
     state.serversRead(entries);
   }
 
+  private ImmutableList<FleetServer.ColdEntry> coldEntries() {
+    return Stream.of(RelayFixture.POOL, RelayFixture.DESK)
+        .flatMap(service -> engines.serversOf(service).stream())
+        .flatMap(server -> server.coldEntry(Duration.ofNanos(network.nanoTime())).stream())
+        .collect(ImmutableList.toImmutableList());
+  }
+
   private void readColdEntry(FleetServer.ColdEntry entry) {
     backendLimits
         .ramps()
         .onEntry(
             entry.server().id(), entry.server().startedMillis(), entry.version(), entry.left());
-    engines.colds().read(number(), entry.server(), Duration.ofNanos(timing.nanoTime()));
+    engines.record().colds().read(number(), entry.server(), Duration.ofNanos(timing.nanoTime()));
   }
 
   private void onNotice(BackendServer server, ServerNotice notice) {
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -7,7 +7,6 @@
 import dev.apricotmill.core.prompt.PromptParts;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.relay.CallerLimits;
-import dev.apricotmill.core.relay.ColdStart;
 import dev.apricotmill.core.relay.EngineCostModel;
 import dev.apricotmill.core.relay.GenerationSize;
 import dev.apricotmill.core.relay.RelayRefusal;
@@ -201,11 +200,6 @@
   }
 
   static ServingConfiguration configuration(long version) {
-    return configuration(version, Optional.empty());
-  }
-
-  /** Returns a configuration whose servers warm up as stated. */
-  static ServingConfiguration configuration(long version, Optional<ColdStart> coldStart) {
     return new ServingConfiguration(
         version,
         ScriptedRoutes.table(),
@@ -215,10 +209,9 @@
                 POOL,
                 100,
                 Optional.of(
-                    new EngineCostModel(4, 450_000, 1, 0.01, 0.003, 100_000, 0.0001, 46, 13_000)),
-                coldStart),
+                    new EngineCostModel(4, 450_000, 1, 0.01, 0.003, 100_000, 0.0001, 46, 13_000))),
             DESK,
-            new ServiceProfile(DESK, 100, Optional.empty(), coldStart)),
+            new ServiceProfile(DESK, 100, Optional.empty())),
         ImmutableMap.of("key", new CustomerId("customer")),
         true,
         new CallerLimits(16 << 10, 4 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)));
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFleet.java
@@ -56,7 +56,7 @@
     this.coldStart = coldStart;
     this.tolerance = tolerance;
     engines = new EngineFleet(network, random, engineCount, this::applyServers);
-    coldStart.ifPresent(cold -> engines.setColdTime(cold.duration()));
+    coldStart.ifPresent(cold -> engines.record().colds().setColdTime(cold.duration()));
     for (int i = 0; i < nodeCount; i++) {
       nodes.add(newNode());
     }
@@ -170,7 +170,7 @@
 
   /** Lets servers turn cold; nodes read so within 400 ms, each at its own time. */
   void turnCold(ImmutableList<FleetServer> servers) {
-    servers.forEach(engines::turnCold);
+    servers.forEach(server -> engines.record().colds().turnCold(server, now()));
     nodes.forEach(
         node ->
             network.schedule(Duration.ofMillis(random.nextInt(400)), node::applyServersIfAlive));
--- a/node/src/test/java/dev/apricotmill/node/relay/ServerNoticeRecord.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServerNoticeRecord.java
@@ -26,6 +26,7 @@
   private final Map<Link, Duration> leavingNotices = new HashMap<>();
   private final List<Pause> pauses = new ArrayList<>();
   private final LimitRecord limits = new LimitRecord();
+  private final ColdRecord colds = new ColdRecord();
 
   /** A node and an instance of a server. */
   record Link(int node, FleetServer.Instance server) {}
@@ -57,6 +58,11 @@
     return limits;
   }
 
+  /** Returns what cold servers received. */
+  ColdRecord colds() {
+    return colds;
+  }
+
   void accepted(RequestId request, Duration at) {
     accepted.put(request, at);
   }
@@ -64,6 +70,7 @@
   void arrived(RequestId request, Link link, Duration at, boolean renewal) {
     arrivals.add(new Arrival(request, link, at, renewal));
     limits.arrived(link, at);
+    colds.arrived(link.node(), link.server(), at);
   }
 
   /** Records that a server began to run a request. */
--- a/node/src/test/java/dev/apricotmill/node/relay/ServerRampsTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/ServerRampsTest.java
@@ -59,7 +59,7 @@
   private void list(ImmutableMap<ReplicaId, BackendServer> servers, Optional<ColdStart> coldStart) {
     placer.update(
         ServingView.EMPTY
-            .withConfiguration(RelayFixture.configuration(1, coldStart), Optional.empty())
+            .withConfiguration(ColdConfiguration.of(coldStart), Optional.empty())
             .withServers(servers));
   }
 
