--- a/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/EngineAllocation.java
@@ -133,6 +133,7 @@
             .filter(Objects::nonNull)
             .filter(BackendServer::ready)
             .filter(node.pauses()::accepts)
+            .filter(helper -> !ramps().isCold(helper))
             .collect(ImmutableList.toImmutableList());
     if (granted.reservedTokens() == 0) {
       callback.onAllocated(
@@ -153,6 +154,7 @@
         node.newHelperReservations(
             id, id.value() + "." + ++reservationAttempts, helpers, granted.reservedTokens());
     reservations = newReservations;
+    helpers.forEach(ramps()::tryTakeSend);
     newReservations.reserve(
         allReserved -> {
           if (closed) {
@@ -160,7 +162,7 @@
           }
           Optional<ReplicaId> unusable =
               Stream.concat(Stream.of(server), helpers.stream())
-                  .filter(engine -> !isStillReady(engine))
+                  .filter(engine -> !isStillReady(engine) || isColdHelper(engine, server))
                   .map(BackendServer::id)
                   .findFirst();
           if (unusable.isPresent()) {
@@ -187,6 +189,15 @@
                 ready.id().equals(server.id()) && ready.startedMillis() == server.startedMillis());
   }
 
+  /** A part of a prompt is a request to its helper, and a cold server would prefill it slowly. */
+  private boolean isColdHelper(BackendServer engine, BackendServer generating) {
+    return !engine.id().equals(generating.id()) && ramps().isCold(engine);
+  }
+
+  private ServerRamps ramps() {
+    return node.backendLimits().ramps();
+  }
+
   private static Optional<ReplicaId> firstUnusableHelper(
       Placement.Granted granted, ImmutableList<BackendServer> usable) {
     return granted.helpers().stream()
--- a/node/src/main/java/dev/apricotmill/node/relay/ServerSelection.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServerSelection.java
@@ -49,10 +49,13 @@
     RelayNode node = scope.node();
     Optional<String> blockedPart = node.blockedParts().blockedPartOf(scope.request().promptParts());
     Optional<Duration> pause = scope.candidates().shortestPause();
+    Optional<Duration> coldWait = scope.candidates().timeUntilColdServerIsFree();
     if (blockedPart.isPresent()) {
       onBlocked(blockedPart.get());
     } else if (pause.isPresent()) {
       callback.onNoServer(RelayRefusal.SERVERS_PAUSED, pause.get());
+    } else if (coldWait.isPresent()) {
+      callback.onNoServer(RelayRefusal.OVERLOADED, coldWait.get());
     } else if (scope.isGeneration()) {
       allocation.allocate(scope.toPlacementRequest(placementId));
     } else {
@@ -70,7 +73,17 @@
     } else if (scope.node().backendLimits().isLimited(server.get())) {
       allocation.allocate(scope.toLimitRequest(placementId));
     } else {
-      callback.onSelected(server.get(), ImmutableList.of(), scope.route().timeout());
+      selected(server.get(), ImmutableList.of(), scope.route().timeout());
+    }
+  }
+
+  /** Checks a cold server's bound again, since requests may have been held back until now. */
+  private void selected(
+      BackendServer server, ImmutableList<BackendClient.Helper> helpers, Duration expected) {
+    if (scope.node().backendLimits().ramps().tryTakeSend(server)) {
+      callback.onSelected(server, helpers, expected);
+    } else {
+      callback.onUnusable(RelayRefusal.OVERLOADED);
     }
   }
 
@@ -97,8 +110,7 @@
   public void onAllocated(
       BackendServer server, ImmutableList<BackendClient.Helper> helpers, Duration expected) {
     // The target of a plain request says nothing of how long a sound server may be silent.
-    callback.onSelected(
-        server, helpers, scope.weighsAnswers() ? scope.route().timeout() : expected);
+    selected(server, helpers, scope.weighsAnswers() ? scope.route().timeout() : expected);
   }
 
   @Override
--- a/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/EngineFleet.java
@@ -312,6 +312,7 @@
                 SLOTS,
                 true,
                 timing.clock().millis())));
+    record.colds().onStart(servers.get(id), now());
   }
 
   private void begin(FleetServer server, EngineRun run) {
