--- a/core/src/main/java/dev/apricotmill/core/pool/ColdShare.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/ColdShare.java
@@ -5,13 +5,13 @@
  *
  * <p>With more nodes than requests in the bound, a whole request a second cannot be given to each
  * node; the nodes that come first in the server's order of nodes get one, the others none. All
- * nodes with the same list of nodes together stay within half of the bound. The other half covers
- * nodes with an older or a newer list, and requests that were checked before a delay and arrive
- * with those after it.
+ * nodes with the same list of nodes together stay within two fifths of the bound. Nodes with an
+ * older or a newer list use another two fifths; the last one covers requests that were checked
+ * before a delay and arrive with those after it.
  */
 public final class ColdShare {
 
-  private static final int LISTS_OF_NODES = 2;
+  private static final double SHARE_OF_ONE_LIST = 0.4;
 
   private ColdShare() {}
 
@@ -23,7 +23,7 @@
    * @param nodeCount the number of nodes; above the rank
    */
   public static int requestsPerSecond(int bound, int rank, int nodeCount) {
-    int budget = bound == 1 ? 1 : bound / LISTS_OF_NODES;
+    int budget = Math.max(1, (int) (bound * SHARE_OF_ONE_LIST));
     return budget / nodeCount + (rank < budget % nodeCount ? 1 : 0);
   }
 }
--- a/core/src/main/java/dev/apricotmill/core/pool/PlacementPlanner.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PlacementPlanner.java
@@ -76,6 +76,7 @@
   private final EngineCostModel costModel;
   private final ImmutableList<EngineState> usable;
   private final PlacementRequest request;
+  private final ExcludedHelpers excludedHelpers;
   private final EngineShare share;
   private final int shareEnd;
   private final double nowMillis;
@@ -86,12 +87,14 @@
       EngineCostModel costModel,
       ImmutableList<EngineState> usable,
       PlacementRequest request,
+      ExcludedHelpers excludedHelpers,
       EngineShare share,
       double nowMillis) {
     this.costModel = costModel;
     this.nowMillis = nowMillis;
     this.usable = usable;
     this.request = request;
+    this.excludedHelpers = excludedHelpers;
     this.share = share;
     shareEnd = shareEnd();
     prefillMillis = costModel.prefillMillis(request.size().promptTokens());
@@ -152,7 +155,7 @@
 
   private Placement placeLong(ImmutableList<EngineState> free) {
     ImmutableList<EngineOption> generationOptions = options(free);
-    ImmutableList<EngineOption> helperOptions = options(helpers());
+    ImmutableList<EngineOption> helperOptions = options(helpers(/* reserves= */ false));
     Plan best = plan(1, generationOptions, helperOptions);
     int maximumParts = Math.min(MAXIMUM_HELPERS, helperOptions.size() - 1) + 1;
     for (int parts = 2; parts <= maximumParts; parts++) {
@@ -164,10 +167,12 @@
     return grant(best.engines(), best.finishMillis(), 0);
   }
 
-  private ImmutableList<EngineState> helpers() {
+  private ImmutableList<EngineState> helpers(boolean reserves) {
     ImmutableList.Builder<EngineState> helpers = ImmutableList.builder();
     for (EngineState engine : usable) {
-      if (engine.hasCooledDown(nowMillis) && engine.prefillOnlyCount() < engine.server().slots()) {
+      if (engine.hasCooledDown(nowMillis)
+          && engine.prefillOnlyCount() < engine.server().slots()
+          && excludedHelpers.allows(engine.server().id(), reserves)) {
         helpers.add(engine);
       }
     }
@@ -176,7 +181,7 @@
 
   /** Places a prompt that no engine can hold; each helper keeps its part in reserved memory. */
   private Placement placeWithReservations() {
-    ImmutableList<EngineOption> options = options(helpers());
+    ImmutableList<EngineOption> options = options(helpers(/* reserves= */ true));
     @Nullable Plan best = null;
     for (int parts = 2; parts <= Math.min(MAXIMUM_HELPERS + 1, options.size()); parts++) {
       long partTokens = reservedTokens(parts);
--- a/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PoolScheduler.java
@@ -137,8 +137,13 @@
     return previous;
   }
 
-  /** Chooses engines for a request and records the placement. */
+  /** Chooses engines for a request, of which all may help, and records the placement. */
   public Placement place(PlacementRequest request, long nowNanos) {
+    return place(request, ExcludedHelpers.NONE, nowNanos);
+  }
+
+  /** Chooses engines for a request and records the placement. */
+  public Placement place(PlacementRequest request, ExcludedHelpers excludedHelpers, long nowNanos) {
     double nowMillis = millis(nowNanos);
     expire(nowMillis);
     ImmutableList<EngineState> usable =
@@ -148,7 +153,8 @@
             .collect(ImmutableList.toImmutableList());
     share = share(request, usable.size(), nowMillis);
     Placement placement =
-        new PlacementPlanner(costModel, usable, request, share, nowMillis).choose();
+        new PlacementPlanner(costModel, usable, request, excludedHelpers, share, nowMillis)
+            .choose();
     if (placement instanceof Placement.Granted granted) {
       recordPlacement(request, granted, nowNanos);
     }
--- a/node/src/main/java/dev/apricotmill/node/relay/BackendLimits.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendLimits.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.pool.ExcludedHelpers;
 import dev.apricotmill.core.pool.LimitedServers;
 import dev.apricotmill.core.pool.WorkReport;
 import dev.apricotmill.core.relay.BackendServer;
@@ -225,15 +226,14 @@
     return candidates.stream().map(this::timeUntilFree).min(Duration::compareTo);
   }
 
-  /**
-   * Returns those of some servers that may not help with a prompt: the cold ones, and those with a
-   * limit if memory must be reserved, since a reservation is a request.
-   */
-  ImmutableSet<ReplicaId> notHelping(Collection<BackendServer> candidates, boolean reserved) {
-    return candidates.stream()
-        .filter(server -> ramps.isCold(server) || (reserved && isLimited(server)))
-        .map(BackendServer::id)
-        .collect(ImmutableSet.toImmutableSet());
+  /** Returns those of some servers that must not help with a prompt. */
+  ExcludedHelpers excludedHelpers(Collection<BackendServer> candidates) {
+    ImmutableSet<ReplicaId> cold =
+        candidates.stream()
+            .filter(ramps::isCold)
+            .map(BackendServer::id)
+            .collect(ImmutableSet.toImmutableSet());
+    return new ExcludedHelpers(cold, limited(candidates));
   }
 
   /**
--- a/node/src/main/java/dev/apricotmill/node/relay/EvacuatedZones.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/EvacuatedZones.java
@@ -8,8 +8,10 @@
 import dev.apricotmill.coordination.time.Timing;
 import dev.apricotmill.core.relay.BackendServer;
 import dev.apricotmill.core.request.ReplicaId;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -43,6 +45,11 @@
     known = !followed;
   }
 
+  /** Returns the zones of a node; evacuations are in force if there is a bound for them. */
+  public static EvacuatedZones within(Optional<Duration> bound, Timing timing, EventLog log) {
+    return bound.isPresent() ? followed(timing, log) : notFollowed(timing);
+  }
+
   /** Returns the zones of a deployment in which evacuations are not in force: always none. */
   public static EvacuatedZones notFollowed(Timing timing) {
     return new EvacuatedZones(timing, EventLog.NONE, /* followed= */ false);
--- a/node/src/main/java/dev/apricotmill/node/relay/EvacuationDirectory.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/EvacuationDirectory.java
@@ -6,6 +6,7 @@
 import dev.apricotmill.coordination.follow.FollowListener;
 import dev.apricotmill.coordination.follow.FollowSettings;
 import dev.apricotmill.coordination.follow.ReadTimestamp;
+import dev.apricotmill.coordination.follow.SharedFollower;
 import dev.apricotmill.coordination.identity.Zone;
 import dev.apricotmill.coordination.platform.ObjectKey;
 import dev.apricotmill.coordination.platform.PlatformFailure;
@@ -13,6 +14,7 @@
 import dev.apricotmill.coordination.platform.WatchResult;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -48,6 +50,25 @@
     this.evacuatedZones = evacuatedZones;
   }
 
+  /**
+   * Follows the evacuations of a deployment in which they are in force.
+   *
+   * @param kind the kind of their objects in the store
+   * @param bound the time after which servers of an evacuated zone must get no more requests; empty
+   *     if evacuations are not in force
+   */
+  public static void follow(
+      SharedFollower follower,
+      String kind,
+      Optional<Duration> bound,
+      EventLog log,
+      EvacuatedZones evacuatedZones) {
+    bound.ifPresent(
+        time ->
+            follower.follow(
+                kind, followSettings(time), new EvacuationDirectory(kind, log, evacuatedZones)));
+  }
+
   /**
    * Returns settings with which requests reach no server of a zone later than {@code bound} after
    * its evacuation.
--- a/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/LocalPlacer.java
@@ -3,8 +3,8 @@
 import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.Sets;
 import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.core.pool.ExcludedHelpers;
 import dev.apricotmill.core.pool.Placement;
 import dev.apricotmill.core.pool.PlacementRequest;
 import dev.apricotmill.core.pool.PlainServiceScheduler;
@@ -202,32 +202,14 @@
 
   /** Places a request on engines, of which some may generate a response but not help with one. */
   private Placement placeOnEngines(PoolScheduler pool, PlacementRequest request) {
-    long now = timing.nanoTime();
-    Placement placement = pool.place(request, now);
+    ExcludedHelpers excludedHelpers =
+        limits.isEmpty() ? ExcludedHelpers.NONE : limits.excludedHelpers(candidates(request));
+    Placement placement = pool.place(request, excludedHelpers, timing.nanoTime());
     CompetitionMonitor monitor = competitionMonitor;
     if (monitor != null) {
       monitor.onPlaced(request.service(), placement, pool.enginesKeptFree());
     }
-    if (limits.isEmpty()
-        || !(placement instanceof Placement.Granted granted)
-        || granted.helpers().isEmpty()) {
-      return placement;
-    }
-    ImmutableSet<ReplicaId> notHelping =
-        limits.notHelping(candidates(request), granted.reservedTokens() > 0);
-    if (granted.helpers().stream().noneMatch(notHelping::contains)) {
-      return placement;
-    }
-    pool.onEnd(request.requestId(), now);
-    Placement withoutThem = pool.place(request.excluding(notHelping), now);
-    if (withoutThem instanceof Placement.Granted || !notHelping.contains(granted.server())) {
-      return withoutThem;
-    }
-    // The only one of them that is left cannot help itself.
-    return pool.place(
-        request.excluding(
-            Sets.difference(notHelping, ImmutableSet.of(granted.server())).immutableCopy()),
-        now);
+    return placement;
   }
 
   /**
