--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ClientLimitReporter.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ClientLimitReporter.java
@@ -29,7 +29,7 @@
 
   @Override
   public void accept(ClientLimit limit) {
-    meters.counter("apricotmill.relay.clients_limited", "limit", limit.name()).increment();
+    meters.counter("apricotmill.relay.clients.limited", "limit", limit.name()).increment();
     long now = timing.nanoTime();
     long count;
     synchronized (this) {
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
@@ -46,14 +46,14 @@
 
   /** Adds the gauge of evacuated zones, where evacuations are in force. */
   void registerEvacuatedZones(Supplier<Number> count) {
-    Gauge.builder("apricotmill.relay.evacuated_zones", count).register(registry);
+    Gauge.builder("apricotmill.relay.evacuated.zones", count).register(registry);
   }
 
   /** Registers how many servers are cold, and how many start slowly. */
   void registerRamps(ServerRamps ramps) {
-    Gauge.builder("apricotmill.relay.servers_cold", ramps, ServerRamps::coldCount)
+    Gauge.builder("apricotmill.relay.servers.cold", ramps, ServerRamps::coldCount)
         .register(registry);
-    Gauge.builder("apricotmill.relay.servers_ramping", ramps, ServerRamps::rampCount)
+    Gauge.builder("apricotmill.relay.servers.ramping", ramps, ServerRamps::rampCount)
         .register(registry);
   }
 
--- a/node/src/test/java/dev/apricotmill/node/relay/EvacuationRelayTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/EvacuationRelayTest.java
@@ -101,7 +101,7 @@
     acceptMany();
 
     assertThat(zonesOfSends()).containsExactly("b");
-    assertThat(serving.gauge("apricotmill.relay.evacuated_zones")).isEqualTo(1);
+    assertThat(serving.gauge("apricotmill.relay.evacuated.zones")).isEqualTo(1);
   }
 
   @Test
@@ -141,7 +141,7 @@
     serving.accept("/order/1", SHORT);
 
     assertThat(serving.sent().get(0).request().server()).isEqualTo(restarted);
-    assertThat(serving.gauge("apricotmill.relay.evacuated_zones")).isEqualTo(0);
+    assertThat(serving.gauge("apricotmill.relay.evacuated.zones")).isEqualTo(0);
   }
 
   @Test
