Correct comments on cold servers, heads and engine time

A server is presumed cold for the warm-up time of its service, whatever its entry says; the buffer of a head may have grown less than stated. Comments only.

--- a/core/src/main/java/dev/apricotmill/core/pool/EngineShare.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/EngineShare.java
@@ -12,6 +12,7 @@
  * @param engineCount the number of engines
  * @param arrivalsPerMilli the short prompts that arrive for each of these engines
  * @param needs what the short prompts need
+ * @param pricePerMilli the value that a millisecond of engine time has for other prompts
  */
 record EngineShare(int engineCount, double arrivalsPerMilli, Needs needs, double pricePerMilli) {
 
@@ -21,10 +22,7 @@
   /** The fewest engines that are kept free, so that a first burst finds more than one. */
   private static final int MIN_ENGINES = 2;
 
-  /**
-   * Long prompts keep at least this share of the engines, so that they advance. Replayed days earn
-   * the same within 0.002 with 0.3 to 0.5.
-   */
+  /** Long prompts keep at least this share of the engines, so that they advance. */
   private static final double MIN_SHARE_OF_LONG_PROMPTS = 0.4;
 
   /** Slots that packing leaves free on each engine. */
--- a/core/src/main/java/dev/apricotmill/core/pool/PrefillDemand.java
+++ b/core/src/main/java/dev/apricotmill/core/pool/PrefillDemand.java
@@ -13,10 +13,7 @@
   /** Work is averaged over this time: about that of the longest parts. */
   private static final double MEAN_MILLIS = 2_000;
 
-  /**
-   * Engines that read for more than this share of the time have queues. Replayed days earn the same
-   * within 0.003 with 0.5 to 0.85.
-   */
+  /** Engines that read for more than this share of the time have queues. */
   private static final double PRICED_UTILIZATION = 0.7;
 
   private double workPerMilli;
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/ClientConnection.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/ClientConnection.java
@@ -82,7 +82,7 @@
     }
     headUnfinished = bytes > 0;
     largestHead = Math.max(largestHead, bytes);
-    // The library's buffer has grown to the largest head, and stays as it is.
+    // The library's buffer may have grown to the largest head, and does not shrink again.
     long needed =
         Math.max(0, largestHead - CallerMemory.CONNECTION_BUFFER_BYTES)
             + CallerMemory.MEMORY_PER_HEAD_BYTE * bytes;
--- a/node/src/main/java/dev/apricotmill/node/relay/ServerRamps.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ServerRamps.java
@@ -116,7 +116,10 @@
             () -> coldStarts.remove(profile.name()));
   }
 
-  /** Presumes a server cold that has started, or accepts requests again, until an entry says so. */
+  /**
+   * Presumes a server cold that has started, or accepts requests again, for the warm-up time of its
+   * service.
+   */
   private void update(BackendServer server, boolean first) {
     LimitedServers.Instance instance = LimitedServers.Instance.of(server);
     boolean isNew = seen.add(instance);
