Bring review case 7 within the doses of the site

Rule: CONFIG, requests that are unanswered at their route's timeout_ms have no answer half a second later. The process hangs: nobody gets an answer.

The scripts end their processes also when they are ended by a signal or last too long, and delete their folder.

Code: node/relay/SseEventAssembler.add copies and searches the whole unfinished event for each chunk, on the relay's only thread; node/relay/BackendAttempt queues each chunk as a task of that thread without holding the connection back.

--- a/review/standins-2/Case7.java
+++ b/review/standins-2/Case7.java
@@ -19,9 +19,15 @@
 final class Case7 {
 
   private static final String POOL = "pool";
-  private static final int STREAM_CLIENTS = 15;
+  private static final int MODEL_REPLICAS = 3;
+  private static final int TROUBLED_REPLICAS = 1;
+  private static final int STREAM_CLIENTS = 18;
   private static final int PLAIN_CLIENTS = 6;
   private static final double TROUBLE_SECONDS = 5.5;
+
+  /** The share of the answers of the replica in trouble that do not end. */
+  private static final double TROUBLED_SHARE = 0.45;
+
   private static final double PLAY_SECONDS = 20;
   private static final int PIECE_BYTES = 64;
   private static final long PIECE_GAP_NANOS = 150_000;
@@ -37,10 +43,12 @@
 
   private static volatile boolean inTrouble;
   private static final AtomicLong troubleBytes = new AtomicLong();
+  private static final AtomicInteger troubledAnswers = new AtomicInteger();
 
   private Case7() {}
 
   public static void main(String[] arguments) throws Exception {
+    Http.startWatchdog();
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     Path folder = Files.createTempDirectory("review-7-");
     int exit = 2;
@@ -51,6 +59,7 @@
         exit = play(record, store, folder, nodes, trouble);
       } finally {
         nodes.forEach(Node::close);
+        Node.delete(folder);
       }
       record.line("exit %d", exit);
     }
@@ -61,6 +70,7 @@
   private static final class ModelReplica extends Replica {
 
     private final boolean troubled;
+    private int answers;
 
     ModelReplica(String id, boolean troubled, Store store, Record record) throws IOException {
       super("127.0.0.1", id, POOL, "z-1", store, record);
@@ -76,7 +86,9 @@
               + "\r\nApricotmill-Response-Seal: seal."
               + id
               + "\r\nContent-Type: text/event-stream\r\n\r\n");
-      if (troubled && inTrouble) {
+      if (troubled && inTrouble && isTroubledAnswer()) {
+        troubledAnswers.incrementAndGet();
+        record.line("replica %s answers %s with bytes without end", id, attempt);
         byte[] piece = new byte[PIECE_BYTES];
         Arrays.fill(piece, (byte) 'x');
         while (inTrouble) {
@@ -93,6 +105,11 @@
       return false;
     }
 
+    private synchronized boolean isTroubledAnswer() {
+      answers++;
+      return Math.floor(answers * TROUBLED_SHARE) > Math.floor((answers - 1) * TROUBLED_SHARE);
+    }
+
     private static void write(OutputStream out, String text) throws IOException {
       out.write(text.getBytes(StandardCharsets.ISO_8859_1));
       out.flush();
@@ -112,8 +129,10 @@
       throws Exception {
     store.put("config", "main", configuration());
     List<Replica> replicas = new ArrayList<>();
+    for (int i = 1; i <= MODEL_REPLICAS; i++) {
+      replicas.add(new ModelReplica("i-model-" + i, i <= TROUBLED_REPLICAS, store, record));
+    }
     for (int i = 1; i <= 3; i++) {
-      replicas.add(new ModelReplica("i-model-" + i, i == 1, store, record));
       replicas.add(new Replica("127.0.0.1", "i-ops-" + i, Ops.SERVICE, "z-1", store, record));
     }
     Node node =
@@ -130,7 +149,7 @@
     long end = System.nanoTime() + (long) (PLAY_SECONDS * 1e9);
     inTrouble = trouble;
     if (trouble) {
-      record.line("i-model-1 is in trouble: it sends bytes without end as its streams");
+      record.line("i-model-1 is in trouble: 0.45 of its streams are bytes without end");
     }
     AtomicInteger whole = new AtomicInteger();
     AtomicInteger broken = new AtomicInteger();
@@ -147,7 +166,9 @@
     while (System.nanoTime() < end) {
       if (inTrouble && record.seconds() > began + TROUBLE_SECONDS) {
         inTrouble = false;
-        record.line("i-model-1 is sound again; it has sent %d KB", troubleBytes.get() >> 10);
+        record.line(
+            "i-model-1 is sound again; it has sent %d KB in %d answers without end",
+            troubleBytes.get() >> 10, troubledAnswers.get());
       }
       checks++;
       notReady += node.isReady() ? 0 : 1;
--- a/review/standins-2/Case8.java
+++ b/review/standins-2/Case8.java
@@ -32,6 +32,7 @@
   private Case8() {}
 
   public static void main(String[] arguments) throws Exception {
+    Http.startWatchdog();
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     Path folder = Files.createTempDirectory("review-8-");
     int exit = 2;
@@ -42,6 +43,7 @@
         exit = play(record, store, folder, nodes, trouble);
       } finally {
         nodes.forEach(Node::close);
+        Node.delete(folder);
       }
       record.line("exit %d", exit);
     }
--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -7,10 +7,13 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.locks.LockSupport;
 
 /** Reads and writes HTTP/1.1 messages on plain sockets. */
 final class Http {
 
+  private static final long MAXIMUM_NANOS = 115_000_000_000L;
+
   private Http() {}
 
   /**
@@ -120,6 +123,16 @@
     return headers;
   }
 
+  /** Ends the script as one that could not run if it lasts too long. */
+  static void startWatchdog() {
+    thread(
+        "watchdog",
+        () -> {
+          LockSupport.parkNanos(MAXIMUM_NANOS);
+          System.exit(2);
+        });
+  }
+
   static Thread thread(String name, Runnable task) {
     Thread thread = new Thread(task, name);
     thread.setDaemon(true);
--- a/review/standins-2/Node.java
+++ b/review/standins-2/Node.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /** A machine with one process of the project, started with the command of the deploy file. */
 final class Node implements AutoCloseable {
@@ -136,7 +137,10 @@
     environment.put("APRICOTMILL_METRICS_PORT", "" + ports.metrics());
     File log = folder.resolve(name + "." + ++starts + ".log").toFile();
     builder.redirectErrorStream(true).redirectOutput(log);
-    process = builder.start();
+    Process started = builder.start();
+    process = started;
+    // The process ends with the script, also if the script is ended by a signal.
+    Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
   }
 
   /** Returns the output of the last start. */
@@ -186,6 +190,16 @@
     return false;
   }
 
+  /** Deletes the settings and the output of all nodes. */
+  static void delete(Path folder) throws IOException {
+    try (Stream<Path> files = Files.list(folder)) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    }
+    Files.delete(folder);
+  }
+
   InetAddress inetAddress() throws IOException {
     return InetAddress.getByName(host);
   }
@@ -194,6 +208,11 @@
   public void close() {
     if (process != null) {
       process.destroyForcibly();
+      try {
+        process.waitFor();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
     }
   }
 }
