Show in review case 8 that accepted requests are lost

Rule: LOST, more than three requests of kept connections that were passed on to a sound replica end without an answer; the processes crash ("Fault", too).

Disruption: entries of another writer in the kind `servers`, with fields of another type: 4 of less than value_bytes, written anew each heartbeat_ms. Requests are now streams whose prompts are read for 2 s.

Code: platform/StoreClient parses each response of the store into a tree. The bytes of the response are bounded, the tree is not: 2 MB of nested lists take over 100 MB in the heap of 128 MB, and the process ends with exit code 3.

--- a/review/standins-2/Case8.java
+++ b/review/standins-2/Case8.java
@@ -1,3 +1,5 @@
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.BufferedInputStream;
@@ -21,7 +23,9 @@
   private static final int VALUE_BYTES = 1_048_000;
   private static final int DEPTH = 200;
   private static final long HEARTBEAT_MILLIS = 1200;
-  private static final double TROUBLE_SECONDS = 80;
+  private static final double TROUBLE_SECONDS = 60;
+  private static final long PREFILL_MILLIS = 2000;
+  private static final int DEADLINE_MILLIS = 15_000;
   private static final int ENDS_OF_A_FAULT = 3;
   private static final int MACHINES_OF_A_FAULT = 2;
   private static final int LOST_ALLOWED = 3;
@@ -50,7 +54,7 @@
     System.exit(exit == 1 ? BROKEN : exit);
   }
 
-  /** A replica that works for 100 ms on each request. */
+  /** A replica that reads the prompt of a long stream before it writes. */
   private static final class WorkingReplica extends Replica {
 
     WorkingReplica(String id, Store store, Record record) throws IOException {
@@ -60,18 +64,28 @@
     @Override
     boolean answer(Http.Message request, String attempt, OutputStream out) throws IOException {
       try {
-        Thread.sleep(100);
+        Thread.sleep(PREFILL_MILLIS);
       } catch (InterruptedException e) {
         return false;
       }
-      return super.answer(request, attempt, out);
+      byte[] events = "id: 1\ndata: first\n\nid: 2\ndata: last\n\n".getBytes(ISO_8859_1);
+      Http.write(
+          out,
+          "HTTP/1.1 200 OK",
+          Http.headers(
+              "Apricotmill-Attempt-Id", attempt,
+              "Apricotmill-Response-Seal", "seal." + id + "." + attempt,
+              "Content-Type", "text/event-stream",
+              "Content-Length", "" + events.length),
+          events);
+      return true;
     }
   }
 
   private static int play(
       Record record, Store store, Path folder, List<Node> nodes, boolean trouble)
       throws Exception {
-    store.put("config", "main", Ops.configuration());
+    store.put("config", "main", configuration());
     List<Replica> replicas = new ArrayList<>();
     for (int i = 1; i <= 3; i++) {
       replicas.add(new WorkingReplica("i-" + i, store, record));
@@ -148,19 +162,19 @@
   private static void ask(
       Node node, long end, Record record, AtomicInteger answered, Set<String> unanswered) {
     while (System.nanoTime() < end) {
-      try (Socket socket = Client.connect(node, 1500)) {
+      try (Socket socket = Client.connect(node, DEADLINE_MILLIS)) {
         BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
         while (System.nanoTime() < end) {
           String attempt = Client.newAttempt();
           Map<String, String> headers =
               Http.headers(
                   "Host", Ops.HOST, "Apricotmill-Attempt-Id", attempt,
-                  "Apricotmill-Deadline-Ms", "1500", "Content-Length", "0");
-          record.line("client sends %s POST /order/1 to %s", attempt, node.name);
+                  "Apricotmill-Deadline-Ms", "" + DEADLINE_MILLIS, "Content-Length", "0");
+          record.line("client sends %s POST /audit/1 to %s", attempt, node.name);
           int status = 0;
           try {
             Http.write(
-                socket.getOutputStream(), "POST /order/1 HTTP/1.1", headers, new byte[0]);
+                socket.getOutputStream(), "POST /audit/1 HTTP/1.1", headers, new byte[0]);
             Http.Message answer = Http.read(in, true);
             status = answer == null ? 0 : answer.status();
           } catch (java.net.SocketTimeoutException e) {
@@ -186,6 +200,25 @@
     }
   }
 
+  private static ObjectNode configuration() {
+    ObjectNode root = Ops.configuration();
+    ((ArrayNode) root.get("routes"))
+        .addObject()
+        .put("name", "r-audit")
+        .put("host", Ops.HOST)
+        .put("path_prefix", "/audit/")
+        .put("type", "streaming")
+        .put("timeout_ms", DEADLINE_MILLIS)
+        .put("latency_goal_ms", 3000)
+        .put("priority", 1)
+        .put("service", Ops.SERVICE)
+        .put("max_attempts", 2)
+        .put("public", false)
+        .put("resumable", true)
+        .put("gap_target_ms", 800);
+    return root;
+  }
+
   private static void pause() {
     try {
       Thread.sleep(200);
