Let the scripted servers of two tests wait for the request

What was seen: bin/test hung in InnerUnaryClientTest once, beside load. The test's server sent its parts without having read the request.

Cause: the client opens a stream on its event loop. If the loop is late, it reads the server's hello and the first part before it runs that task. The part belongs to no stream and is dropped, as it has to be. The server then spins until the part is noticed, and the spin ignored the interrupt with which @Timeout ends a test, so that the build never ended.

Fix: the server reads the request before it responds, as any other server does, and the test waits with Eventually, which can be interrupted. No check or bound is changed.

--- a/daemon/src/test/java/dev/apricotmill/daemon/inner/InnerUnaryClientTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/inner/InnerUnaryClientTest.java
@@ -9,6 +9,7 @@
 import dev.apricotmill.coordination.testing.VirtualTime;
 import dev.apricotmill.coordination.time.ResponseLimits;
 import dev.apricotmill.coordination.time.Timing;
+import dev.apricotmill.daemon.testing.Eventually;
 import dev.apricotmill.protocol.InnerClient;
 import dev.apricotmill.protocol.ProtocolVersion;
 import dev.apricotmill.protocol.TransportLimits;
@@ -22,6 +23,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -93,7 +95,7 @@
   }
 
   /** Sends a request; the server responds with the first bytes of a response, one at a time. */
-  private void callAndSend(int byteCount) throws IOException {
+  private void callAndSend(int byteCount) throws IOException, InterruptedException {
     ByteString bytes = RESPONSE.toByteString();
     try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       new InnerUnaryClient(client, timing)
@@ -102,20 +104,21 @@
               Request.getDefaultInstance(),
               LIMITS,
               result::complete);
-      DataOutputStream output = new DataOutputStream(accept(server).getOutputStream());
+      Socket connection = accept(server);
+      DataOutputStream output = new DataOutputStream(connection.getOutputStream());
       write(
           output,
           Frame.newBuilder()
               .setHello(Hello.newBuilder().setVersion(ProtocolVersion.CURRENT).setDaemon("server"))
               .build());
+      // The client drops the parts of a response to a request that it has not sent.
+      awaitRequest(new DataInputStream(connection.getInputStream()));
       for (int i = 0; i < byteCount; i++) {
         int readsBefore = ticker.reads();
         boolean last = i == bytes.size() - 1;
         write(output, part(bytes.substring(i, i + 1), last));
-        while (!last && ticker.reads() == readsBefore) {
-          Thread.onSpinWait();
-        }
         if (!last) {
+          Eventually.holds(() -> ticker.reads() != readsBefore);
           time.advance(PAUSE);
         }
       }
@@ -126,9 +129,21 @@
   private Socket accept(ServerSocket server) throws IOException {
     Socket socket = server.accept();
     sockets.register(socket);
+    socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(GUARD_TIMEOUT_SECONDS));
     return socket;
   }
 
+  private static void awaitRequest(DataInputStream input) throws IOException {
+    Frame frame = readFrame(input);
+    while (!frame.getPart().getLast()) {
+      frame = readFrame(input);
+    }
+  }
+
+  private static Frame readFrame(DataInputStream input) throws IOException {
+    return Frame.parseFrom(input.readNBytes(input.readInt()));
+  }
+
   private static Frame part(ByteString data, boolean last) {
     return Frame.newBuilder()
         .setStream(1)
--- a/protocol/src/test/java/dev/apricotmill/protocol/InnerServerTest.java
+++ b/protocol/src/test/java/dev/apricotmill/protocol/InnerServerTest.java
@@ -144,8 +144,11 @@
     awaitIncompleteBytes(0);
   }
 
-  private void awaitIncompleteBytes(long bytes) {
+  private void awaitIncompleteBytes(long bytes) throws InterruptedException {
     while (server.incompleteBytes() != bytes) {
+      if (Thread.interrupted()) {
+        throw new InterruptedException();
+      }
       Thread.onSpinWait();
     }
   }
