Reject responses with a line that is no field of HTTP/1.1

What callers saw: an answer whose head had a name with a blank or a control byte came as an answer, with that line passed on. Where it was the name of the length that was spoilt, the body counted as one without a length, so that a part of it came as a complete 200.

Cause: the library takes any character in a name, and joins a line that begins with a blank to the one before it. Content-Length with such a name is another field to it, or a part of another value.

A late response with such a head was skipped instead of ending its connection. Lines without a colon and statuses with a sign were rejected before.

Fix: ResponseHeadParser judges each head, also those of interim and late responses. Its lines are checked as they are read, before the library interprets them; what was checked of a head before moves there from OwnResponseParser. The connection ends, and the failure is MALFORMED: the request may have run, and its server has not crashed. A line that continues the one before it is rejected too, as RFC 9112 (section 5.2) allows, since it may be a field whose name follows a blank.

--- a/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandlerFactory.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandlerFactory.java
@@ -50,7 +50,8 @@
   @Override
   public IOEventHandler createHandler(ProtocolIOSession session, Object attachment) {
     ConnectionExchanges exchanges = new ConnectionExchanges();
-    OwnResponseParser parser = new OwnResponseParser(parsers.create(), exchanges, lateResponses);
+    OwnResponseParser parser =
+        new OwnResponseParser(new ResponseHeadParser(parsers.create()), exchanges, lateResponses);
     return new BoundedClientHandler(
         new BoundedDuplexer(new BoundedFillSession(session), parser), exchanges, parser);
   }
--- a/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ClientExchange.java
@@ -217,9 +217,10 @@
     abort(isMalformed(cause) ? ExchangeFailure.MALFORMED : ExchangeFailure.CONNECTION_LOST);
   }
 
-  /** A peer that sends too much has not ended: this must not look like a crash. */
+  /** A peer that sends too much, or a broken response, has not ended: it must not look crashed. */
   private static boolean isMalformed(Exception cause) {
     return cause instanceof MessageConstraintException
+        || cause instanceof MalformedResponseException
         || (cause instanceof HttpException && !(cause instanceof ConnectionClosedException));
   }
 
--- a/adapters/src/main/java/dev/apricotmill/adapters/OwnResponseParser.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/OwnResponseParser.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.Optional;
-import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
@@ -20,17 +19,10 @@
  *   <li>Any other bytes that come while no exchange is open end the connection. The beginning of a
  *       response would otherwise be completed by the response to the next request, which would get
  *       its status.
- *   <li>A head whose status is outside 100 to 599, or is 101, ends the connection. The library
- *       returns a status of 600 or more as it is, and takes 101 for an interim response, so that
- *       the next response would be returned.
- *   <li>A head that contains the beginning of another one ends the connection too, since such bytes
- *       may still be on their way when the next request is written.
  * </ul>
  */
 final class OwnResponseParser implements NHttpMessageParser<HttpResponse> {
 
-  private static final int MAXIMUM_STATUS = 599;
-
   private final NHttpMessageParser<HttpResponse> parser;
   private final ConnectionExchanges exchanges;
   private final LateResponseListener listener;
@@ -105,35 +97,9 @@
       return null;
     }
     withinHead = false;
-    if (!isPossibleStatus(response.getCode())) {
-      throw new ProtocolException("invalid status of a response: " + response.getCode());
-    }
-    if (containsStatusLine(response)) {
-      throw new ProtocolException("a response within the head of a response");
-    }
     return response;
   }
 
-  /** Returns whether a response may have the status; no request asks for another protocol (101). */
-  private static boolean isPossibleStatus(int status) {
-    return status >= HttpStatus.SC_CONTINUE
-        && status <= MAXIMUM_STATUS
-        && status != HttpStatus.SC_SWITCHING_PROTOCOLS;
-  }
-
-  private static boolean containsStatusLine(HttpResponse response) {
-    if (StatusLines.isStatusLineIn(response.getReasonPhrase())) {
-      return true;
-    }
-    for (Header header : response.getHeaders()) {
-      if (StatusLines.isStatusLineIn(header.getName())
-          || StatusLines.isStatusLineIn(header.getValue())) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** Returns whether the next byte belongs to the head of a response. */
   private boolean skipBody(boolean endOfStream) throws IOException, HttpException {
     SkippedBody body = skippedBody;
--- /dev/null
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ResponseHeadParser.java
@@ -0,0 +1,81 @@
+package dev.apricotmill.adapters;
+
+import java.io.IOException;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.nio.NHttpMessageParser;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A parser that rejects each head that is no valid head of a response, whatever the library makes
+ * of it. The connection ends, since it is unknown where such a response ends.
+ *
+ * <ul>
+ *   <li>Its lines must have the syntax of {@link HeadLines}.
+ *   <li>Its status must be within 100 to 599 and not 101. The library returns a status of 600 or
+ *       more as it is, and takes 101 for an interim response, so that the next response would be
+ *       returned.
+ *   <li>It must not contain the beginning of another head, since the rest of that may still be on
+ *       its way when the next request is written.
+ * </ul>
+ */
+final class ResponseHeadParser implements NHttpMessageParser<HttpResponse> {
+
+  private static final int MAXIMUM_STATUS = 599;
+
+  private final NHttpMessageParser<HttpResponse> parser;
+  private HeadLines lines = new HeadLines();
+
+  /** Creates a parser that checks what {@code parser} reads and returns. */
+  ResponseHeadParser(NHttpMessageParser<HttpResponse> parser) {
+    this.parser = parser;
+  }
+
+  @Override
+  public void reset() {
+    parser.reset();
+    lines = new HeadLines();
+  }
+
+  @Override
+  public @Nullable HttpResponse parse(SessionInputBuffer buffer, boolean endOfStream)
+      throws IOException, HttpException {
+    @Nullable HttpResponse response =
+        parser.parse(new LineCheckingBuffer(buffer, lines), endOfStream);
+    if (response == null) {
+      return null;
+    }
+    lines = new HeadLines();
+    if (!isPossibleStatus(response.getCode())) {
+      throw new ProtocolException("invalid status of a response: " + response.getCode());
+    }
+    if (containsStatusLine(response)) {
+      throw new ProtocolException("a response within the head of a response");
+    }
+    return response;
+  }
+
+  /** Returns whether a response may have the status; no request asks for another protocol (101). */
+  private static boolean isPossibleStatus(int status) {
+    return status >= HttpStatus.SC_CONTINUE
+        && status <= MAXIMUM_STATUS
+        && status != HttpStatus.SC_SWITCHING_PROTOCOLS;
+  }
+
+  private static boolean containsStatusLine(HttpResponse response) {
+    if (StatusLines.isStatusLineIn(response.getReasonPhrase())) {
+      return true;
+    }
+    for (Header header : response.getHeaders()) {
+      if (StatusLines.isStatusLineIn(header.getName())
+          || StatusLines.isStatusLineIn(header.getValue())) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- a/adapters/src/main/java/dev/apricotmill/adapters/StatusLineScanner.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/StatusLineScanner.java
@@ -3,23 +3,21 @@
 import com.google.common.base.Ascii;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.WritableByteChannel;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
 
 /** An input buffer that looks for the beginning of a response in all that is read of it. */
-final class StatusLineScanner implements SessionInputBuffer {
+final class StatusLineScanner extends ForwardingInputBuffer {
 
   private static final String STATUS_LINE = "http/";
 
-  private final SessionInputBuffer buffer;
   private int matchedCharacters;
   private long scannedBytes;
   private boolean foundStatusLine;
 
   StatusLineScanner(SessionInputBuffer buffer) {
-    this.buffer = buffer;
+    super(buffer);
   }
 
   /** Returns whether what was read contains the beginning of a response. */
@@ -32,24 +30,9 @@
     return scannedBytes;
   }
 
-  @Override
-  public boolean hasData() {
-    return buffer.hasData();
-  }
-
-  @Override
-  public int length() {
-    return buffer.length();
-  }
-
-  @Override
-  public int fill(ReadableByteChannel channel) throws IOException {
-    return buffer.fill(channel);
-  }
-
   @Override
   public int read() {
-    int next = buffer.read();
+    int next = super.read();
     if (next >= 0) {
       scan((char) next);
     }
@@ -59,7 +42,7 @@
   @Override
   public int read(ByteBuffer target, int maximumBytes) {
     int start = target.position();
-    int count = buffer.read(target, maximumBytes);
+    int count = super.read(target, maximumBytes);
     scan(target, start);
     return count;
   }
@@ -88,7 +71,7 @@
   @Override
   public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
     int start = line.length();
-    boolean complete = buffer.readLine(line, endOfStream);
+    boolean complete = super.readLine(line, endOfStream);
     for (int i = start; i < line.length(); i++) {
       scan(line.charAt(i));
     }
--- a/adapters/src/main/java/dev/apricotmill/adapters/StatusLines.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/StatusLines.java
@@ -13,6 +13,13 @@
 
   private StatusLines() {}
 
+  /** Returns whether a text is a status line; blanks may precede it (RFC 9112, section 4). */
+  static boolean isStatusLine(String text) {
+    int start = endOf(BLANK, text, 0);
+    return text.startsWith(PROTOCOL + "/", start)
+        && isStatusLineAt(text, start + PROTOCOL.length());
+  }
+
   /**
    * Returns whether a text contains a protocol with its version and a status of three digits, such
    * as {@code HTTP/1.1 500}. Few texts contain a slash, so most are not looked at in full.
--- /dev/null
+++ b/adapters/src/test/java/dev/apricotmill/adapters/MalformedResponseTest.java
@@ -0,0 +1,199 @@
+package dev.apricotmill.adapters;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Iterables;
+import dev.apricotmill.testhelpers.http.MalformedResponses;
+import dev.apricotmill.testhelpers.http.ScriptedConnectionServer;
+import dev.apricotmill.testhelpers.http.UnusualResponses;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Responses that are no valid HTTP/1.1. Guards against their being returned, with a body that is
+ * not the server's or with lines that callers would get.
+ */
+@Timeout(120)
+final class MalformedResponseTest {
+
+  private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
+  private static final String LENGTH = "Content-Length: 10\r\n";
+  private static final String BODY = "0123456789";
+  private static final String CHUNKS = "5\r\n01234\r\n5\r\n56789\r\n0\r\n";
+  private static final String ID_HEADER = "x-id";
+  private static final String SOUND = STATUS_LINE + LENGTH + "\r\n" + BODY;
+
+  private final AdapterFixture fixture = new AdapterFixture();
+  private ScriptedConnectionServer server;
+  private volatile String response = "";
+  private volatile String nextResponse = "";
+  private volatile boolean keepsConnection;
+
+  @BeforeEach
+  void start() throws IOException {
+    server = ScriptedConnectionServer.start(this::serve);
+    fixture.closeAtEnd(server::close);
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    fixture.close();
+  }
+
+  private void serve(Socket connection) throws IOException {
+    String unused = ScriptedConnectionServer.readHead(connection);
+    ScriptedConnectionServer.write(connection, response);
+    if (keepsConnection) {
+      unused = ScriptedConnectionServer.readHead(connection);
+      ScriptedConnectionServer.write(connection, nextResponse);
+    }
+  }
+
+  private ExchangeResult send(String id) throws Exception {
+    HttpCall call =
+        new HttpCall("GET", "/", ImmutableMap.of(), /* contentType= */ null, new byte[0])
+            .withExchangeId(ExchangeId.namedIn(ID_HEADER, id));
+    return AdapterFixture.await(
+        fixture.clients().send(server.address(), call, 1 << 20, Duration.ofMinutes(1)));
+  }
+
+  private ExchangeResult receive(String bytes) throws Exception {
+    response = bytes;
+    return send("r1");
+  }
+
+  /** The request may have run, and its server has not ended. */
+  private void assertRejected(String bytes) throws Exception {
+    assertWithMessage(printable(bytes))
+        .that(receive(bytes))
+        .isEqualTo(new ExchangeResult.Interrupted(ExchangeFailure.MALFORMED));
+  }
+
+  private static String printable(String bytes) {
+    return bytes
+        .chars()
+        .mapToObj(
+            next ->
+                next >= ' ' && next <= '~'
+                    ? Character.toString(next)
+                    : String.format("<%02x>", next))
+        .collect(Collectors.joining());
+  }
+
+  @Test
+  void aResponseWithAMalformedStatusLineIsRejected() throws Exception {
+    for (String line : MalformedResponses.statusLines()) {
+      assertRejected(line + "\r\n" + LENGTH + "\r\n" + BODY);
+    }
+  }
+
+  @Test
+  void aResponseWhoseNameOfTheLengthHoldsAnInvalidByteIsRejected() throws Exception {
+    for (String field : MalformedResponses.fieldsWithInvalidNames("Content-Length", "10")) {
+      assertRejected(STATUS_LINE + field + "\r\n\r\n" + BODY.substring(5));
+    }
+  }
+
+  @Test
+  void aResponseWhoseNameOfTheTransferCodingHoldsAnInvalidByteIsRejected() throws Exception {
+    for (String field :
+        MalformedResponses.someFieldsWithInvalidNames("Transfer-Encoding", "chunked")) {
+      assertRejected(STATUS_LINE + field + "\r\n\r\n" + CHUNKS + "\r\n");
+    }
+  }
+
+  @Test
+  void aResponseWithALineThatIsNoFieldIsRejected() throws Exception {
+    for (String line : MalformedResponses.linesWithoutField()) {
+      assertRejected(STATUS_LINE + line + "\r\n" + LENGTH + "\r\n" + BODY);
+      assertRejected(STATUS_LINE + LENGTH + line + "\r\n\r\n" + BODY);
+    }
+  }
+
+  @Test
+  void aResponseWithANameThatHoldsAnInvalidByteIsRejected() throws Exception {
+    for (String field : MalformedResponses.fieldsWithInvalidNames("X-Other", "v")) {
+      assertRejected(STATUS_LINE + field + "\r\n" + LENGTH + "\r\n" + BODY);
+    }
+    for (String field : MalformedResponses.someFieldsWithInvalidNames("X-Other", "v")) {
+      assertRejected(STATUS_LINE + LENGTH + field + "\r\n\r\n" + BODY);
+    }
+  }
+
+  @Test
+  void aResponseAfterAMalformedInterimOneIsRejected() throws Exception {
+    for (String line :
+        Iterables.concat(
+            MalformedResponses.linesWithoutField(),
+            MalformedResponses.someFieldsWithInvalidNames("X-Other", "v"))) {
+      assertRejected("HTTP/1.1 103 Early\r\n" + line + "\r\n\r\n" + SOUND);
+    }
+  }
+
+  @Test
+  void aConnectionThatBroughtAMalformedResponseIsNotUsedAgain() throws Exception {
+    keepsConnection = true;
+    nextResponse = SOUND;
+    for (String malformed :
+        List.of(
+            STATUS_LINE + "Content-Length : 10\r\n\r\n" + BODY,
+            STATUS_LINE + "no field\r\n" + LENGTH + "\r\n" + BODY,
+            "HTTP/1.1 +20 OK\r\n" + LENGTH + "\r\n" + BODY)) {
+      int before = server.connections();
+
+      assertRejected(malformed);
+      ExchangeResult next = receive(SOUND);
+
+      assertWithMessage(malformed).that(next).isInstanceOf(ExchangeResult.Response.class);
+      assertWithMessage(malformed).that(server.connections()).isEqualTo(before + 2);
+    }
+  }
+
+  @Test
+  void aMalformedLateResponseIsNotSkipped() throws Exception {
+    keepsConnection = true;
+    String firstId = ID_HEADER + ": r1\r\n";
+    String own = STATUS_LINE + ID_HEADER + ": r2\r\n" + LENGTH + "\r\n" + BODY;
+    for (String late :
+        List.of(
+            firstId + "Content-Length : 10\r\n\r\n" + BODY,
+            firstId + "no field\r\n" + LENGTH + "\r\n" + BODY,
+            firstId + "X\u0001Y: v\r\n" + LENGTH + "\r\n" + BODY)) {
+      nextResponse = STATUS_LINE + late + own;
+
+      ExchangeResult first = receive(STATUS_LINE + firstId + LENGTH + "\r\n" + BODY);
+      ExchangeResult second = send("r2");
+
+      assertThat(first).isInstanceOf(ExchangeResult.Response.class);
+      assertWithMessage(printable(late))
+          .that(second)
+          .isEqualTo(new ExchangeResult.Interrupted(ExchangeFailure.MALFORMED));
+    }
+  }
+
+  @Test
+  void anUnusualResponseIsReturnedWhole() throws Exception {
+    for (String unusual : UnusualResponses.all("X-Own: v\r\n")) {
+      ExchangeResult result = receive(unusual);
+
+      assertWithMessage(printable(unusual))
+          .that(result)
+          .isInstanceOf(ExchangeResult.Response.class);
+      ExchangeResult.Response returned = (ExchangeResult.Response) result;
+      assertWithMessage(printable(unusual))
+          .that(new String(returned.body(), StandardCharsets.ISO_8859_1))
+          .isEqualTo(UnusualResponses.BODY);
+      assertWithMessage(printable(unusual)).that(returned.header("x-own")).hasValue("v");
+    }
+  }
+}
--- a/test_helpers/src/main/java/dev/apricotmill/testhelpers/http/RawServer.java
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/http/RawServer.java
@@ -1,6 +1,6 @@
 package dev.apricotmill.testhelpers.http;
 
-import static java.nio.charset.StandardCharsets.US_ASCII;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
 import com.google.common.collect.ImmutableList;
 import dev.apricotmill.coordination.membership.PeerAddress;
@@ -81,7 +81,7 @@
     try (Socket connection = accepted) {
       for (String response : responses) {
         readRequest(connection.getInputStream());
-        connection.getOutputStream().write(response.getBytes(US_ASCII));
+        connection.getOutputStream().write(response.getBytes(ISO_8859_1));
       }
     } catch (IOException e) {
       // The client has closed the connection.
--- a/test_helpers/src/main/java/dev/apricotmill/testhelpers/http/ScriptedConnectionServer.java
+++ b/test_helpers/src/main/java/dev/apricotmill/testhelpers/http/ScriptedConnectionServer.java
@@ -1,6 +1,6 @@
 package dev.apricotmill.testhelpers.http;
 
-import static java.nio.charset.StandardCharsets.US_ASCII;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
 import dev.apricotmill.coordination.membership.PeerAddress;
 import java.io.IOException;
@@ -73,9 +73,9 @@
     return head.toString();
   }
 
-  /** Writes text to a connection. */
+  /** Writes text to a connection, a byte for each character. */
   public static void write(Socket connection, String text) throws IOException {
-    connection.getOutputStream().write(text.getBytes(US_ASCII));
+    connection.getOutputStream().write(text.getBytes(ISO_8859_1));
   }
 
   /** Resets a connection, so that the client loses what it has not read. */
