Reject responses that tell their length in an invalid way

What callers saw: a length with a sign was taken ("+10", and "+0" or "-0" as an empty body), and a spoilt length beside chunks was ignored. Where orders, the store or engines were asked, such answers counted as results, and refusals in them as "not run".

Cause: the library reads a length like any number, looks at the first transfer coding only, and does not look at the length if there is a transfer coding. It takes chunks from HTTP/1.0, which has none (RFC 9112, section 6.1).

Fix: ResponseHeadParser also rejects a head unless it has at most one length, of digits, and at most one transfer coding, which is chunked. Both may be there: the length is ignored then, as RFC 9112 (section 6.3) has it.

--- a/adapters/src/main/java/dev/apricotmill/adapters/ResponseHeadParser.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ResponseHeadParser.java
@@ -1,10 +1,15 @@
 package dev.apricotmill.adapters;
 
+import com.google.common.base.CharMatcher;
+import com.google.common.primitives.Longs;
 import java.io.IOException;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HeaderElements;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
@@ -21,11 +26,13 @@
  *       returned.
  *   <li>It must not contain the beginning of another head, since the rest of that may still be on
  *       its way when the next request is written.
+ *   <li>It must tell the length of its body in a valid way, or not at all (RFC 9112, section 6).
  * </ul>
  */
 final class ResponseHeadParser implements NHttpMessageParser<HttpResponse> {
 
   private static final int MAXIMUM_STATUS = 599;
+  private static final CharMatcher DIGIT = CharMatcher.inRange('0', '9');
 
   private final NHttpMessageParser<HttpResponse> parser;
   private HeadLines lines = new HeadLines();
@@ -56,6 +63,7 @@
     if (containsStatusLine(response)) {
       throw new ProtocolException("a response within the head of a response");
     }
+    checkLength(response);
     return response;
   }
 
@@ -78,4 +86,29 @@
     }
     return false;
   }
+
+  private static void checkLength(HttpResponse response) throws ProtocolException {
+    Header[] lengths = response.getHeaders(HttpHeaders.CONTENT_LENGTH);
+    if (lengths.length > 1 || (lengths.length == 1 && !isLength(lengths[0].getValue()))) {
+      throw new ProtocolException("invalid length of a response");
+    }
+    Header[] codings = response.getHeaders(HttpHeaders.TRANSFER_ENCODING);
+    if (codings.length > 1 || (codings.length == 1 && !isChunked(response, codings[0]))) {
+      throw new ProtocolException("invalid transfer coding of a response");
+    }
+  }
+
+  private static boolean isLength(@Nullable String value) {
+    if (value == null || value.isEmpty() || !DIGIT.matchesAllOf(value)) {
+      return false;
+    }
+    return Longs.tryParse(value) != null;
+  }
+
+  /** Returns whether the body is chunked, as HTTP/1.0 does not know it. */
+  private static boolean isChunked(HttpResponse response, Header coding) {
+    return HeaderElements.CHUNKED_ENCODING.equalsIgnoreCase(coding.getValue())
+        && (response.getVersion() == null
+            || !response.getVersion().lessEquals(HttpVersion.HTTP_1_0));
+  }
 }
--- a/adapters/src/test/java/dev/apricotmill/adapters/MalformedResponseTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/MalformedResponseTest.java
@@ -28,6 +28,7 @@
 
   private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
   private static final String LENGTH = "Content-Length: 10\r\n";
+  private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
   private static final String BODY = "0123456789";
   private static final String CHUNKS = "5\r\n01234\r\n5\r\n56789\r\n0\r\n";
   private static final String ID_HEADER = "x-id";
@@ -97,6 +98,14 @@
     }
   }
 
+  @Test
+  void aResponseWithAMalformedLengthIsRejected() throws Exception {
+    for (String length : MalformedResponses.lengths()) {
+      assertRejected(STATUS_LINE + length + "\r\n\r\n" + BODY);
+      assertRejected(STATUS_LINE + length + "\r\n\r\n" + BODY.substring(5));
+    }
+  }
+
   @Test
   void aResponseWhoseNameOfTheLengthHoldsAnInvalidByteIsRejected() throws Exception {
     for (String field : MalformedResponses.fieldsWithInvalidNames("Content-Length", "10")) {
@@ -104,6 +113,13 @@
     }
   }
 
+  @Test
+  void aResponseWithAMalformedTransferCodingIsRejected() throws Exception {
+    for (String coding : MalformedResponses.transferCodings()) {
+      assertRejected(STATUS_LINE + coding + "\r\n\r\n" + CHUNKS + "\r\n");
+    }
+  }
+
   @Test
   void aResponseWhoseNameOfTheTransferCodingHoldsAnInvalidByteIsRejected() throws Exception {
     for (String field :
@@ -112,6 +128,12 @@
     }
   }
 
+  /** HTTP/1.0 has no transfer codings (RFC 9112, section 6.1). */
+  @Test
+  void aChunkedResponseOfHttp10IsRejected() throws Exception {
+    assertRejected("HTTP/1.0 200 OK\r\n" + CHUNKED + "\r\n" + CHUNKS + "\r\n");
+  }
+
   @Test
   void aResponseWithALineThatIsNoFieldIsRejected() throws Exception {
     for (String line : MalformedResponses.linesWithoutField()) {
@@ -135,7 +157,8 @@
     for (String line :
         Iterables.concat(
             MalformedResponses.linesWithoutField(),
-            MalformedResponses.someFieldsWithInvalidNames("X-Other", "v"))) {
+            MalformedResponses.someFieldsWithInvalidNames("X-Other", "v"),
+            List.of("Content-Length: +1", "Transfer-Encoding: x"))) {
       assertRejected("HTTP/1.1 103 Early\r\n" + line + "\r\n\r\n" + SOUND);
     }
   }
@@ -147,6 +170,7 @@
     for (String malformed :
         List.of(
             STATUS_LINE + "Content-Length : 10\r\n\r\n" + BODY,
+            STATUS_LINE + "Content-Length: +10\r\n\r\n" + BODY,
             STATUS_LINE + "no field\r\n" + LENGTH + "\r\n" + BODY,
             "HTTP/1.1 +20 OK\r\n" + LENGTH + "\r\n" + BODY)) {
       int before = server.connections();
@@ -166,6 +190,7 @@
     String own = STATUS_LINE + ID_HEADER + ": r2\r\n" + LENGTH + "\r\n" + BODY;
     for (String late :
         List.of(
+            firstId + "Content-Length: +10\r\n\r\n" + BODY,
             firstId + "Content-Length : 10\r\n\r\n" + BODY,
             firstId + "no field\r\n" + LENGTH + "\r\n" + BODY,
             firstId + "X\u0001Y: v\r\n" + LENGTH + "\r\n" + BODY)) {
--- a/daemon/src/test/java/dev/apricotmill/daemon/client/BrokenServiceResponseTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/client/BrokenServiceResponseTest.java
@@ -2,8 +2,11 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.google.common.collect.Iterables;
+import com.google.common.collect.Lists;
 import dev.apricotmill.daemon.testing.Eventually;
 import dev.apricotmill.daemon.testing.RawConnection;
+import dev.apricotmill.testhelpers.http.MalformedResponses;
 import dev.apricotmill.testhelpers.http.ScriptedConnectionServer;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -19,8 +22,9 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * Responses of plain services that are broken off, or have no valid status, as a caller of the
- * product's own interface sees them. Guards against their being passed on as complete responses.
+ * Responses of plain services that are broken off, have no valid status, or are no valid HTTP/1.1,
+ * as a caller of the product's own interface sees them. Guards against their being passed on as
+ * complete responses, and against their being taken for a refusal.
  */
 @Timeout(120)
 final class BrokenServiceResponseTest {
@@ -117,6 +121,7 @@
     assertWithMessage(description).that(calls.get()).isGreaterThan(before);
     assertWithMessage(description).that(response).containsMatch("^HTTP/1.1 50[0-4] ");
     assertWithMessage(description).that(response).doesNotContain(PART);
+    assertWithMessage(description).that(response).doesNotContain("not-run");
   }
 
   @Test
@@ -159,6 +164,26 @@
     }
   }
 
+  @Test
+  void aMalformedResponseIsNotPassedOn() throws Exception {
+    String sound = "Content-Length: " + PART.length();
+    for (String fields :
+        Iterables.concat(
+            MalformedResponses.lengths(),
+            MalformedResponses.transferCodings(),
+            MalformedResponses.someFieldsWithInvalidNames("Content-Length", "10"),
+            Lists.transform(
+                MalformedResponses.someFieldsWithInvalidNames("X-Other", "v"),
+                field -> field + "\r\n" + sound),
+            Lists.transform(
+                MalformedResponses.linesWithoutField(), line -> line + "\r\n" + sound))) {
+      ending.set(
+          new ScriptedEnding("HTTP/1.1 200 OK", fields + "\r\n\r\n" + PART, /* reset= */ false));
+
+      assertNotPassedOn("POST /services/dispatch/orders/1", 0);
+    }
+  }
+
   /** Shows that the other tests would see a response that is passed on. */
   @Test
   void aResponseWithoutLengthThatIsClosedInOrderIsPassedOn() throws Exception {
