Reject responses in chunks with an invalid size or trailer

What callers saw: an answer in chunks whose size had a sign, a blank around it or a control byte in its extension came as an answer or ended its stream in order, as did one with a trailer that is no field. With the size "0 ", events that followed would have been read as trailers.

Cause: the library trims a size and parses it like any number with a sign, and checks no more of trailers than of heads. What it did reject counted as a lost connection, as if the server had crashed.

Fix: ChunkLines checks the lines of a chunked body as they are read, trailers with the check of the fields of a head. Late responses that are skipped go through it too. A chunk that is longer than its size counts as malformed, where its line is complete.

--- a/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandlerFactory.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BoundedClientHandlerFactory.java
@@ -1,6 +1,7 @@
 package dev.apricotmill.adapters;
 
 import java.nio.channels.ReadableByteChannel;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.config.CharCodingConfig;
@@ -79,11 +80,15 @@
         SessionInputBuffer input,
         BasicHttpTransportMetrics metrics)
         throws HttpException {
+      SessionInputBuffer checked =
+          length == ContentLengthStrategy.CHUNKED
+              ? new LineCheckingBuffer(input, new ChunkLines())
+              : input;
       return BoundedChunkDecoder.bound(
           channel,
           input,
           maximumHeadBytes,
-          counted -> super.createContentDecoder(length, counted, input, metrics));
+          counted -> super.createContentDecoder(length, counted, checked, metrics));
     }
   }
 }
--- a/adapters/src/main/java/dev/apricotmill/adapters/SkippedBody.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/SkippedBody.java
@@ -57,7 +57,12 @@
       return HeaderElements.CHUNKED_ENCODING.equalsIgnoreCase(
               response.getFirstHeader(HttpHeaders.TRANSFER_ENCODING).getValue())
           ? Optional.of(
-              new SkippedBody(new ChunkDecoder(BufferedOnly.INSTANCE, scanner, metrics), scanner))
+              new SkippedBody(
+                  new ChunkDecoder(
+                      BufferedOnly.INSTANCE,
+                      new LineCheckingBuffer(scanner, new ChunkLines()),
+                      metrics),
+                  scanner))
           : Optional.empty();
     }
     @Nullable Long length =
--- a/adapters/src/test/java/dev/apricotmill/adapters/MalformedResponseTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/MalformedResponseTest.java
@@ -163,6 +163,36 @@
     }
   }
 
+  @Test
+  void aResponseWithAMalformedSizeOfAChunkIsRejected() throws Exception {
+    for (String size : MalformedResponses.chunkSizes()) {
+      assertRejected(STATUS_LINE + CHUNKED + "\r\n" + size + "\r\n01234\r\n0\r\n\r\n");
+      assertRejected(
+          STATUS_LINE + CHUNKED + "\r\n5\r\n01234\r\n" + size + "\r\n56789\r\n0\r\n\r\n");
+    }
+  }
+
+  @Test
+  void aResponseWithAChunkThatIsLongerThanItsSizeIsRejected() throws Exception {
+    assertRejected(STATUS_LINE + CHUNKED + "\r\n5\r\n0123456\r\n0\r\n\r\n");
+  }
+
+  /** An event would otherwise be read as a trailer, and the empty line after it as the end. */
+  @Test
+  void aSizeThatLostItsLastDigitDoesNotEndABody() throws Exception {
+    assertRejected(STATUS_LINE + CHUNKED + "\r\n0 \r\ndata: word\n\n\r\n0\r\n\r\n");
+  }
+
+  @Test
+  void aResponseWithAMalformedTrailerIsRejected() throws Exception {
+    for (String line :
+        Iterables.concat(
+            MalformedResponses.linesWithoutField(),
+            MalformedResponses.someFieldsWithInvalidNames("X-Trailer", "v"))) {
+      assertRejected(STATUS_LINE + CHUNKED + "\r\n" + CHUNKS + line + "\r\n\r\n");
+    }
+  }
+
   @Test
   void aConnectionThatBroughtAMalformedResponseIsNotUsedAgain() throws Exception {
     keepsConnection = true;
@@ -172,7 +202,9 @@
             STATUS_LINE + "Content-Length : 10\r\n\r\n" + BODY,
             STATUS_LINE + "Content-Length: +10\r\n\r\n" + BODY,
             STATUS_LINE + "no field\r\n" + LENGTH + "\r\n" + BODY,
-            "HTTP/1.1 +20 OK\r\n" + LENGTH + "\r\n" + BODY)) {
+            "HTTP/1.1 +20 OK\r\n" + LENGTH + "\r\n" + BODY,
+            STATUS_LINE + CHUNKED + "\r\n+5\r\n01234\r\n0\r\n\r\n",
+            STATUS_LINE + CHUNKED + "\r\n" + CHUNKS + "no field\r\n\r\n")) {
       int before = server.connections();
 
       assertRejected(malformed);
@@ -193,7 +225,9 @@
             firstId + "Content-Length: +10\r\n\r\n" + BODY,
             firstId + "Content-Length : 10\r\n\r\n" + BODY,
             firstId + "no field\r\n" + LENGTH + "\r\n" + BODY,
-            firstId + "X\u0001Y: v\r\n" + LENGTH + "\r\n" + BODY)) {
+            firstId + "X\u0001Y: v\r\n" + LENGTH + "\r\n" + BODY,
+            firstId + CHUNKED + "\r\n+5\r\n01234\r\n0\r\n\r\n",
+            firstId + CHUNKED + "\r\n" + CHUNKS + "no field\r\n\r\n")) {
       nextResponse = STATUS_LINE + late + own;
 
       ExchangeResult first = receive(STATUS_LINE + firstId + LENGTH + "\r\n" + BODY);
--- a/daemon/src/test/java/dev/apricotmill/daemon/client/BrokenServiceResponseTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/client/BrokenServiceResponseTest.java
@@ -184,6 +184,19 @@
     }
   }
 
+  @Test
+  void aMalformedSizeOfAChunkIsNotPassedOn() throws Exception {
+    for (String size : MalformedResponses.chunkSizes()) {
+      ending.set(
+          new ScriptedEnding(
+              "HTTP/1.1 200 OK",
+              "Transfer-Encoding: chunked\r\n\r\n" + size + "\r\n01234\r\n0\r\n\r\n",
+              /* reset= */ false));
+
+      assertNotPassedOn("POST /services/dispatch/orders/1", 0);
+    }
+  }
+
   /** Shows that the other tests would see a response that is passed on. */
   @Test
   void aResponseWithoutLengthThatIsClosedInOrderIsPassedOn() throws Exception {
