Read answers of operators' ports through the shared HTTP client

What operators saw: the command line took answers that are broken for the daemon's: with a spoilt length, a sign in the size of a chunk or in the status, or a head that was cut after its status.

Cause: it read answers through another client of the library, to which none of the checks apply.

Evidence, on: HttpOperatorPortTest fails in 4 of 7 tests; an answer cut after 12 bytes ("HTTP/1.1 200") counted as complete.

Fix: HttpOperatorPort sends its calls through HttpClients, which the command line starts for the platform anyway, each over a connection of its own as before. The client of the command line bounds the wait for a connection by the time limit of the call alone, as the other one did.

--- a/cli/src/main/java/dev/apricotmill/cli/HttpConnections.java
+++ b/cli/src/main/java/dev/apricotmill/cli/HttpConnections.java
@@ -3,6 +3,7 @@
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.io.Closer;
+import dev.apricotmill.adapters.HttpClientSettings;
 import dev.apricotmill.adapters.HttpClients;
 import dev.apricotmill.adapters.HttpPlatform;
 import dev.apricotmill.cli.command.Awaiter;
@@ -15,6 +16,7 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.UncheckedIOException;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executors;
@@ -22,6 +24,16 @@
 
 /** Opens HTTP connections and closes everything that it opened. */
 final class HttpConnections implements Connections, AutoCloseable {
+  /** The time limit of a call also bounds the wait for its connection. */
+  private static final HttpClientSettings SETTINGS =
+      new HttpClientSettings(
+          HttpClientSettings.DEFAULTS.threads(),
+          HttpClientSettings.DEFAULTS.connectionsPerPeer(),
+          HttpClientSettings.DEFAULTS.connections(),
+          /* connectTimeout= */ Duration.ofDays(1),
+          HttpClientSettings.DEFAULTS.connectionLifetime(),
+          HttpClientSettings.DEFAULTS.maximumBufferedBytes());
+
   private final Closer closer;
   private final Timing timing;
   private final HttpClients clients;
@@ -40,11 +52,9 @@
     ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
     closer.register(scheduler::shutdownNow);
     Timing timing = new Timing(InstantSource.system(), Ticker.systemTicker(), scheduler);
-    HttpClients clients = HttpClients.start(timing);
+    HttpClients clients = HttpClients.start(SETTINGS, timing);
     closer.register(clients::close);
-    HttpOperatorPort operatorPort = new HttpOperatorPort();
-    closer.register(operatorPort::close);
-    return new HttpConnections(closer, timing, clients, operatorPort);
+    return new HttpConnections(closer, timing, clients, new HttpOperatorPort(clients));
   }
 
   /** Returns the context of a command that uses these connections. */
