Reject statuses from other nodes that no final response may have

What callers would see: a status of 0 or 999 that a node reports for a request it ran for another one becomes the status of a buffered completion. Not seen from a real node, which only reports 200.

Cause: OutcomeMessages took any number as a status. The messages between nodes carry no heads, so that this is the only part of a head in them.

Evidence: before, OutcomeMessagesTest fails, since a status of 0 is taken.

Fix: a status outside 200 to 599 makes the message malformed, which its reader tells as lost: the request may have run.

--- a/daemon/src/main/java/dev/apricotmill/daemon/inner/OutcomeMessages.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/inner/OutcomeMessages.java
@@ -13,6 +13,9 @@
 /** Maps request outcomes to messages and back. */
 final class OutcomeMessages {
 
+  private static final int MINIMUM_STATUS = 200;
+  private static final int MAXIMUM_STATUS = 599;
+
   private OutcomeMessages() {}
 
   static dev.apricotmill.protocol.generated.Outcome toMessage(Outcome outcome) {
@@ -35,7 +38,7 @@
   static Outcome fromMessage(dev.apricotmill.protocol.generated.Outcome message)
       throws MalformedMessageException {
     return switch (message.getKindCase()) {
-      case ANSWERED -> new Outcome.Answered(message.getAnswered().getStatus());
+      case ANSWERED -> answered(message.getAnswered());
       case REFUSED -> refused(message.getRefused());
       case FAILED ->
           new Outcome.Failed(
@@ -47,6 +50,14 @@
     };
   }
 
+  private static Outcome answered(Answered message) throws MalformedMessageException {
+    int status = message.getStatus();
+    if (status < MINIMUM_STATUS || status > MAXIMUM_STATUS) {
+      throw new MalformedMessageException("status of no final response: " + status);
+    }
+    return new Outcome.Answered(status);
+  }
+
   private static Outcome refused(Refused message) throws MalformedMessageException {
     return new Outcome.Refused(
         EnumMessages.named(RefusalReason.class, message.getReason()),
