Test that unusual responses of plain services are passed on

Beside the malformed responses that the own interface rejects, those that RFC 9110 and RFC 9112 allow have to reach callers whole.

No product code is changed.

--- a/daemon/src/test/java/dev/apricotmill/daemon/client/BrokenServiceResponseTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/client/BrokenServiceResponseTest.java
@@ -2,12 +2,14 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.google.common.base.Splitter;
 import com.google.common.collect.Iterables;
 import com.google.common.collect.Lists;
 import dev.apricotmill.daemon.testing.Eventually;
 import dev.apricotmill.daemon.testing.RawConnection;
 import dev.apricotmill.testhelpers.http.MalformedResponses;
 import dev.apricotmill.testhelpers.http.ScriptedConnectionServer;
+import dev.apricotmill.testhelpers.http.UnusualResponses;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.Socket;
@@ -197,6 +199,22 @@
     }
   }
 
+  @Test
+  void anUnusualResponseIsPassedOnWhole() throws Exception {
+    String marker = "X-Marker: v\r\n";
+    for (String unusual : UnusualResponses.all(marker)) {
+      List<String> parts = Splitter.on("\r\n" + marker).splitToList(unusual);
+      if (parts.size() == 2) {
+        ending.set(new ScriptedEnding(parts.get(0), parts.get(1), /* reset= */ false));
+
+        String response = call("GET /services/dispatch/status/1", 0);
+
+        assertWithMessage(unusual).that(response).startsWith("HTTP/1.1 2");
+        assertWithMessage(unusual).that(response).endsWith("\r\n\r\n" + UnusualResponses.BODY);
+      }
+    }
+  }
+
   /** Shows that the other tests would see a response that is passed on. */
   @Test
   void aResponseWithoutLengthThatIsClosedInOrderIsPassedOn() throws Exception {
