--- a/adapters/src/main/java/dev/apricotmill/adapters/FieldLines.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/FieldLines.java
@@ -28,9 +28,9 @@
   private boolean followsCarriageReturn;
 
   /**
-   * Creates a check of the lines that follow a first one.
+   * Creates a check of the lines after a status line, or after the line of the last chunk.
    *
-   * @param followsCarriageReturn whether the first line ends in a carriage return and a line feed
+   * @param followsCarriageReturn whether that line ends in a carriage return and a line feed
    */
   FieldLines(boolean followsCarriageReturn) {
     this.followsCarriageReturn = followsCarriageReturn;
--- a/adapters/src/main/java/dev/apricotmill/adapters/ResponseHeadParser.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/ResponseHeadParser.java
@@ -16,8 +16,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A parser that rejects each head that is no valid head of a response, whatever the library makes
- * of it. The connection ends, since it is unknown where such a response ends.
+ * A parser that rejects each head that no response may have, although the library accepts some of
+ * them. The connection ends, since it is unknown where such a response ends.
  *
  * <ul>
  *   <li>Its lines must have the syntax of {@link HeadLines}.
@@ -105,7 +105,7 @@
     return Longs.tryParse(value) != null;
   }
 
-  /** Returns whether the body is chunked, as HTTP/1.0 does not know it. */
+  /** Returns whether the coding is chunked, in a version of HTTP that has transfer codings. */
   private static boolean isChunked(HttpResponse response, Header coding) {
     return HeaderElements.CHUNKED_ENCODING.equalsIgnoreCase(coding.getValue())
         && (response.getVersion() == null
