Let the service of a test announce that it closes its connections

Trace: the test's service closed each connection without saying so in its response. The client keeps such a connection for the next call; if it notices the end only after that call has got the connection, the call is refused as not sent. The test is not about that.

Change: the service sends "Connection: close", as a server has to that closes its connection. What is checked is unchanged.

--- a/daemon/src/test/java/dev/apricotmill/daemon/client/BrokenServiceResponseTest.java
+++ b/daemon/src/test/java/dev/apricotmill/daemon/client/BrokenServiceResponseTest.java
@@ -205,7 +205,9 @@
     for (String unusual : UnusualResponses.all(marker)) {
       List<String> parts = Splitter.on("\r\n" + marker).splitToList(unusual);
       if (parts.size() == 2) {
-        ending.set(new ScriptedEnding(parts.get(0), parts.get(1), /* reset= */ false));
+        // Otherwise the next call may be refused, since it finds its connection closed.
+        String rest = "Connection: close\r\n" + parts.get(1);
+        ending.set(new ScriptedEnding(parts.get(0), rest, /* reset= */ false));
 
         String response = call("GET /services/dispatch/status/1", 0);
 
