Search each byte of a stream once for the end of an event

What callers saw: while a few model servers sent bytes without the end of an event, in small pieces, a VM answered nobody, requests to other services neither, and it was not ready.

Cause: for each chunk, SseEventAssembler copied the whole incomplete event, and searched all of it for the end of an event. An event of 1 MB, the maximum, in pieces of 64 bytes made 8.6 GB of both. That ran on the relay's only thread, for the attempt and for a standby.

Why it works: whether a line feed ends an event depends on the bytes of its line only, so what has come of the line is kept from chunk to chunk, and only the new chunk is searched. The incomplete event is copied when it is complete. What is passed on no longer depends on where chunks end: a blank line that came in a chunk after its event was held back until then (anyBytesAreSplitAsInOneChunk failed before).

--- a/node/src/main/java/dev/apricotmill/node/relay/SseEventAssembler.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/SseEventAssembler.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.OptionalLong;
 
 /**
@@ -19,6 +18,7 @@
   private static final int MAX_EVENT_BYTES = 1 << 20;
 
   private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
+  private LineContent currentLine = LineContent.OTHER;
   private OptionalLong lastId;
   private boolean outOfOrder;
 
@@ -28,22 +28,23 @@
 
   /** Adds a chunk and returns the events that it completes, byte for byte. */
   byte[] add(byte[] chunk) {
-    partial.writeBytes(chunk);
-    byte[] buffered = partial.toByteArray();
-    int end = endOfLastEvent(buffered);
+    int end = endOfLastEvent(chunk);
     if (end == 0) {
+      partial.writeBytes(chunk);
       return NO_BYTES;
     }
-    byte[] completeEvents = Arrays.copyOf(buffered, end);
+    partial.write(chunk, 0, end);
+    byte[] completeEvents = partial.toByteArray();
     readIds(completeEvents);
     partial.reset();
-    partial.write(buffered, end, buffered.length - end);
+    partial.write(chunk, end, chunk.length - end);
     return completeEvents;
   }
 
   /** Discards the incomplete event of a broken stream. */
   void discardPartial() {
     partial.reset();
+    currentLine = LineContent.OTHER;
   }
 
   /** Returns whether the incomplete event exceeds the maximum size of an event. */
@@ -104,19 +105,41 @@
     }
   }
 
-  private static int endOfLastEvent(byte[] bytes) {
-    for (int i = bytes.length - 1; i > 0; i--) {
-      if (bytes[i] == '\n' && endsBlankLine(bytes, i)) {
-        return i + 1;
+  /**
+   * Returns the position in the chunk after the last blank line, or 0 if there is none. Only the
+   * chunk is searched, since the cost of an event must not depend on the number of its chunks.
+   */
+  private int endOfLastEvent(byte[] chunk) {
+    int end = 0;
+    LineContent line = currentLine;
+    for (int i = 0; i < chunk.length; i++) {
+      if (chunk[i] == '\n' && line.isBlank()) {
+        end = i + 1;
       }
+      line = line.followedBy(chunk[i]);
     }
-    return 0;
+    currentLine = line;
+    return end;
   }
 
-  private static boolean endsBlankLine(byte[] bytes, int newline) {
-    if (bytes[newline - 1] == '\n') {
-      return true;
+  /** What has come of the current line. */
+  private enum LineContent {
+    NOTHING,
+    CARRIAGE_RETURN,
+    /** Also the line at the beginning of a stream, which ends no event. */
+    OTHER;
+
+    /** Returns whether a line feed makes it a blank line, which ends an event. */
+    boolean isBlank() {
+      return this != OTHER;
+    }
+
+    LineContent followedBy(byte next) {
+      return switch (next) {
+        case '\n' -> NOTHING;
+        case '\r' -> this == NOTHING ? CARRIAGE_RETURN : OTHER;
+        default -> OTHER;
+      };
     }
-    return newline >= 2 && bytes[newline - 1] == '\r' && bytes[newline - 2] == '\n';
   }
 }
--- a/node/src/test/java/dev/apricotmill/node/relay/SseEventAssemblerTest.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/SseEventAssemblerTest.java
@@ -2,12 +2,17 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.base.Splitter;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.CharRange;
+import net.jqwik.api.constraints.Chars;
 import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.StringLength;
 import org.junit.jupiter.api.Test;
 
 final class SseEventAssemblerTest {
@@ -73,6 +78,51 @@
     assertThat(chunked.isOutOfOrder()).isFalse();
   }
 
+  @Test
+  void aBlankLineThatComesInTwoChunksEndsAnEvent() {
+    for (String stream : new String[] {"id: 1\n\n", "id: 1\r\n\r\n"}) {
+      for (int split = 1; split < stream.length(); split++) {
+        SseEventAssembler chunked = new SseEventAssembler(OptionalLong.empty());
+
+        String output =
+            text(chunked.add(bytes(stream.substring(0, split))))
+                + text(chunked.add(bytes(stream.substring(split))));
+
+        assertThat(output).isEqualTo(stream);
+        assertThat(chunked.hasPartial()).isFalse();
+      }
+    }
+  }
+
+  @Test
+  void anotherServersStreamDoesNotContinueTheLineOfABrokenOne() {
+    assembler.add(bytes("id: 1\n\nid: 2\n"));
+    assembler.discardPartial();
+
+    assertThat(text(assembler.add(bytes("\nid: 2\n")))).isEmpty();
+    assertThat(text(assembler.add(bytes("\n")))).isEqualTo("\nid: 2\n\n");
+  }
+
+  /** Guards against a search that misses the end of an event, or finds one that is none. */
+  @Property(tries = 1000)
+  void anyBytesAreSplitAsInOneChunk(
+      @ForAll @CharRange(from = 'x', to = 'x') @Chars({'\r', '\n'}) @StringLength(max = 12)
+          String stream,
+      @ForAll @IntRange(min = 1, max = 4) int chunkLength) {
+    SseEventAssembler whole = new SseEventAssembler(OptionalLong.empty());
+    SseEventAssembler chunked = new SseEventAssembler(OptionalLong.empty());
+    String expected = text(whole.add(bytes(stream)));
+
+    String output =
+        Splitter.fixedLength(chunkLength)
+            .splitToStream(stream)
+            .map(chunk -> text(chunked.add(bytes(chunk))))
+            .collect(Collectors.joining());
+
+    assertThat(output).isEqualTo(expected);
+    assertThat(chunked.partialBytes()).isEqualTo(stream.length() - expected.length());
+  }
+
   private static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
   }
