Hold back servers that write faster than the relay reads

What callers saw: while a few model servers sent blank lines or comments without end, within what the link of a VM carries, requests to other services had no answer half a second after their time limit.

Cause: each chunk of a response became a task of the relay's only thread, and nothing held its server back. Such events complete at once, so that no bound of an event ends them. Up to 16 MB of chunks, which is what BufferBudget allows, waited in front of every other request, and of the reading of the store.

Three tests of SmallPiecesTest failed before: 64 KB waited without a pause, for a stream, a plain response and the rest of a refusal.

Change: the chunks of a response wait in WaitingChunks. One task handles all of them, and reading from the server is paused while more than 16 KB wait. What a request may find in front of itself is thus bounded for each response. After a chunk for which there was no memory nothing is kept, so that bytes that arrive before the response has failed are not joined to those before the gap.

SmallPiecesTest, WaitingChunksTest, UnboundedResponsesTest, RelayCallTest, RelayInvariantsTest, SilentServerTest and SecondStandbyTest pass.

--- a/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendAttempt.java
@@ -39,7 +39,9 @@
   private AttemptListener listener;
   private final long sentNanos;
   private final BufferBudget.Account buffer;
-  private BackendClient.@Nullable Exchange exchange;
+  private final WaitingChunks waitingChunks = new WaitingChunks();
+  private volatile BackendClient.@Nullable Exchange exchange;
+  private boolean readingPaused;
   private boolean closed;
   private boolean responseBegun;
   private boolean responseEnded;
@@ -114,6 +116,7 @@
 
   /** Stops reading the response until {@link #resumeReading}. */
   void pauseReading() {
+    readingPaused = true;
     BackendClient.Exchange open = exchange;
     if (open != null) {
       open.pauseReading();
@@ -122,6 +125,7 @@
 
   /** Continues reading after {@link #pauseReading}. */
   void resumeReading() {
+    readingPaused = false;
     BackendClient.Exchange open = exchange;
     if (open != null) {
       open.resumeReading();
@@ -157,14 +161,25 @@
         });
   }
 
-  /** Reserves memory for the chunk on the caller's thread, since tasks may queue up. */
+  /** Reserves memory for the chunk on the caller's thread, since it may have to wait. */
   @Override
   public void onBody(byte[] chunk) {
-    int bytes = chunk.length;
-    if (buffer.reserve(bytes)) {
-      executor.execute(() -> handleBody(chunk));
-    } else {
-      executor.execute(() -> discardOrFail(bytes));
+    boolean isReserved = buffer.reserve(chunk.length);
+    if (waitingChunks.add(chunk, isReserved, exchange)) {
+      executor.execute(this::handleWaitingChunks);
+    }
+  }
+
+  private void handleWaitingChunks() {
+    WaitingChunks.Batch batch = waitingChunks.take();
+    if (batch.bytes().length > 0) {
+      handleBody(batch.bytes());
+    }
+    if (batch.droppedBytes() > 0) {
+      discardOrFail(batch.droppedBytes());
+    }
+    if (batch.isServerHeldBack() && !readingPaused) {
+      resumeReading();
     }
   }
 
@@ -178,7 +193,7 @@
     buffer.release(chunk.length + before - listener.bufferedBytes());
   }
 
-  private void discardOrFail(int bytes) {
+  private void discardOrFail(long bytes) {
     if (closed) {
       discard(bytes);
     } else {
@@ -190,7 +205,7 @@
     run(() -> listener.onFailure(this, true, BackendFailure.NO_BUFFER));
   }
 
-  private void discard(int bytes) {
+  private void discard(long bytes) {
     discardedBytes += bytes;
     if (discardedBytes > MAX_DISCARDED_BYTES) {
       cancelUnlessEnded();
--- a/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
+++ b/node/src/test/java/dev/apricotmill/node/relay/RelayFixture.java
@@ -270,10 +270,15 @@
     }
 
     void body(String text) {
-      listener.onBody(text.getBytes(StandardCharsets.UTF_8));
+      arrive(text);
       time.runDue();
     }
 
+    /** Adds to the body while the relay is busy with other tasks. */
+    void arrive(String text) {
+      listener.onBody(text.getBytes(StandardCharsets.UTF_8));
+    }
+
     void end() {
       listener.onEnd();
       time.runDue();
