Turn to other connections while a body of tiny chunks arrives

What callers saw: while a model server sent chunks of one byte without end, requests to other services had no answer within their time limit, and the VM was not ready from time to time.

Cause: the library calls the decoder of a body for as long as it provides anything, whatever the window of the exchange says, and a decoder of chunks reads the connection in each call. A server that writes faster than its chunks are decoded thus keeps the only I/O thread, which also serves all other servers and the store, until the response is too long: 8 MB of such chunks are 48 MB to decode.

Evidence: aResponseOfTinyChunksWithoutEndDoesNotKeepOthersWaiting failed before: a request to another server was not even sent within half a second.

Change: BoundedChunkDecoder provides at most 64 KB of a connection in a turn. The decoder then consumes what was read before and returns nothing, which ends the library's loop; the selector reports the connection again, as more is there. Callers' bodies go through the same decoder.

Ruled out: to open the next window on another thread. The library reads beyond the window, so that the test failed as before.

StreamedExchangeTest passes, 3 of 3, with a new test of many pauses, which passed before as well; EndlessResponseTest and BrokenOffResponseTest pass.

--- a/adapters/src/main/java/dev/apricotmill/adapters/BoundedChunkDecoder.java
+++ b/adapters/src/main/java/dev/apricotmill/adapters/BoundedChunkDecoder.java
@@ -15,15 +15,19 @@
 
 /**
  * A decoder of bodies that bounds what it reads without delivering any of the body: sizes of chunks
- * with their extensions, and trailers.
+ * with their extensions, and trailers. It also bounds what is read of one connection in a turn.
  *
- * <p>The library bounds each line and the number of lines, but not all of them together.
+ * <p>The library bounds each line and the number of lines, but not all of them together, and it
+ * reads a connection for as long as more has arrived there.
  */
 public final class BoundedChunkDecoder implements ContentDecoder {
 
   /** A chunk of one byte takes six bytes; anything beyond that is not a proportion of the body. */
   private static final int MAXIMUM_FRAMING_PER_BODY_BYTE = 16;
 
+  /** What an I/O thread may read of one connection before it turns to the others. */
+  private static final int MAXIMUM_TURN_BYTES = 64 << 10;
+
   private final ContentDecoder decoder;
   private final SessionInputBuffer input;
   private final CountingChannel channel;
@@ -69,6 +73,9 @@
     int bufferedBefore = input.length();
     channel.startRead(maximumBytes, target);
     int bodyBytes = decoder.read(target);
+    if (bodyBytes <= 0) {
+      channel.startTurn();
+    }
     long framingBytes =
         bufferedBefore
             + channel.bytesRead()
@@ -107,6 +114,7 @@
     private @Nullable ByteBuffer content;
     private int maximumBytes;
     private int bytesRead;
+    private long turnBytes;
     private boolean hidesEnd;
     private boolean hasHiddenEnd;
 
@@ -120,6 +128,14 @@
       bytesRead = 0;
     }
 
+    /**
+     * Begins the next turn of the connection. A turn ends once the decoder, which is given no more,
+     * has consumed all that was read before, so that nothing is left for which no event would come.
+     */
+    void startTurn() {
+      turnBytes = 0;
+    }
+
     void hideEnd(boolean hide) {
       hidesEnd = hide;
     }
@@ -136,7 +152,7 @@
 
     @Override
     public int read(ByteBuffer target) throws IOException {
-      if (bytesRead >= maximumBytes) {
+      if (bytesRead >= maximumBytes || turnBytes >= MAXIMUM_TURN_BYTES) {
         return 0;
       }
       // What is read as content is consumed at once, so that its buffer may become full.
@@ -145,6 +161,7 @@
               ? session.readWithoutBound(target)
               : channel.read(target);
       bytesRead += Math.max(0, count);
+      turnBytes += Math.max(0, count);
       if (count < 0 && hidesEnd) {
         hasHiddenEnd = true;
         return 0;
--- a/adapters/src/test/java/dev/apricotmill/adapters/StreamedExchangeTest.java
+++ b/adapters/src/test/java/dev/apricotmill/adapters/StreamedExchangeTest.java
@@ -16,7 +16,9 @@
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.http.HttpResponse;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -25,6 +27,10 @@
   private static final int BODY_BYTES = 4 << 20;
 
   private static final int OTHER_EXCHANGES = 50;
+
+  /** What a request may wait for its final answer, at most, after the time limit of its route. */
+  private static final Duration MAX_DELAY = Duration.ofMillis(500);
+
   private static final HttpCall GET =
       new HttpCall("GET", "/", ImmutableMap.of(), null, new byte[0]);
 
@@ -68,6 +74,60 @@
     assertThat(bytesRead.get()).isEqualTo(BODY_BYTES);
   }
 
+  /** Guards against an I/O thread that reads one connection for as long as more arrives there. */
+  @Test
+  void aResponseOfTinyChunksWithoutEndDoesNotKeepOthersWaiting() throws Exception {
+    PeerAddress other = serveEmptyResponses();
+    StreamedExchange endless =
+        clients.stream(serveTinyChunks(), GET, new ByteCounter(), Duration.ofMinutes(1));
+    AdapterFixture.awaitUntil(() -> bytesRead.get() > 4L * StreamWindow.BYTES);
+
+    for (int i = 0; i < 3; i++) {
+      assertThat(AdapterFixture.await(clients.send(other, GET, 1024, MAX_DELAY)))
+          .isInstanceOf(ExchangeResult.Response.class);
+    }
+
+    endless.close();
+  }
+
+  /** Guards against a response that is read no further although its last pause has ended. */
+  @Test
+  void aResponseThatIsPausedAndResumedAfterEachChunkIsReadToItsEnd() throws Exception {
+    AtomicReference<@Nullable StreamedExchange> exchange = new AtomicReference<>();
+    ByteCounter pausing =
+        new ByteCounter() {
+          @Override
+          public void onBody(byte[] chunk) {
+            super.onBody(chunk);
+            StreamedExchange open = exchange.get();
+            if (open != null) {
+              open.pauseReading();
+              fixture.timing().scheduler().execute(open::resumeReading);
+            }
+          }
+        };
+
+    exchange.set(clients.stream(serveLongResponse(), GET, pausing, Duration.ofMinutes(1)));
+
+    AdapterFixture.awaitUntil(complete::get);
+    assertThat(bytesRead.get()).isEqualTo(BODY_BYTES);
+  }
+
+  /** Serves chunks of one byte until the client closes the connection. */
+  private PeerAddress serveTinyChunks() throws IOException {
+    byte[] chunks = "1\r\nx\r\n".repeat(10_000).getBytes(StandardCharsets.US_ASCII);
+    return serve(
+        socket -> {
+          OutputStream output = socket.getOutputStream();
+          output.write(
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  .getBytes(StandardCharsets.US_ASCII));
+          while (true) {
+            output.write(chunks);
+          }
+        });
+  }
+
   /** Serves one response that is larger than the buffers of a connection. */
   private PeerAddress serveLongResponse() throws IOException {
     return serve(
@@ -122,7 +182,7 @@
     return new PeerAddress(loopback.getHostAddress(), server.getLocalPort());
   }
 
-  private final class ByteCounter implements StreamedResponseListener {
+  private class ByteCounter implements StreamedResponseListener {
 
     @Override
     public boolean onHead(HttpResponse head) {
