Renumber two cases of the third review, and drop the one on tenants

Cases 13 and 14 become 14 and 15, for a graver one that takes 13. A run ends after 115 s at the latest.

--- a/review/standins-3/Case14.java
+++ b/review/standins-3/Case14.java
@@ -4,13 +4,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** Clients ask for paths without a route; does a replica run anything else for them? */
+/** Some replicas overwrite bytes of a few answers; does a client get them as a success? */
 final class Case14 {
 
-  private static final int REQUESTS = 10;
+  private static final int REPLICAS = 4;
+  private static final int FAULTY_REPLICAS = 2;
+  private static final int ANSWERS_PER_SPOILED = 50;
+  private static final int REQUESTS = 800;
 
   private Case14() {}
 
@@ -19,18 +21,31 @@
   }
 
   private static int run(Deployment deployment) throws IOException, InterruptedException {
-    Map<String, String> runs = new ConcurrentHashMap<>();
-    Set<String> twice = ConcurrentHashMap.newKeySet();
-    deployment.addReplica(
-        "i-1",
-        (replica, request) -> {
-          deployment.recordRun(replica, request);
-          String attempt = request.header("apricotmill-attempt-id");
-          if (runs.put(attempt, request.method() + " " + request.path()) != null) {
-            twice.add(attempt);
-          }
-        },
-        Replica::answerSoundly);
+    for (int i = 0; i < REPLICAS; i++) {
+      boolean faulty = Deployment.hasTrouble() && i < FAULTY_REPLICAS;
+      AtomicInteger answers = new AtomicInteger();
+      deployment.addReplica(
+          "i-" + i,
+          deployment::recordRun,
+          (replica, request, socket) -> {
+            if (!faulty || answers.incrementAndGet() % ANSWERS_PER_SPOILED != 0) {
+              return replica.answerSoundly(request, socket);
+            }
+            deployment.record().write(
+                "spoiled   %s at %s", request.header("apricotmill-attempt-id"), replica.id());
+            Map<String, String> headers = replica.headers(request);
+            byte[] body = replica.body(request);
+            String sound =
+                new String(Http.head("HTTP/1.1 200 X", withLength(headers, body.length)), "UTF-8");
+            // Overwrites the line of the seal, and the body; the length stays what it was.
+            String line = "Apricotmill-Response-Seal: " + replica.seal(request);
+            String spoiled = sound.replace(line, "x".repeat(12) + ":" + "x".repeat(line.length() - 13));
+            byte[] head = spoiled.getBytes(StandardCharsets.ISO_8859_1);
+            socket.getOutputStream().write(head);
+            socket.getOutputStream().write("x".repeat(body.length).getBytes());
+            return true;
+          });
+    }
     Map<String, Object> configuration =
         new Configuration(7)
             .route("r-order", "/puxa403/", "non_idempotent", 1500, 1)
@@ -43,38 +58,35 @@
     if (!node.awaitReady()) {
       return Deployment.NOT_RUN;
     }
-    int changed = 0;
-    int sound = 0;
+    int sealed = 0;
+    int unsealed = 0;
     for (int i = 0; i < REQUESTS; i++) {
-      sound += send(deployment, node, runs, "/puxa403/" + i) == Outcome.AS_SENT ? 1 : 0;
-      changed += send(deployment, node, runs, "/nowhere/" + i) == Outcome.CHANGED ? 1 : 0;
-      if (Deployment.hasTrouble()) {
-        changed +=
-            send(deployment, node, runs, "//nowhere/puxa403/" + i) == Outcome.CHANGED ? 1 : 0;
+      boolean order = i % 2 == 0;
+      Http.Message answer =
+          deployment.call(
+              node,
+              order ? "POST" : "GET",
+              order ? "/puxa403/" + i : "/cufi504/" + i,
+              deployment.newAttempt(),
+              "key-1",
+              order ? "hi".getBytes(StandardCharsets.UTF_8) : new byte[0]);
+      if (answer != null && answer.status() / 100 == 2) {
+        if (answer.header("apricotmill-response-seal") == null) {
+          unsealed++;
+        } else {
+          sealed++;
+        }
       }
     }
     deployment.record().write(
-        "replica   ran %d requests as they were sent, and %d with another path", sound, changed);
-    return sound < REQUESTS
+        "clients   got %d successes with a seal and %d without", sealed, unsealed);
+    return sealed == 0
         ? Deployment.NOT_RUN
-        : changed > 0 ? Deployment.BROKEN : Deployment.HELD;
-  }
-
-  private enum Outcome {
-    NOT_RUN,
-    AS_SENT,
-    CHANGED
+        : unsealed > 0 ? Deployment.BROKEN : Deployment.HELD;
   }
 
-  private static Outcome send(
-      Deployment deployment, Node node, Map<String, String> runs, String path)
-      throws IOException {
-    String attempt = deployment.newAttempt();
-    deployment.call(
-        node, "POST", path, attempt, "key-1", "hi".getBytes(StandardCharsets.UTF_8));
-    String run = runs.get(attempt);
-    return run == null
-        ? Outcome.NOT_RUN
-        : run.equals("POST " + path) ? Outcome.AS_SENT : Outcome.CHANGED;
+  private static Map<String, String> withLength(Map<String, String> headers, int length) {
+    headers.put("Content-Length", Integer.toString(length));
+    return headers;
   }
 }
--- a/review/standins-3/Deployment.java
+++ b/review/standins-3/Deployment.java
@@ -17,6 +17,8 @@
   static final int HELD = 0;
   static final int NOT_RUN = 2;
 
+  private static final long MAX_RUN_MILLIS = 115_000;
+
   private final Path directory;
   private final Record record;
   private final Store store;
@@ -34,6 +36,15 @@
 
   /** Runs a case and ends the process with its result. */
   static void run(String[] arguments, Case task) {
+    Http.thread(
+        () -> {
+          try {
+            Thread.sleep(MAX_RUN_MILLIS);
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+          System.exit(NOT_RUN);
+        });
     int result = NOT_RUN;
     try (Deployment deployment = new Deployment(Path.of(arguments[0]))) {
       result = task.run(deployment);
