--- a/review/standins-3/Deployment.java
+++ b/review/standins-3/Deployment.java
@@ -17,6 +17,10 @@
   static final int HELD = 0;
   static final int NOT_RUN = 2;
 
+  /** `banner-ops` of the site. */
+  private static final Replica.Size PLAIN_SERVICE = new Replica.Size(6, 24, 110);
+
+  private static final long STABLE_WINDOW_MILLIS = 3000;
   private static final long MAX_RUN_MILLIS = 115_000;
 
   private final Path directory;
@@ -49,7 +53,8 @@
     try (Deployment deployment = new Deployment(Path.of(arguments[0]))) {
       result = task.run(deployment);
       deployment.record.write("result    %d (1: rule broken, 0: held, 2: not run)", result);
-    } catch (IOException | InterruptedException | RuntimeException e) {
+    } catch (Throwable e) {
+      // An uncaught error would end the process with 1, which states that the rule was broken.
       e.printStackTrace();
     }
     System.exit(result);
@@ -84,14 +89,26 @@
     return Long.toHexString(attempts.incrementAndGet());
   }
 
+  /** Waits until a node has run for so long without a disruption that it is in touch. */
+  static void awaitInTouch() throws InterruptedException {
+    Thread.sleep(STABLE_WINDOW_MILLIS + 200);
+  }
+
   Replica addReplica(String id, Replica.Listener listener, Replica.Answer answer)
       throws IOException {
+    return addReplica(id, PLAIN_SERVICE, listener, answer);
+  }
+
+  Replica addReplica(
+      String id, Replica.Size size, Replica.Listener listener, Replica.Answer answer)
+      throws IOException {
     Replica replica =
         new Replica(
             "127.0.0.1",
             id,
             Configuration.SERVICE,
             "lisboa-a",
+            size,
             listener,
             answer);
     replicas.add(replica);
--- a/review/standins-3/Http.java
+++ b/review/standins-3/Http.java
@@ -8,10 +8,12 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 
 /** A small HTTP/1.1 server and client on blocking sockets, one thread a connection. */
 final class Http {
@@ -48,13 +50,19 @@
   }
 
   static ServerSocket serve(String host, Handler handler) throws IOException {
+    return serve(host, handler, () -> true, () -> {});
+  }
+
+  /** Serves the connections that {@code admit} accepts, and resets the others. */
+  static ServerSocket serve(String host, Handler handler, BooleanSupplier admit, Runnable onClosed)
+      throws IOException {
     ServerSocket server = new ServerSocket(0, 512, InetAddress.getByName(host));
     thread(
         () -> {
           while (!server.isClosed()) {
             try {
               Socket socket = server.accept();
-              thread(() -> serveConnection(socket, handler));
+              thread(() -> serveConnection(socket, handler, admit, onClosed));
             } catch (IOException e) {
               return;
             }
@@ -63,8 +71,13 @@
     return server;
   }
 
-  private static void serveConnection(Socket socket, Handler handler) {
+  private static void serveConnection(
+      Socket socket, Handler handler, BooleanSupplier admit, Runnable onClosed) {
     try (socket) {
+      if (!admit.getAsBoolean()) {
+        socket.setSoLinger(true, 0);
+        return;
+      }
       socket.setTcpNoDelay(true);
       InputStream in = new BufferedInputStream(socket.getInputStream());
       while (true) {
@@ -75,6 +88,8 @@
       }
     } catch (IOException | InterruptedException e) {
       // The other side has left.
+    } finally {
+      onClosed.run();
     }
   }
 
@@ -202,7 +217,17 @@
       socket.getOutputStream().write(out.toByteArray());
     }
 
+    /** Returns the next answer; null if the connection is closed or reset before its first byte. */
     Message receive() throws IOException {
+      in.mark(1);
+      try {
+        if (in.read() < 0) {
+          return null;
+        }
+      } catch (SocketException e) {
+        return null;
+      }
+      in.reset();
       return read(in, false);
     }
 
