--- a/review/standins-3/Case13.java
+++ b/review/standins-3/Case13.java
@@ -75,6 +75,7 @@
     if (!node.awaitReady()) {
       return Deployment.NOT_RUN;
     }
+    Deployment.awaitInTouch();
     if (Deployment.hasTrouble()) {
       for (int i = 0; i < CONNECTIONS; i++) {
         Http.thread(() -> press(node));
