Give request handlers a refusal in plain text by default

Handlers with another form of refusal, those of the product's own interface, keep theirs.

No change of behaviour; the tests of the refusals (HttpListenerTest, CallerHandlerTest, HostileClientsTest) are as they were.

--- a/daemon/src/main/java/dev/apricotmill/daemon/http/RequestHandler.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/RequestHandler.java
@@ -6,6 +6,8 @@
   /** Handles a completely received request; called on a worker thread. */
   void handle(IncomingRequest request, ResponseSender sender);
 
-  /** Returns the response to a request that the server refuses. */
-  CompleteResponse refuse(EarlyRefusal refusal);
+  /** Returns the response to a request that the server refuses; by default its detail as text. */
+  default CompleteResponse refuse(EarlyRefusal refusal) {
+    return CompleteResponse.text(refusal.status(), "text/plain", refusal.detail());
+  }
 }
--- a/daemon/src/main/java/dev/apricotmill/daemon/http/StatusHandler.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/StatusHandler.java
@@ -31,9 +31,4 @@
     boolean isReady = ready.getAsBoolean();
     reply.send(CompleteResponse.text(isReady ? 200 : 503, TEXT, isReady ? "ready" : "not ready"));
   }
-
-  @Override
-  public CompleteResponse refuse(EarlyRefusal fault) {
-    return CompleteResponse.text(fault.status(), TEXT, fault.detail());
-  }
 }
