Reject successes that their server has not signed

Callers got a server's spoiled bytes as a success.

Cause: nothing in the node knew the signature. The client of backend servers asked of a response that it names the request, and every path after it (plain calls, streams, resumed streams, attempts beside a silent server) passed on any 2xx that did. A body with a Content-Encoding, which is not the server's, went the same way. What the spoiled head said of the server (leaving, limit, cold) was believed.

The check is made on the head, where the identifier is checked, before anything of the response is passed on, kept or learned, so no path can leave it out. A success that is not signed exactly once (UNSIGNED), or is encoded (ENCODED), ends its attempt as one that may have run and closes the connection: what may be repeated goes to another server, the rest gets 502. Errors, refusals and responses to orders need no signature. The decision is ResponseOrigin in node/; platform/ names the headers.

relay.unverified_response names request, server, address, status and what was wrong; the counter apricotmill_relay_failed_sends_total{reason} tells these failures from others.

--- a/node/src/main/java/dev/apricotmill/node/relay/BackendFailure.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/BackendFailure.java
@@ -25,7 +25,11 @@
   /** The response was malformed. */
   MALFORMED("MALFORMED", false),
   /** The response belongs to another request. */
-  MISMATCHED("the response belongs to another request", false);
+  MISMATCHED("the response belongs to another request", false),
+  /** The response is a success that does not have exactly one signature of its server. */
+  UNSIGNED("the response is not signed", false),
+  /** The response is a success whose body is encoded, which the request did not ask for. */
+  ENCODED("the response is encoded", false);
 
   private final String logValue;
   private final boolean possibleCrash;
--- a/node/src/main/java/dev/apricotmill/node/relay/CallScope.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/CallScope.java
@@ -173,7 +173,7 @@
    */
   void fail(
       BackendAttempt attempt, boolean maybeSent, BackendFailure failure, boolean unreachable) {
-    log.attemptFailed(attempt, failure.logValue(), remaining());
+    recordFailure(attempt, failure);
     cancel(attempt);
     ReplicaId server = attempt.server().id();
     candidates.onFailure(server, unreachable);
@@ -187,6 +187,12 @@
     }
   }
 
+  /** Logs and counts an attempt that has failed. */
+  void recordFailure(BackendAttempt attempt, BackendFailure failure) {
+    log.attemptFailed(attempt, failure.logValue(), remaining());
+    node.metrics().recordFailedSend(failure);
+  }
+
   /** Ignores all further events of an attempt. */
   void close(BackendAttempt attempt) {
     if (!attempt.isClosed()) {
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayCall.java
@@ -121,7 +121,7 @@
   private void onStandbyAlive(StandbyAttempt standby) {
     BackendAttempt silent = currentAttempt;
     if (silent != null) {
-      scope.log().attemptFailed(silent, BackendFailure.SILENT.logValue(), scope.remaining());
+      scope.recordFailure(silent, BackendFailure.SILENT);
       scope.cancel(silent);
     }
     continueWith(standby);
--- a/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/RelayMetrics.java
@@ -14,6 +14,7 @@
 
   private static final String REFUSALS_COUNTER = "apricotmill.relay.refused";
   private static final String PASSED_ON_COUNTER = "apricotmill.relay.passed_on";
+  private static final String FAILED_SENDS_COUNTER = "apricotmill.relay.failed_sends";
   private static final String LEAVING_COUNTER = "apricotmill.relay.servers_leaving";
 
   private final MeterRegistry registry;
@@ -85,6 +86,11 @@
     registry.counter(PASSED_ON_COUNTER, "status", Integer.toString(status)).increment();
   }
 
+  /** Counts an attempt that ended without a response that could be used. */
+  void recordFailedSend(BackendFailure failure) {
+    registry.counter(FAILED_SENDS_COUNTER, "reason", failure.name()).increment();
+  }
+
   /** Counts a server that was marked as leaving. */
   void recordLeavingServer(LeavingServers.Source source) {
     registry.counter(LEAVING_COUNTER, "source", source.name()).increment();
--- a/node/src/main/java/dev/apricotmill/node/relay/ResponseEvents.java
+++ b/node/src/main/java/dev/apricotmill/node/relay/ResponseEvents.java
@@ -1,11 +1,9 @@
 package dev.apricotmill.node.relay;
 
 import com.google.common.base.Ascii;
-import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableMap;
-import org.jspecify.annotations.Nullable;
 
-/** Logs the responses of backend servers that do not belong to the request that waits for one. */
+/** Logs the responses of backend servers that cannot be used for the request that waits for one. */
 public final class ResponseEvents {
 
   private static final int MAXIMUM_LOGGED_CHARACTERS = 64;
@@ -18,20 +16,29 @@
   }
 
   /**
-   * Logs a response to another request, where the response to this one was due.
+   * Logs a response that cannot be used.
    *
-   * @param responseTo the request that the response names, if any
+   * @param waiting the request to which a response was due
+   * @param failure why the response cannot be used
    */
-  public void mismatched(
-      BackendClient.BackendRequest waiting, int status, @Nullable String responseTo) {
-    log.write(
-        "relay.mismatched_response",
-        ImmutableMap.of(
-            "request", waiting.request().id().value(),
-            "server", waiting.server().id().value(),
-            "address", waiting.server().address().toString(),
-            "status", status,
-            "response_to", shortened(responseTo)));
+  public void rejected(
+      BackendClient.BackendRequest waiting, ResponseOrigin origin, BackendFailure failure) {
+    ImmutableMap.Builder<String, Object> fields =
+        ImmutableMap.<String, Object>builder()
+            .put("request", waiting.request().id().value())
+            .put("server", waiting.server().id().value())
+            .put("address", waiting.server().address().toString())
+            .put("status", origin.status());
+    if (failure == BackendFailure.MISMATCHED) {
+      fields.put("response_to", shortened(origin.responseTo().orElse("")));
+      log.write("relay.mismatched_response", fields.buildOrThrow());
+    } else {
+      fields
+          .put("reason", failure.name())
+          .put("signatures", origin.signatures().size())
+          .put("content_encoding", shortened(String.join(", ", origin.contentEncodings())));
+      log.write("relay.unverified_response", fields.buildOrThrow());
+    }
   }
 
   /** Logs a second response to a request, which was skipped. */
@@ -40,7 +47,7 @@
         "relay.late_response", ImmutableMap.of("request", shortened(request), "status", status));
   }
 
-  private static String shortened(@Nullable String request) {
-    return Ascii.truncate(Strings.nullToEmpty(request), MAXIMUM_LOGGED_CHARACTERS, "...");
+  private static String shortened(String value) {
+    return Ascii.truncate(value, MAXIMUM_LOGGED_CHARACTERS, "...");
   }
 }
