Refuse request targets with control characters

A server ran a path that its caller had not sent: the HTTP library writes a question mark for each control character of a target (U+0001 to U+001F, U+007F to U+009F). A caller that sends the bytes of a UTF-8 path without percent-encoding them can send such bytes: of "/once/" and a euro sign the server got another path.

Such a target is no valid one (RFC 3986), so it is refused with 400 before it is routed, like other requests that are no valid HTTP. Other bytes above U+009F are forwarded as they were, as the test shows.

RequestTargetTest.aTargetWithAControlCharacterIsRefused fails before: a server ran the request with another path. It passes now.

--- a/daemon/src/main/java/dev/apricotmill/daemon/http/RequestHeadCheck.java
+++ b/daemon/src/main/java/dev/apricotmill/daemon/http/RequestHeadCheck.java
@@ -1,5 +1,6 @@
 package dev.apricotmill.daemon.http;
 
+import com.google.common.base.CharMatcher;
 import java.util.Optional;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
@@ -22,6 +23,10 @@
     if (sizeOf(head) > limits.maximumHeaderBytes()) {
       return Optional.of(EarlyRefusal.HEADER_TOO_LARGE);
     }
+    // No target may have these characters, and the library would send others in their place.
+    if (CharMatcher.javaIsoControl().matchesAnyOf(head.getPath())) {
+      return Optional.of(EarlyRefusal.NOT_HTTP);
+    }
     if (entity != null && entity.getContentLength() > limits.maximumBodyBytes()) {
       return Optional.of(EarlyRefusal.BODY_TOO_LARGE);
     }
